--- /dev/null
+++ b/crates/conf/src/source.rs
@@ -0,0 +1,155 @@
+//! Reads INI text and merges an overlay over a base, keeping where each value came from.
+
+use crate::check::{Mistake, Mistakes};
+use ini::Ini;
+use kernel::Name;
+use std::collections::BTreeMap;
+
+/// One settings file: its name for messages, and its text.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Name shown in messages.
+    pub file: Name,
+    /// Text of the file.
+    pub text: String,
+}
+
+impl Source {
+    /// Creates a source from text.
+    pub fn new(file: impl Into<Name>, text: impl Into<String>) -> Self {
+        Self { file: file.into(), text: text.into() }
+    }
+}
+
+/// One value and where it stands.
+#[derive(Clone, Debug)]
+pub(crate) struct Value {
+    pub(crate) text: String,
+    pub(crate) file: Name,
+    pub(crate) line: usize,
+}
+
+/// One section: its values by key.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Section {
+    pub(crate) file: Name,
+    pub(crate) line: usize,
+    pub(crate) values: BTreeMap<String, Value>,
+}
+
+/// Settings merged from a base and its overlays, section by section and key by key.
+#[derive(Clone, Debug, Default)]
+pub struct Merged {
+    pub(crate) sections: BTreeMap<String, Section>,
+}
+
+impl Merged {
+    /// Merges sources; a later source replaces single keys of an earlier one.
+    ///
+    /// # Errors
+    /// Every syntax error, repeated key and key outside of a section.
+    pub fn read(sources: &[Source]) -> Result<Self, Mistakes> {
+        let mut merged = Self::default();
+        let mut mistakes = Mistakes::default();
+        for source in sources {
+            merged.add(source, &mut mistakes);
+        }
+        mistakes.into_result(merged)
+    }
+
+    /// Renders the merged settings as INI text with sorted sections and keys.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        for (name, section) in &self.sections {
+            text.push_str(&format!("[{name}]\n"));
+            for (key, value) in &section.values {
+                text.push_str(&format!("{key} = {}\n", value.text));
+            }
+            text.push('\n');
+        }
+        text
+    }
+
+    fn add(&mut self, source: &Source, mistakes: &mut Mistakes) {
+        let lines = Lines::scan(source, mistakes);
+        let parsed = match Ini::load_from_str_noescape(&source.text) {
+            Ok(parsed) => parsed,
+            Err(e) => {
+                mistakes.push(Mistake::new(&source.file, e.line, "", "INI syntax", &e.msg));
+                return;
+            }
+        };
+        for (name, properties) in parsed.iter() {
+            let Some(name) = name else {
+                for (key, value) in properties.iter() {
+                    let line = lines.key("", key);
+                    mistakes.push(Mistake::new(
+                        &source.file,
+                        line,
+                        key,
+                        "a section before the first key",
+                        value,
+                    ));
+                }
+                continue;
+            };
+            let section = self.sections.entry(name.to_owned()).or_default();
+            section.file = source.file.clone();
+            section.line = lines.section(name);
+            for (key, value) in properties.iter() {
+                let line = lines.key(name, key);
+                let value =
+                    Value { text: value.trim().to_owned(), file: source.file.clone(), line };
+                section.values.insert(key.to_owned(), value);
+            }
+        }
+    }
+}
+
+/// Line numbers of sections and keys; the INI library does not give them.
+#[derive(Default)]
+struct Lines {
+    sections: BTreeMap<String, usize>,
+    keys: BTreeMap<(String, String), usize>,
+}
+
+impl Lines {
+    fn scan(source: &Source, mistakes: &mut Mistakes) -> Self {
+        let mut lines = Self::default();
+        let mut section = String::new();
+        for (index, line) in source.text.lines().enumerate() {
+            let line = line.trim();
+            let number = index + 1;
+            if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+                section = name.trim().to_owned();
+                lines.sections.entry(section.clone()).or_insert(number);
+            } else if let Some((key, value)) =
+                line.split_once('=').filter(|_| !line.starts_with([';', '#']))
+            {
+                let place = (section.clone(), key.trim().to_owned());
+                if let Some(first) = lines.keys.get(&place) {
+                    let expected =
+                        format!("a key once in its section; it stands in line {first} already");
+                    mistakes.push(Mistake::new(
+                        &source.file,
+                        number,
+                        &place.1,
+                        &expected,
+                        value.trim(),
+                    ));
+                } else {
+                    lines.keys.insert(place, number);
+                }
+            }
+        }
+        lines
+    }
+
+    fn section(&self, name: &str) -> usize {
+        self.sections.get(name).copied().unwrap_or(0)
+    }
+
+    fn key(&self, section: &str, key: &str) -> usize {
+        self.keys.get(&(section.to_owned(), key.to_owned())).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/exec/src/dispatch.rs
@@ -0,0 +1,186 @@
+//! Sends a request to backend servers and takes the answer in.
+
+use crate::record::{Record, Role};
+use crate::requests::Requests;
+use backend::Tag;
+use bytes::Bytes;
+use conf::{Service, ServiceKind};
+use kernel::prelude::*;
+use ledger::OwnerEvent;
+use opentelemetry::KeyValue;
+use rand::RngExt;
+use route::Wanted;
+
+/// Bytes of a prompt that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// How one attempt at one server ended.
+enum Attempt {
+    Answered,
+    NotSent(Failure),
+    Broke(Failure),
+}
+
+impl Requests {
+    /// Dispatches, unless this entry leaves before the answer is whole.
+    pub(crate) async fn dispatch_or_leave(
+        self: &Arc<Self>,
+        record: &Arc<Record>,
+        attempt: u32,
+    ) -> OwnerEvent {
+        let may_move = record.terms.repeatable;
+        tokio::select! {
+            event = self.dispatch(record, attempt) => event,
+            () = record.wait_for(|state| state.leaving), if may_move => OwnerEvent::Leave,
+        }
+    }
+
+    async fn dispatch(&self, record: &Arc<Record>, attempt: u32) -> OwnerEvent {
+        let service = match self.to.configuration.current() {
+            Ok(current) => current.config.service(&record.terms.service).cloned(),
+            Err(_) => None,
+        };
+        let Some(service) = service else { return not_sent(Code::UnknownService, false) };
+        let left = record.left(self.clock.now());
+        if left.is_zero() {
+            return OwnerEvent::Refuse(Code::TooLate);
+        }
+        let run = self.dispatch_once(record, &service, attempt);
+        match tokio::time::timeout(left, run).await {
+            Ok(event) => event,
+            Err(_) => OwnerEvent::Broke { code: Code::Incomplete, again: false },
+        }
+    }
+
+    async fn dispatch_once(
+        &self,
+        record: &Arc<Record>,
+        service: &Service,
+        attempt: u32,
+    ) -> OwnerEvent {
+        let serves = match service.kind {
+            ServiceKind::Model => service.model.clone(),
+            ServiceKind::Plain => record.terms.service.clone(),
+        };
+        let prompt_tokens = record.terms.body.len() as u64 / BYTES_PER_TOKEN;
+        let wanted = Wanted {
+            serves: &serves,
+            prompt_tokens,
+            first_token_ms: service.first_token.as_millis() as f64,
+            avoid: &[],
+            draw: rand::rng().random(),
+        };
+        let Some(choice) = self.to.servers.choose(&record.terms.key, &wanted) else {
+            return not_sent(Code::NoServer, false);
+        };
+        record.note(format!("attempt {attempt} at {}: {:?}", choice.server, choice.reason));
+        let tag = Tag { key: record.terms.key.clone(), owner: self.me().clone(), attempt };
+        let may_send = match &mut record.state().role {
+            Role::Owner(owner) => owner.may_send(),
+            Role::Witness(..) => false,
+        };
+        if !may_send {
+            return OwnerEvent::Broke { code: Code::Internal, again: false };
+        }
+        self.to.servers.sent(&choice.server, prompt_tokens);
+        let outcome = match service.kind {
+            ServiceKind::Model => self.generate(record, service, &choice, &tag).await,
+            ServiceKind::Plain => self.call_plain(record, &choice, &tag).await,
+        };
+        self.to.servers.ended(&choice.server, !matches!(outcome, Attempt::Answered));
+        let again = attempt < self.settings.attempts;
+        match outcome {
+            Attempt::Answered => OwnerEvent::Answered,
+            Attempt::NotSent(failure) => {
+                record.note(failure.to_string());
+                not_sent(failure.code, again)
+            }
+            Attempt::Broke(failure) => {
+                record.note(failure.to_string());
+                warn!(self.log, "attempt broke"; "key" => record.terms.key.to_string(),
+                    "server" => choice.server.as_str(), "reason" => failure.to_string());
+                OwnerEvent::Broke { code: Code::BackendBroke, again }
+            }
+        }
+    }
+
+    async fn generate(
+        &self,
+        record: &Arc<Record>,
+        service: &Service,
+        choice: &route::Choice,
+        tag: &Tag,
+    ) -> Attempt {
+        let so_far: Vec<String> = {
+            let state = record.state();
+            let text = |chunk: &ledger::Chunk| String::from_utf8_lossy(&chunk.data).into_owned();
+            state.answer.all_from(0).iter().map(text).collect()
+        };
+        if !so_far.is_empty() {
+            let cause = KeyValue::new("cause", "resumed");
+            self.counters.recomputed.add(so_far.len() as u64, &[cause]);
+            record.note(format!("resumes after {} tokens", so_far.len()));
+        }
+        let started = self.clock.now();
+        let left = record.left(started);
+        let stall = self.settings.stall.max(service.between_tokens);
+        let body = &record.terms.body;
+        let generation =
+            self.to.engine.generate(choice.address, tag, body, &so_far, left, stall).await;
+        let mut generation = match generation {
+            Ok(generation) => generation,
+            Err(failure) if failure.code == Code::NotDispatched => {
+                return Attempt::NotSent(failure);
+            }
+            Err(failure) => return Attempt::Broke(failure),
+        };
+        let replicating = self.replicate_until_ended(record);
+        let generating = async {
+            let mut first = so_far.is_empty();
+            loop {
+                match generation.next().await {
+                    Ok(None) => return Attempt::Answered,
+                    Ok(Some(piece)) => {
+                        if std::mem::take(&mut first) {
+                            let waited = (self.clock.now() - started) as f64 / 1000.0;
+                            self.counters.first_token.record(waited, &[]);
+                        }
+                        record.state().append(piece.index as usize, 1, Bytes::from(piece.text));
+                        record.touch();
+                    }
+                    Err(failure) => {
+                        self.counters
+                            .dropped
+                            .add(1, &[KeyValue::new("cause", failure.context.clone())]);
+                        return Attempt::Broke(failure);
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            outcome = generating => outcome,
+            () = replicating => Attempt::Broke(Failure::new(Code::Internal, "replication ended")),
+        }
+    }
+
+    async fn call_plain(&self, record: &Arc<Record>, choice: &route::Choice, tag: &Tag) -> Attempt {
+        let left = record.left(self.clock.now());
+        let body = record.terms.body.clone();
+        let path = format!("/{}{}", record.terms.service, record.terms.path);
+        match self.to.plain.call(choice.address, &path, tag, body, left).await {
+            Ok(answer) => {
+                let head = format!("{} {}", answer.status, answer.content_type);
+                let mut state = record.state();
+                state.append(0, 0, Bytes::from(head));
+                state.append(1, 0, answer.body);
+                Attempt::Answered
+            }
+            Err(failure) if failure.code == Code::NotDispatched => Attempt::NotSent(failure),
+            Err(failure) => Attempt::Broke(failure),
+        }
+    }
+}
+
+fn not_sent(code: Code, again: bool) -> OwnerEvent {
+    OwnerEvent::NotSent { code, again }
+}
--- /dev/null
+++ b/crates/kernel/src/error/code.rs
@@ -0,0 +1,105 @@
+//! The numbered result codes; docs/RESULT-CODES.md is their table.
+
+use std::time::Duration;
+
+/// What a result code says about whether the request ran.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Outcome {
+    /// This attempt was not accepted and caused no run; nothing is said of earlier attempts.
+    Rejected,
+    /// No attempt under this key has run, and none will unless it is sent again.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// The code is not about a request.
+    Other,
+}
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $status:literal, $exit:literal, $outcome:ident, $retry_s:literal, $text:literal;)*) => {
+        /// A numbered result.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Code {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Code {
+            /// Every code, in the order of the numbers.
+            pub const ALL: &'static [Code] = &[$(Code::$name,)*];
+
+            /// Returns the number that callers, logs and docs use.
+            pub fn number(self) -> u16 {
+                match self { $(Code::$name => $number,)* }
+            }
+
+            /// Returns the HTTP status that carries this code.
+            pub fn status(self) -> u16 {
+                match self { $(Code::$name => $status,)* }
+            }
+
+            /// Returns the exit code of the command line.
+            pub fn exit(self) -> u8 {
+                match self { $(Code::$name => $exit,)* }
+            }
+
+            /// Returns what the code says about the run.
+            pub fn outcome(self) -> Outcome {
+                match self { $(Code::$name => Outcome::$outcome,)* }
+            }
+
+            /// Returns the usual time before another try, if one makes sense.
+            pub fn retry_after(self) -> Option<Duration> {
+                match self { $(Code::$name => ($retry_s > 0).then(|| Duration::from_secs($retry_s)),)* }
+            }
+
+            /// Returns the short text of the code.
+            pub fn text(self) -> &'static str {
+                match self { $(Code::$name => $text,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    MalformedBody = 1001, 400, 2, Rejected, 0, "the body is malformed";
+    BodyTooLarge = 1002, 413, 2, Rejected, 0, "the body is too large";
+    UnknownService = 1003, 404, 2, Rejected, 0, "no such service";
+    UnknownModel = 1004, 404, 2, Rejected, 0, "no such model";
+    OrganisationMissing = 1005, 401, 2, Rejected, 0, "the organisation is missing";
+    OrganisationForeign = 1006, 403, 2, Rejected, 0, "the organisation is not served here";
+    KeyReused = 1007, 409, 2, Rejected, 0, "the key was used with another body";
+    MalformedKey = 1008, 400, 2, Rejected, 0, "the key is malformed";
+    UnknownPath = 1009, 404, 2, Rejected, 0, "no such path";
+    UnknownKey = 1010, 404, 2, Rejected, 0, "no request is known under this key";
+    MalformedHeader = 1011, 400, 2, Rejected, 0, "a header is malformed";
+    NoServer = 2001, 503, 3, NotRun, 1, "not run: no backend server can take it";
+    OverLimit = 2002, 429, 3, NotRun, 1, "not run: the organisation is over its limit";
+    TooLate = 2003, 503, 3, NotRun, 1, "not run: it cannot be on time";
+    Leaving = 2004, 503, 3, NotRun, 1, "not run: this entry is leaving";
+    NoConfiguration = 2005, 503, 3, NotRun, 1, "not run: no current configuration here";
+    NoArbiter = 2006, 503, 3, NotRun, 2, "not run: the key has no home and the key-value service is unreachable";
+    NotDispatched = 2007, 503, 3, NotRun, 1, "not run: no backend server received it";
+    Overloaded = 2008, 503, 3, NotRun, 1, "not run: this entry is overloaded";
+    BackendBroke = 3001, 502, 4, Unknown, 0, "unknown: the backend server broke off after dispatch";
+    HomeLost = 3002, 502, 4, Unknown, 0, "unknown: both holders of the request are gone";
+    OwnerSilent = 3003, 502, 4, Unknown, 2, "unknown: its owner is silent and may have dispatched it";
+    Elsewhere = 3004, 502, 4, Unknown, 1, "unknown: another entry holds the right to dispatch it";
+    Incomplete = 3005, 502, 4, Unknown, 1, "unknown: the answer stopped before its final event";
+    ConfigInvalid = 4001, 422, 5, Other, 0, "the configuration has mistakes";
+    ConfigConflict = 4002, 409, 6, Other, 0, "another configuration was accepted first";
+    ConfigUnsettled = 4003, 504, 7, Other, 2, "the key-value service has not said whether it was accepted";
+    ConfigNotEverywhere = 4004, 504, 8, Other, 2, "accepted, but not yet in force everywhere";
+    SettingsUnreadable = 5001, 500, 2, Other, 0, "the settings file is unreadable";
+    PortInUse = 5002, 500, 9, Other, 0, "the address cannot be listened on";
+    PlatformUnreachable = 5003, 503, 10, Other, 2, "the platform is unreachable";
+    PeerUnreachable = 5004, 503, 10, Other, 1, "the entry is unreachable";
+    ServiceMissing = 5005, 500, 11, Other, 0, "a service is not registered";
+    Internal = 5006, 500, 11, Other, 0, "an internal invariant does not hold";
+}
+
+impl Code {
+    /// Finds a code by its number.
+    pub fn from_number(number: u16) -> Option<Code> {
+        Code::ALL.iter().copied().find(|code| code.number() == number)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,27 @@
+//! Service registry, common types, result codes, logging and metrics.
+//!
+//! Every other crate stands on this one. A process builds one [`Kernel`], adds its services under
+//! names, and services find each other through it.
+
+mod error;
+mod log;
+mod metrics;
+mod name;
+mod registry;
+mod time;
+
+pub use error::{Code, Failure, Outcome};
+pub use log::{logger, logger_to};
+pub use metrics::Metrics;
+pub use name::{Key, Name, NodeId};
+pub use registry::{Kernel, Stop};
+pub use time::{Clock, Millis};
+
+/// Types that nearly every module needs.
+pub mod prelude {
+    pub use crate::{Clock, Code, Failure, Kernel, Key, Millis, Name, NodeId, Outcome};
+    pub use slog::{Logger, debug, error, info, o, warn};
+    pub use std::collections::{BTreeMap, HashMap, HashSet};
+    pub use std::sync::Arc;
+    pub use std::time::Duration;
+}
--- /dev/null
+++ b/crates/kernel/src/time.rs
@@ -0,0 +1,36 @@
+//! Time as the decisions see it.
+
+use std::time::{Duration, Instant};
+
+/// Milliseconds on a monotonic clock that starts with the process.
+pub type Millis = u64;
+
+/// A monotonic clock that reads zero when the process starts.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Reads the milliseconds since the start.
+    pub fn now(&self) -> Millis {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns wall-clock milliseconds since 1970, for incarnations and logs only.
+    pub fn unix_ms() -> u64 {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        u64::try_from(since.unwrap_or(Duration::ZERO).as_millis()).unwrap_or(0)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::start()
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,25 @@
+//! Pure state machines for the life of a request.
+//!
+//! Every request has a *home*: an owner that runs it and a witness, an entry in another data
+//! centre, that holds a copy. [`Owner`] and [`Witness`] decide what each of them does next; they
+//! hold no socket, clock or task, so that every fault can be put at every step.
+//!
+//! A request that may not be repeated is dispatched only by the holder of the dispatch right:
+//!
+//! - the owner, once the witness granted it; a witness that granted never takes over; or
+//! - whoever won the claim, a create-if-absent in the key-value service, which either side needs
+//!   when the other is silent; while its own claim is undecided a witness grants nothing.
+
+mod answer;
+mod claim;
+mod home;
+mod message;
+mod owner;
+mod witness;
+
+pub use answer::{Answer, Chunk};
+pub use claim::{Claim, ClaimEvent, ClaimNext};
+pub use home::Home;
+pub use message::{AskReply, Ending, HoldReply, Right, Terms, VoidReply};
+pub use owner::{Owner, OwnerEvent, OwnerNext, OwnerState};
+pub use witness::{Witness, WitnessEvent, WitnessNext, WitnessState};
--- /dev/null
+++ b/crates/ledger/src/message.rs
@@ -0,0 +1,88 @@
+//! What owner and witness tell each other, and how a request ends.
+
+use bytes::Bytes;
+use kernel::{Code, Key, Name, NodeId};
+
+/// What a caller asked for; it never changes once accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Terms {
+    /// Identity of the request.
+    pub key: Key,
+    /// Service it goes to.
+    pub service: Name,
+    /// Path below the service, for plain services.
+    pub path: Name,
+    /// Body as the caller sent it.
+    pub body: Bytes,
+    /// Digest of service, path and body, to tell another request under the same key.
+    pub digest: u64,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Milliseconds that were left until its deadline when this copy was sent.
+    pub left_ms: u64,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The answer is whole.
+    Answered,
+    /// It did not run and nobody can run it any more.
+    NotRun(Code),
+    /// It was not accepted; nothing is known about earlier attempts.
+    Rejected(Code),
+    /// It may have run.
+    Unknown(Code),
+    /// Another entry has it.
+    Follow(NodeId),
+}
+
+/// Where the right to dispatch comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Right {
+    /// Nobody gave it.
+    None,
+    /// The witness granted it and will never take over.
+    Granted,
+    /// The claim in the key-value service was won.
+    Claimed,
+}
+
+/// The witness's answer to the offer of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HoldReply {
+    /// It holds the record.
+    Held,
+    /// It has taken the request over, or gave it to the entry named.
+    Taken(NodeId),
+    /// It cannot tell yet who has the request.
+    Undecided,
+    /// It holds another body under the same key.
+    OtherBody,
+    /// It is another run than the one addressed, and knows nothing.
+    OtherRun,
+}
+
+/// The witness's answer to the request for the dispatch right.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AskReply {
+    /// The owner may dispatch; the witness never will.
+    Granted,
+    /// It has taken the request over, or gave it to the entry named.
+    Taken(NodeId),
+    /// It cannot tell yet who has the request.
+    Undecided,
+    /// It holds no such record in this round, or is another run.
+    NotHeld,
+}
+
+/// The witness's answer to a request to void a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VoidReply {
+    /// It will not take this round over.
+    Voided,
+    /// It has taken the request over, or gave it to the entry named.
+    Taken(NodeId),
+    /// It cannot tell yet who has the request, or is another run.
+    Undecided,
+}
--- /dev/null
+++ b/crates/peer/src/codec/parts.rs
@@ -0,0 +1,165 @@
+//! The parts that several messages share.
+
+use capnp::{struct_list, text};
+use kernel::{Code, Key, Name, NodeId};
+use ledger::{Chunk, Ending, Right, Terms};
+use member::{Gossip, Member, MemberState};
+use wire::peer_capnp as w;
+
+type Read<T> = capnp::Result<T>;
+
+pub(super) fn name(text: text::Reader<'_>) -> Read<Name> {
+    Ok(Name::from(text.to_str()?))
+}
+
+pub(super) fn write_node(mut b: w::node::Builder<'_>, node: &NodeId) {
+    b.set_name(node.name.as_str());
+    b.set_incarnation(node.incarnation);
+}
+
+pub(super) fn read_node(r: w::node::Reader<'_>) -> Read<NodeId> {
+    Ok(NodeId::new(name(r.get_name()?)?, r.get_incarnation()))
+}
+
+pub(super) fn write_key(mut b: w::key::Builder<'_>, key: &Key) {
+    b.set_organisation(key.organisation.as_str());
+    b.set_id(key.id.as_str());
+}
+
+pub(super) fn read_key(r: w::key::Reader<'_>) -> Read<Key> {
+    Ok(Key::new(name(r.get_organisation()?)?, name(r.get_id()?)?))
+}
+
+pub(super) fn write_terms(mut b: w::terms::Builder<'_>, terms: &Terms) {
+    write_key(b.reborrow().init_key(), &terms.key);
+    b.set_service(terms.service.as_str());
+    b.set_path(terms.path.as_str());
+    b.set_body(&terms.body);
+    b.set_digest(terms.digest);
+    b.set_repeatable(terms.repeatable);
+    b.set_left_ms(terms.left_ms);
+}
+
+pub(super) fn read_terms(r: w::terms::Reader<'_>) -> Read<Terms> {
+    Ok(Terms {
+        key: read_key(r.get_key()?)?,
+        service: name(r.get_service()?)?,
+        path: name(r.get_path()?)?,
+        body: r.get_body()?.to_vec().into(),
+        digest: r.get_digest(),
+        repeatable: r.get_repeatable(),
+        left_ms: r.get_left_ms(),
+    })
+}
+
+pub(super) fn write_chunks(mut b: struct_list::Builder<'_, w::chunk::Owned>, chunks: &[Chunk]) {
+    for (i, chunk) in (0..).zip(chunks) {
+        let mut item = b.reborrow().get(i);
+        item.set_tokens(chunk.tokens);
+        item.set_data(&chunk.data);
+    }
+}
+
+pub(super) fn read_chunks(r: struct_list::Reader<'_, w::chunk::Owned>) -> Read<Vec<Chunk>> {
+    let chunk = |item: w::chunk::Reader<'_>| {
+        Ok(Chunk { tokens: item.get_tokens(), data: item.get_data()?.to_vec().into() })
+    };
+    r.iter().map(chunk).collect()
+}
+
+pub(super) fn write_ending(mut b: w::ending::Builder<'_>, ending: &Ending) {
+    match ending {
+        Ending::Answered => b.set_answered(()),
+        Ending::NotRun(code) => b.set_not_run(code.number()),
+        Ending::Rejected(code) => b.set_rejected(code.number()),
+        Ending::Unknown(code) => b.set_unknown(code.number()),
+        Ending::Follow(node) => write_node(b.init_follow(), node),
+    }
+}
+
+pub(super) fn read_ending(r: w::ending::Reader<'_>) -> Read<Ending> {
+    use w::ending::Which;
+    Ok(match r.which()? {
+        Which::Answered(()) => Ending::Answered,
+        Which::NotRun(number) => Ending::NotRun(code(number)),
+        Which::Rejected(number) => Ending::Rejected(code(number)),
+        Which::Unknown(number) => Ending::Unknown(code(number)),
+        Which::Follow(node) => Ending::Follow(read_node(node?)?),
+    })
+}
+
+/// Reads a result code; one of a later version counts as internal.
+pub(super) fn code(number: u16) -> Code {
+    Code::from_number(number).unwrap_or(Code::Internal)
+}
+
+pub(super) fn write_right(right: Right) -> w::Right {
+    match right {
+        Right::None => w::Right::None,
+        Right::Granted => w::Right::Granted,
+        Right::Claimed => w::Right::Claimed,
+    }
+}
+
+pub(super) fn read_right(right: w::Right) -> Right {
+    match right {
+        w::Right::None => Right::None,
+        w::Right::Granted => Right::Granted,
+        w::Right::Claimed => Right::Claimed,
+    }
+}
+
+pub(super) fn write_gossip(mut b: w::gossip::Builder<'_>, gossip: &Gossip) {
+    write_node(b.reborrow().init_from(), &gossip.from);
+    b.set_generation(gossip.generation);
+    let mut members = b.reborrow().init_members(gossip.members.len() as u32);
+    for (i, member) in (0..).zip(&gossip.members) {
+        write_member(members.reborrow().get(i), member);
+    }
+    let mut leaving = b.init_leaving_servers(gossip.leaving_servers.len() as u32);
+    for (i, server) in (0..).zip(&gossip.leaving_servers) {
+        leaving.set(i, server.as_str());
+    }
+}
+
+pub(super) fn read_gossip(r: w::gossip::Reader<'_>) -> Read<Gossip> {
+    let members = r.get_members()?.iter().map(read_member).collect::<Read<_>>()?;
+    let leaving = r.get_leaving_servers()?;
+    Ok(Gossip {
+        from: read_node(r.get_from()?)?,
+        members,
+        generation: r.get_generation(),
+        leaving_servers: leaving.iter().map(|server| name(server?)).collect::<Read<_>>()?,
+    })
+}
+
+fn write_member(mut b: w::member::Builder<'_>, member: &Member) {
+    write_node(b.reborrow().init_node(), &member.node);
+    b.set_http(member.http.to_string());
+    b.set_peer(member.peer.to_string());
+    b.set_data_centre(member.data_centre.as_str());
+    b.set_state(match member.state {
+        MemberState::Alive => w::MemberState::Alive,
+        MemberState::Suspect => w::MemberState::Suspect,
+        MemberState::Leaving => w::MemberState::Leaving,
+        MemberState::Dead => w::MemberState::Dead,
+    });
+}
+
+fn read_member(r: w::member::Reader<'_>) -> Read<Member> {
+    let address = |text: text::Reader<'_>| {
+        text.to_str()?.parse().map_err(|e| capnp::Error::failed(format!("address: {e}")))
+    };
+    Ok(Member {
+        node: read_node(r.get_node()?)?,
+        http: address(r.get_http()?)?,
+        peer: address(r.get_peer()?)?,
+        data_centre: name(r.get_data_centre()?)?,
+        state: match r.get_state()? {
+            w::MemberState::Alive => MemberState::Alive,
+            w::MemberState::Suspect => MemberState::Suspect,
+            w::MemberState::Leaving => MemberState::Leaving,
+            w::MemberState::Dead => MemberState::Dead,
+        },
+    })
+}
--- /dev/null
+++ b/crates/peer/src/transport.rs
@@ -0,0 +1,256 @@
+//! The thread that runs capnp-rpc, and the handle to it.
+
+use crate::codec::{malformed, read_reply, read_request, write_reply, write_request};
+use crate::message::{Handler, Reply, Request};
+use capnp::capability::{FromClientHook, Promise};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use kernel::prelude::*;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use wire::peer_capnp::peer;
+
+/// Requests that may wait for the transport thread.
+const QUEUE: usize = 8192;
+
+/// Bounds of the transport.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerSettings {
+    /// Time for a connection to be made.
+    pub connect: Duration,
+    /// Time for an answer, when the caller of [`Peers::call`] gives none.
+    pub answer: Duration,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self { connect: Duration::from_millis(250), answer: Duration::from_millis(500) }
+    }
+}
+
+struct Job {
+    address: SocketAddr,
+    to: NodeId,
+    req: Request,
+    limit: Duration,
+    tx: oneshot::Sender<Result<Reply, Failure>>,
+}
+
+/// A handle to the transport; clones share it.
+#[derive(Clone)]
+pub struct Peers {
+    tx: mpsc::Sender<Job>,
+    settings: PeerSettings,
+}
+
+impl Peers {
+    /// Starts the transport thread without a listener, for processes that only call.
+    ///
+    /// # Errors
+    /// [`Code::Internal`] when the thread cannot be started.
+    pub fn start(settings: PeerSettings) -> Result<Self, Failure> {
+        let (tx, rx) = mpsc::channel(QUEUE);
+        let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(internal)?;
+        let body = move || LocalSet::new().block_on(&runtime, run_jobs(rx, settings));
+        std::thread::Builder::new().name("peers".into()).spawn(body).map_err(internal)?;
+        Ok(Self { tx, settings })
+    }
+
+    /// Sends a request to an entry and waits for its answer.
+    ///
+    /// # Errors
+    /// [`Code::PeerUnreachable`] when no answer came in time; the request may have been handled.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        to: &NodeId,
+        req: Request,
+        limit: Option<Duration>,
+    ) -> Result<Reply, Failure> {
+        let (tx, rx) = oneshot::channel();
+        let limit = limit.unwrap_or(self.settings.answer);
+        let job = Job { address, to: to.clone(), req, limit, tx };
+        let silent = || Failure::new(Code::PeerUnreachable, format!("{to} at {address}"));
+        self.tx.try_send(job).map_err(|_| silent())?;
+        match tokio::time::timeout(limit, rx).await {
+            Ok(Ok(Ok(Reply::Failure(failure)))) => Err(failure),
+            Ok(Ok(reply)) => reply,
+            _ => Err(silent()),
+        }
+    }
+
+    /// Serves other entries on a listener, on a thread of its own, until the stop.
+    ///
+    /// # Errors
+    /// [`Code::Internal`] when the thread cannot be started.
+    pub fn serve(
+        listener: std::net::TcpListener,
+        handler: Arc<dyn Handler>,
+        mut stop: kernel::Stop,
+    ) -> Result<(), Failure> {
+        let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
+        let main = tokio::runtime::Handle::current();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(internal)?;
+        listener.set_nonblocking(true).map_err(internal)?;
+        let body = move || {
+            let serving = async move {
+                tokio::select! {
+                    () = accept(listener, handler, main) => {}
+                    () = stop.wait() => {}
+                }
+            };
+            LocalSet::new().block_on(&runtime, serving);
+        };
+        std::thread::Builder::new().name("peer-server".into()).spawn(body).map_err(internal)?;
+        Ok(())
+    }
+}
+
+/// Connections of this thread by address; a broken one is dropped and made again on demand.
+type Connections = Rc<RefCell<HashMap<SocketAddr, peer::Client>>>;
+
+async fn run_jobs(mut rx: mpsc::Receiver<Job>, settings: PeerSettings) {
+    let connections = Connections::default();
+    while let Some(job) = rx.recv().await {
+        let connections = connections.clone();
+        spawn_local(async move {
+            let limit = job.limit;
+            let work = run_job(&connections, &job, settings);
+            let result = tokio::time::timeout(limit, work).await;
+            let late = || Failure::new(Code::PeerUnreachable, format!("{} is late", job.to));
+            let result = result.unwrap_or_else(|_| Err(late()));
+            // The caller may have stopped waiting.
+            let _ = job.tx.send(result);
+        });
+    }
+}
+
+async fn run_job(
+    connections: &Connections,
+    job: &Job,
+    settings: PeerSettings,
+) -> Result<Reply, Failure> {
+    let known = connections.borrow().get(&job.address).cloned();
+    let client = match known {
+        Some(client) => client,
+        None => connect(connections, job.address, settings).await?,
+    };
+    let mut call = client.call_request();
+    write_request(call.get().init_request(), &job.to, &job.req);
+    let result = match call.send().promise.await {
+        Ok(answer) => {
+            answer.get().and_then(|r| r.get_reply()).and_then(read_reply).map_err(malformed)
+        }
+        Err(e) => Err(Failure::new(Code::PeerUnreachable, format!("{}: {e}", job.address))),
+    };
+    if result.is_err() {
+        forget(connections, job.address, &client);
+    }
+    result
+}
+
+fn forget(connections: &Connections, address: SocketAddr, client: &peer::Client) {
+    let mut connections = connections.borrow_mut();
+    let same = |known: &peer::Client| {
+        known.as_client_hook().get_ptr() == client.as_client_hook().get_ptr()
+    };
+    if connections.get(&address).is_some_and(same) {
+        connections.remove(&address);
+    }
+}
+
+async fn connect(
+    connections: &Connections,
+    address: SocketAddr,
+    settings: PeerSettings,
+) -> Result<peer::Client, Failure> {
+    let unreachable = |e: String| Failure::new(Code::PeerUnreachable, format!("{address}: {e}"));
+    let stream = tokio::time::timeout(settings.connect, TcpStream::connect(address)).await;
+    let stream =
+        stream.map_err(|e| unreachable(e.to_string()))?.map_err(|e| unreachable(e.to_string()))?;
+    let _ = stream.set_nodelay(true);
+    let network = network(stream, rpc_twoparty_capnp::Side::Client);
+    let mut system = RpcSystem::new(network, None);
+    let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    connections.borrow_mut().insert(address, client.clone());
+    let (connections, gone) = (connections.clone(), client.clone());
+    spawn_local(async move {
+        let _ = system.await;
+        forget(&connections, address, &gone);
+    });
+    Ok(client)
+}
+
+fn network(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+) -> Box<twoparty::VatNetwork<impl futures::AsyncRead + Unpin>> {
+    let (reader, writer) = tokio::io::split(stream);
+    Box::new(twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        side,
+        Default::default(),
+    ))
+}
+
+async fn accept(
+    listener: std::net::TcpListener,
+    handler: Arc<dyn Handler>,
+    main: tokio::runtime::Handle,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let server = Server { handler: handler.clone(), main: main.clone() };
+        let client: peer::Client = capnp_rpc::new_client(server);
+        let network = network(stream, rpc_twoparty_capnp::Side::Server);
+        spawn_local(RpcSystem::new(network, Some(client.client)));
+    }
+}
+
+struct Server {
+    handler: Arc<dyn Handler>,
+    main: tokio::runtime::Handle,
+}
+
+impl peer::Server for Server {
+    fn call(
+        self: Rc<Self>,
+        params: peer::CallParams,
+        mut results: peer::CallResults,
+    ) -> impl std::future::Future<Output = Result<(), capnp::Error>> + 'static {
+        let (handler, main) = (self.handler.clone(), self.main.clone());
+        Promise::from_future(async move {
+            let (to, req) = read_request(params.get()?.get_request()?)?;
+            let handling = main.spawn(async move { answer(&*handler, &to, req).await });
+            let reply = handling.await.map_err(|e| capnp::Error::failed(e.to_string()))?;
+            write_reply(results.get().init_reply(), &reply);
+            Ok(())
+        })
+    }
+}
+
+/// Answers a request, but one that is meant for another run of this entry.
+async fn answer(handler: &dyn Handler, to: &NodeId, req: Request) -> Reply {
+    if to.name.is_empty() || handler.is_me(to) {
+        return handler.handle(req).await;
+    }
+    match req {
+        Request::Hold { .. } => Reply::Hold(ledger::HoldReply::OtherRun),
+        Request::Ask { .. } => Reply::Ask(ledger::AskReply::NotHeld),
+        Request::Void { .. } => Reply::Void(ledger::VoidReply::Undecided),
+        _ => Reply::Failure(Failure::new(Code::PeerUnreachable, format!("{to} is another run"))),
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/peer.capnp
@@ -0,0 +1,164 @@
+@0xd3f1a86b2c4e9075;
+
+# The protocol between entries. crates/wire/src/peer_capnp.rs is generated from this file by
+# scripts/generate and committed.
+
+interface Peer {
+  call @0 (request :Request) -> (reply :Reply);
+}
+
+struct Node {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Key {
+  organisation @0 :Text;
+  id @1 :Text;
+}
+
+struct Terms {
+  key @0 :Key;
+  service @1 :Text;
+  path @2 :Text;
+  body @3 :Data;
+  digest @4 :UInt64;
+  repeatable @5 :Bool;
+  leftMs @6 :UInt64;   # milliseconds until the deadline when this was sent
+}
+
+struct Chunk {
+  tokens @0 :UInt32;
+  data @1 :Data;
+}
+
+struct Ending {
+  union {
+    answered @0 :Void;
+    notRun @1 :UInt16;    # number of the result code
+    rejected @2 :UInt16;
+    unknown @3 :UInt16;
+    follow @4 :Node;
+  }
+}
+
+enum Right {
+  none @0;
+  granted @1;
+  claimed @2;
+}
+
+struct Member {
+  node @0 :Node;
+  http @1 :Text;
+  peer @2 :Text;
+  dataCentre @3 :Text;
+  state @4 :MemberState;
+}
+
+enum MemberState {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  dead @3;
+}
+
+struct Gossip {
+  from @0 :Node;
+  members @1 :List(Member);
+  generation @2 :UInt64;      # of the configuration in force at the sender
+  leavingServers @3 :List(Text);
+}
+
+struct Request {
+  to @0 :Node;                # the run addressed; an empty name addresses any run
+  union {
+    gossip @1 :Gossip;
+    hold :group {
+      terms @2 :Terms;
+      round @3 :UInt64;
+      owner @4 :Node;
+    }
+    ask :group {
+      key @5 :Key;
+      round @6 :UInt64;
+    }
+    void :group {
+      key @7 :Key;
+      round @8 :UInt64;
+    }
+    progress :group {
+      key @9 :Key;
+      from @10 :UInt64;       # number of the first chunk
+      chunks @11 :List(Chunk);
+      ending @12 :Ending;
+      ended @13 :Bool;        # whether the ending counts
+    }
+    handOver :group {
+      terms @14 :Terms;
+      right @15 :Right;
+      chunks @16 :List(Chunk);
+    }
+    submit :group {
+      terms @17 :Terms;
+      ownerSilent @18 :Bool;
+    }
+    read :group {
+      key @19 :Key;
+      from @20 :UInt64;
+      waitMs @21 :UInt64;
+      ownerSilent @22 :Bool;
+    }
+    configuration @23 :Void;
+  }
+}
+
+struct Failure {
+  code @0 :UInt16;
+  rejected @1 :Bool;
+  context @2 :Text;
+  retryMs @3 :UInt64;
+}
+
+struct Reply {
+  union {
+    done @0 :Void;
+    failure @1 :Failure;
+    gossip @2 :Gossip;
+    hold :group {
+      union {
+        held @3 :Void;
+        taken @4 :Node;
+        undecided @5 :Void;
+        otherBody @6 :Void;
+        otherRun @7 :Void;
+      }
+    }
+    ask :group {
+      union {
+        granted @8 :Void;
+        taken @9 :Node;
+        undecided @10 :Void;
+        notHeld @11 :Void;
+      }
+    }
+    void :group {
+      union {
+        voided @12 :Void;
+        taken @13 :Node;
+        undecided @14 :Void;
+      }
+    }
+    have @15 :UInt64;         # chunks that the witness holds
+    read :group {
+      from @16 :UInt64;
+      chunks @17 :List(Chunk);
+      ending @18 :Ending;
+      ended @19 :Bool;
+    }
+    configuration :group {
+      head @20 :Text;         # JSON of the head
+      body @21 :Text;         # merged INI text
+    }
+  }
+}
