--- a/crates/exec/src/drive.rs
+++ b/crates/exec/src/drive.rs
@@ -68,10 +68,7 @@
     }
 
     async fn offer(&self, record: &Record) -> OwnerEvent {
-        let (witness, round) = {
-            let state = record.state();
-            (state.witness.clone(), state.round)
-        };
+        let (witness, round) = record.witness_and_round();
         let Some(witness) = witness else { return OwnerEvent::WitnessSilent };
         let terms = record.terms_now(self.clock.now());
         let req = Request::Hold { terms, round, owner: self.me().clone() };
@@ -82,7 +79,7 @@
     }
 
     async fn ask(&self, record: &Record) -> OwnerEvent {
-        let (witness, round) = (record.state().witness.clone(), record.state().round);
+        let (witness, round) = record.witness_and_round();
         let Some(witness) = witness else { return OwnerEvent::WitnessSilent };
         let req = Request::Ask { key: record.terms.key.clone(), round };
         match self.to.cluster.call(&witness, req, Some(self.settings.peer)).await {
@@ -92,7 +89,7 @@
     }
 
     async fn void(&self, record: &Record) -> OwnerEvent {
-        let (witness, round) = (record.state().witness.clone(), record.state().round);
+        let (witness, round) = record.witness_and_round();
         let Some(witness) = witness else { return OwnerEvent::WitnessSilent };
         let req = Request::Void { key: record.terms.key.clone(), round };
         match self.to.cluster.call(&witness, req, Some(self.settings.peer)).await {
--- a/crates/exec/src/read.rs
+++ b/crates/exec/src/read.rs
@@ -76,9 +76,7 @@
             return Reply::Failure(Failure::new(Code::UnknownKey, key.to_string()));
         };
         let wait = Duration::from_millis(wait_ms).min(self.settings.read_wait);
-        let waits_for_owner =
-            matches!(record.state().role, Role::Witness(..)) && record.state().ending.is_none();
-        if waits_for_owner && owner_silent {
+        if owner_silent && record.awaited_owner().is_some() {
             return match self.read_as_witness(key, from).await {
                 Ok(reply) => Reply::Read(reply),
                 Err(failure) => Reply::Failure(failure),
@@ -95,11 +93,7 @@
     ) -> Result<ReadReply, Failure> {
         let unknown = || Failure::new(Code::UnknownKey, key.to_string());
         let record = self.get(key).ok_or_else(unknown)?;
-        let owner = match &record.state().role {
-            Role::Witness(_, owner) if record.state_ending().is_none() => Some(owner.clone()),
-            _ => None,
-        };
-        let Some(owner) = owner else {
+        let Some(owner) = record.awaited_owner() else {
             return Ok(self.read_here(&record, from, self.settings.read_wait).await);
         };
         if !self.to.cluster.is_gone(&owner) {
@@ -187,9 +181,3 @@
         }
     }
 }
-
-impl Record {
-    fn state_ending(&self) -> Option<Ending> {
-        self.state().ending.clone()
-    }
-}
--- a/crates/exec/src/record.rs
+++ b/crates/exec/src/record.rs
@@ -86,6 +86,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the present witness and round.
+    pub(crate) fn witness_and_round(&self) -> (Option<NodeId>, u64) {
+        // One guard for both: a second lock in the same statement would wait for the first forever.
+        let state = self.state();
+        (state.witness.clone(), state.round)
+    }
+
+    /// Returns the owner whose ending this entry waits for as the witness.
+    pub(crate) fn awaited_owner(&self) -> Option<NodeId> {
+        let state = self.state();
+        match &state.role {
+            Role::Witness(_, owner) if state.ending.is_none() => Some(owner.clone()),
+            _ => None,
+        }
+    }
+
     /// Wakes whoever waits for a change.
     pub(crate) fn touch(&self) {
         self.changed.send_modify(|count| *count += 1);
