--- a/crates/exec/src/claim.rs
+++ b/crates/exec/src/claim.rs
@@ -1,9 +1,8 @@
 //! The claim in the key-value service, needed only when the other side is silent.
 
-use crate::record::Record;
 use crate::requests::Requests;
 use kernel::prelude::*;
-use ledger::{Claim, ClaimEvent, ClaimNext, OwnerEvent};
+use ledger::{Claim, ClaimEvent, ClaimNext, ClaimResult};
 use opentelemetry::KeyValue;
 use platform::{Stored, Swap};
 use rand::RngExt;
@@ -17,17 +16,8 @@
 }
 
 impl Requests {
-    /// Claims the right of a record for this entry.
-    pub(crate) async fn claim(&self, record: &Record) -> OwnerEvent {
-        match self.run_claim(&record.terms.key).await {
-            ClaimNext::Won => OwnerEvent::ClaimWon,
-            ClaimNext::LostTo(holder) => OwnerEvent::ClaimLost(holder),
-            _ => OwnerEvent::ClaimUndecided,
-        }
-    }
-
     /// Runs a claim to its end: won, lost or undecided.
-    pub(crate) async fn run_claim(&self, key: &Key) -> ClaimNext {
+    pub(crate) async fn run_claim(&self, key: &Key) -> ClaimResult {
         // The nonce is the same for every claim of one run, so a claim sent again is recognised.
         let mut claim = Claim::new(format!("{}", self.me()), self.settings.claim_reads);
         let path = format!("fennelfold/claim/{key}");
@@ -40,14 +30,14 @@
             };
             next = claim.next(event);
         }
-        let result = match &next {
-            ClaimNext::Won => "won",
-            ClaimNext::LostTo(_) => "lost",
-            _ => "undecided",
+        let (name, result) = match next {
+            ClaimNext::Won => ("won", ClaimResult::Won),
+            ClaimNext::LostTo(holder) => ("lost", ClaimResult::LostTo(holder)),
+            _ => ("undecided", ClaimResult::Undecided),
         };
-        info!(self.log, "claim"; "key" => key.to_string(), "result" => format!("{next:?}"));
-        self.counters.claims.add(1, &[KeyValue::new("result", result)]);
-        next
+        info!(self.log, "claim"; "key" => key.to_string(), "result" => format!("{result:?}"));
+        self.counters.claims.add(1, &[KeyValue::new("result", name)]);
+        result
     }
 
     async fn create_claim(&self, path: &str, nonce: &Name) -> ClaimEvent {
--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -1,12 +1,12 @@
 //! Sends a request to backend servers and takes the answer in.
 
-use crate::record::{Record, Role};
+use crate::record::Record;
 use crate::requests::Requests;
 use backend::Tag;
 use bytes::Bytes;
 use conf::{Service, ServiceKind};
 use kernel::prelude::*;
-use ledger::OwnerEvent;
+use ledger::{Chunk, Input, OwnerEvent};
 use opentelemetry::KeyValue;
 use rand::RngExt;
 use route::Wanted;
@@ -22,20 +22,12 @@
 }
 
 impl Requests {
-    /// Dispatches, unless this entry leaves before the answer is whole.
-    pub(crate) async fn dispatch_or_leave(
+    /// Sends a request to a backend server and returns how that went.
+    pub(crate) async fn dispatch(
         self: &Arc<Self>,
         record: &Arc<Record>,
         attempt: u32,
     ) -> OwnerEvent {
-        let may_move = record.terms.repeatable;
-        tokio::select! {
-            event = self.dispatch(record, attempt) => event,
-            () = record.wait_for(|state| state.leaving), if may_move => OwnerEvent::Leave,
-        }
-    }
-
-    async fn dispatch(&self, record: &Arc<Record>, attempt: u32) -> OwnerEvent {
         let service = match self.to.configuration.current() {
             Ok(current) => current.config.service(&record.terms.service).cloned(),
             Err(_) => None,
@@ -53,7 +45,7 @@
     }
 
     async fn dispatch_once(
-        &self,
+        self: &Arc<Self>,
         record: &Arc<Record>,
         service: &Service,
         attempt: u32,
@@ -75,10 +67,7 @@
         };
         record.note(format!("attempt {attempt} at {}: {:?}", choice.server, choice.reason));
         let tag = Tag { key: record.terms.key.clone(), owner: self.me().clone(), attempt };
-        let may_send = match &mut record.state().role {
-            Role::Owner(owner) => owner.may_send(),
-            Role::Witness(..) => false,
-        };
+        let may_send = self.with_book(|book| book.may_send(&record.terms.key, attempt));
         if !may_send {
             return OwnerEvent::Broke { code: Code::Internal, again: false };
         }
@@ -105,17 +94,15 @@
     }
 
     async fn generate(
-        &self,
+        self: &Arc<Self>,
         record: &Arc<Record>,
         service: &Service,
         choice: &route::Choice,
         tag: &Tag,
     ) -> Attempt {
-        let so_far: Vec<String> = {
-            let state = record.state();
-            let text = |chunk: &ledger::Chunk| String::from_utf8_lossy(&chunk.data).into_owned();
-            state.answer.all_from(0).iter().map(text).collect()
-        };
+        let text = |chunk: &Chunk| String::from_utf8_lossy(&chunk.data).into_owned();
+        let so_far: Vec<String> =
+            self.with_book(|book| book.chunks(&record.terms.key).iter().map(text).collect());
         if !so_far.is_empty() {
             let cause = KeyValue::new("cause", "resumed");
             self.counters.recomputed.add(so_far.len() as u64, &[cause]);
@@ -134,45 +121,47 @@
             }
             Err(failure) => return Attempt::Broke(failure),
         };
-        let replicating = self.replicate_until_ended(record);
-        let generating = async {
-            let mut first = so_far.is_empty();
-            loop {
-                match generation.next().await {
-                    Ok(None) => return Attempt::Answered,
-                    Ok(Some(piece)) => {
-                        if std::mem::take(&mut first) {
-                            let waited = (self.clock.now() - started) as f64 / 1000.0;
-                            self.counters.first_token.record(waited, &[]);
-                        }
-                        record.state().append(piece.index as usize, 1, Bytes::from(piece.text));
-                        record.touch();
-                    }
-                    Err(failure) => {
-                        self.counters
-                            .dropped
-                            .add(1, &[KeyValue::new("cause", failure.context.clone())]);
-                        return Attempt::Broke(failure);
+        let mut first = so_far.is_empty();
+        loop {
+            match generation.next().await {
+                Ok(None) => return Attempt::Answered,
+                Ok(Some(piece)) => {
+                    if std::mem::take(&mut first) {
+                        let waited = (self.clock.now() - started) as f64 / 1000.0;
+                        self.counters.first_token.record(waited, &[]);
                     }
+                    let chunk = Chunk { tokens: 1, data: Bytes::from(piece.text) };
+                    self.append(record, tag.attempt, piece.index as usize, chunk);
+                }
+                Err(failure) => {
+                    let cause = KeyValue::new("cause", failure.context.clone());
+                    self.counters.dropped.add(1, &[cause]);
+                    return Attempt::Broke(failure);
                 }
             }
-        };
-        tokio::select! {
-            outcome = generating => outcome,
-            () = replicating => Attempt::Broke(Failure::new(Code::Internal, "replication ended")),
         }
     }
 
-    async fn call_plain(&self, record: &Arc<Record>, choice: &route::Choice, tag: &Tag) -> Attempt {
+    fn append(self: &Arc<Self>, record: &Record, attempt: u32, number: usize, chunk: Chunk) {
+        let key = record.terms.key.clone();
+        self.feed(Input::Chunk { key, attempt, number, chunk });
+    }
+
+    async fn call_plain(
+        self: &Arc<Self>,
+        record: &Arc<Record>,
+        choice: &route::Choice,
+        tag: &Tag,
+    ) -> Attempt {
         let left = record.left(self.clock.now());
         let body = record.terms.body.clone();
         let path = format!("/{}{}", record.terms.service, record.terms.path);
         match self.to.plain.call(choice.address, &path, tag, body, left).await {
             Ok(answer) => {
                 let head = format!("{} {}", answer.status, answer.content_type);
-                let mut state = record.state();
-                state.append(0, 0, Bytes::from(head));
-                state.append(1, 0, answer.body);
+                let chunk = |data| Chunk { tokens: 0, data };
+                self.append(record, tag.attempt, 0, chunk(Bytes::from(head)));
+                self.append(record, tag.attempt, 1, chunk(answer.body));
                 Attempt::Answered
             }
             Err(failure) if failure.code == Code::NotDispatched => Attempt::NotSent(failure),
--- a/crates/exec/src/lib.rs
+++ b/crates/exec/src/lib.rs
@@ -1,20 +1,18 @@
-//! Drives requests: ledger decisions against peers, platform and backend servers.
+//! Carries out what the ledger decides: sends messages, claims, dispatches, tells callers.
 //!
-//! [`Requests`] is the service. A request that arrives at its owner gets a [`Record`] and a task
-//! that drives it; a request that arrives elsewhere is passed to its home. Callers read the answer
-//! of a request through [`Requests::read`], wherever it is.
+//! [`Requests`] is the service. Its [`ledger::Book`] decides; everything here is input and output.
+//! Callers read the answer of a request through [`Requests::read`], wherever it is.
 
 mod claim;
 mod dispatch;
-mod drive;
-mod leave;
+mod home;
 mod peers;
+mod perform;
 mod read;
 mod record;
-mod replicate;
 mod requests;
 mod submit;
 
-pub use record::{Note, Record, View};
+pub use ledger::Holder;
+pub use record::{Note, View};
 pub use requests::{Requests, Services, Settings};
-pub use submit::Holder;
--- a/crates/exec/src/read.rs
+++ b/crates/exec/src/read.rs
@@ -1,11 +1,10 @@
 //! Reads the answer of a request, wherever it is.
 
-use crate::record::{Record, Role};
 use crate::requests::Requests;
-use crate::submit::Holder;
+use crate::submit::located;
 use kernel::prelude::*;
-use ledger::{Ending, Home};
-use peer::{ReadReply, Reply, Request};
+use ledger::{Ending, Holder, Home, Input, Part};
+use peer::{Reply, Request};
 
 impl Requests {
     /// Finds where the answer of a known request can be read.
@@ -13,10 +12,8 @@
     /// # Errors
     /// [`Code::UnknownKey`] when the key names no home and is not held here.
     pub fn locate(&self, key: &Key) -> Result<Holder, Failure> {
-        if let Some(record) =
-            self.get(key).filter(|record| matches!(record.state().role, Role::Owner(_)))
-        {
-            return Ok(Holder::Here(record));
+        if self.with_book(|book| book.owns(key)) {
+            return Ok(Holder::Here);
         }
         let home = Home::parse(&key.id);
         let home = home.ok_or_else(|| Failure::new(Code::UnknownKey, key.to_string()))?;
@@ -38,12 +35,10 @@
         key: &Key,
         holder: &mut Holder,
         from: usize,
-    ) -> Result<ReadReply, Failure> {
+    ) -> Result<Part, Failure> {
         loop {
             let (reply, entry) = match holder {
-                Holder::Here(record) => {
-                    (self.read_here(record, from, self.settings.read_wait).await, None)
-                }
+                Holder::Here => (self.read_here(key, from, self.settings.read_wait).await?, None),
                 Holder::At(entry, _) if entry == self.me() => {
                     (self.read_as_witness(key, from).await?, None)
                 }
@@ -72,29 +67,25 @@
         wait_ms: u64,
         owner_silent: bool,
     ) -> Reply {
-        let Some(record) = self.get(key) else {
-            return Reply::Failure(Failure::new(Code::UnknownKey, key.to_string()));
-        };
         let wait = Duration::from_millis(wait_ms).min(self.settings.read_wait);
-        if owner_silent && record.awaited_owner().is_some() {
-            return match self.read_as_witness(key, from).await {
-                Ok(reply) => Reply::Read(reply),
-                Err(failure) => Reply::Failure(failure),
-            };
+        let read = match owner_silent && self.awaited_owner(key).is_some() {
+            true => self.read_as_witness(key, from).await,
+            false => self.read_here(key, from, wait).await,
+        };
+        match read {
+            Ok(part) => Reply::Read(part),
+            Err(failure) => Reply::Failure(failure),
         }
-        Reply::Read(self.read_here(&record, from, wait).await)
+    }
+
+    fn awaited_owner(&self, key: &Key) -> Option<NodeId> {
+        self.with_book(|book| book.awaited_owner(key).cloned())
     }
 
     /// Reads for a caller whose request this entry witnesses: from the owner, or by taking over.
-    async fn read_as_witness(
-        self: &Arc<Self>,
-        key: &Key,
-        from: usize,
-    ) -> Result<ReadReply, Failure> {
-        let unknown = || Failure::new(Code::UnknownKey, key.to_string());
-        let record = self.get(key).ok_or_else(unknown)?;
-        let Some(owner) = record.awaited_owner() else {
-            return Ok(self.read_here(&record, from, self.settings.read_wait).await);
+    async fn read_as_witness(self: &Arc<Self>, key: &Key, from: usize) -> Result<Part, Failure> {
+        let Some(owner) = self.awaited_owner(key) else {
+            return self.read_here(key, from, self.settings.read_wait).await;
         };
         if !self.to.cluster.is_gone(&owner) {
             match self.read_remote(&owner, key, from, false).await {
@@ -103,9 +94,12 @@
                 Err(_) => {}
             }
         }
-        match self.witness_demand(&record).await {
-            Some(ending) => Ok(ReadReply { from, chunks: Vec::new(), ending: Some(ending) }),
-            None => Ok(self.read_here(&record, from, self.settings.read_wait).await),
+        let read = |ticket| Input::Read { ticket, key: key.clone() };
+        match located(self.ask(read).await)? {
+            Holder::Here => self.read_here(key, from, self.settings.read_wait).await,
+            Holder::At(entry, _) => {
+                Ok(Part { from, chunks: Vec::new(), ending: Some(Ending::Follow(entry)) })
+            }
         }
     }
 
@@ -116,7 +110,7 @@
         key: &Key,
         from: usize,
         holder: &mut Holder,
-    ) -> Result<Option<ReadReply>, Failure> {
+    ) -> Result<Option<Part>, Failure> {
         let Holder::At(_, others) = holder else { return Ok(None) };
         // Whoever has no other to turn to is the witness, or has the request already.
         let owner_silent = others.is_empty();
@@ -147,7 +141,7 @@
         key: &Key,
         from: usize,
         owner_silent: bool,
-    ) -> Result<ReadReply, Failure> {
+    ) -> Result<Part, Failure> {
         let wait = self.settings.read_wait;
         let req = Request::Read {
             key: key.clone(),
@@ -161,23 +155,33 @@
         }
     }
 
-    async fn read_here(&self, record: &Record, from: usize, wait: Duration) -> ReadReply {
-        let ready =
-            record.wait_for(|state| state.answer.shown() > from || state.shown_ending.is_some());
+    async fn read_here(&self, key: &Key, from: usize, wait: Duration) -> Result<Part, Failure> {
+        let unknown = || Failure::new(Code::UnknownKey, key.to_string());
+        let record = self.with_book(|book| self.known(book, key)).ok_or_else(unknown)?;
+        let mut changes = record.changes();
+        let read = || self.with_book(|book| book.read(key, from)).ok_or_else(unknown);
+        let news = async {
+            loop {
+                let part = read()?;
+                if !part.chunks.is_empty() || part.ending.is_some() {
+                    return Ok(part);
+                }
+                if changes.changed().await.is_err() {
+                    return Err(unknown());
+                }
+            }
+        };
         // Nothing new in time is an empty reply.
-        let _ = tokio::time::timeout(wait, ready).await;
-        let state = record.state();
-        let chunks = state.answer.visible_from(from).to_vec();
-        ReadReply { from, chunks, ending: state.shown_ending.clone() }
+        match tokio::time::timeout(wait, news).await {
+            Ok(part) => part,
+            Err(_) => read(),
+        }
     }
 
     fn holder_of(&self, key: &Key, entry: NodeId) -> Holder {
-        match self.get(key) {
-            Some(record) if entry == *self.me() => match record.state().role {
-                Role::Owner(_) => Holder::Here(record.clone()),
-                Role::Witness(..) => Holder::At(entry, vec![]),
-            },
-            _ => Holder::At(entry, vec![]),
+        if entry == *self.me() && self.with_book(|book| book.owns(key)) {
+            return Holder::Here;
         }
+        Holder::At(entry, vec![])
     }
 }
--- a/crates/exec/src/record.rs
+++ b/crates/exec/src/record.rs
@@ -1,18 +1,10 @@
-//! One request as held by one entry.
+//! What the shell keeps about a request: its deadline, its notes and its running attempt.
 
-use bytes::Bytes;
 use kernel::prelude::*;
-use ledger::{Answer, Chunk, Ending, Owner, Terms, Witness};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use ledger::{Ending, Terms};
+use std::sync::{Mutex, PoisonError};
 use tokio::sync::watch;
-
-/// What this entry is to the request.
-pub(crate) enum Role {
-    /// It runs the request.
-    Owner(Owner),
-    /// It holds a copy for the owner.
-    Witness(Witness, NodeId),
-}
+use tokio::task::AbortHandle;
 
 /// A decision about a request, kept for `explain`.
 #[derive(Clone, Debug)]
@@ -23,31 +15,6 @@
     pub text: String,
 }
 
-/// The part of a record that changes.
-pub(crate) struct State {
-    pub(crate) role: Role,
-    pub(crate) round: u64,
-    pub(crate) witness: Option<NodeId>,
-    pub(crate) answer: Answer,
-    /// The ending, once decided here; shown only after the witness knows it.
-    pub(crate) ending: Option<Ending>,
-    pub(crate) shown_ending: Option<Ending>,
-    pub(crate) ended_at: Option<Millis>,
-    pub(crate) accepted: bool,
-    pub(crate) leaving: bool,
-    notes: Vec<Note>,
-}
-
-/// One request as held by one entry.
-pub struct Record {
-    /// What the caller asked for.
-    pub terms: Terms,
-    /// When its answer must be whole, on this process's clock.
-    pub deadline: Millis,
-    state: Mutex<State>,
-    changed: watch::Sender<u64>,
-}
-
 /// What `explain` shows of a record.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -64,42 +31,32 @@
 /// Decisions kept for each record.
 const NOTES: usize = 64;
 
-impl Record {
-    pub(crate) fn new(terms: Terms, now: Millis, role: Role, witness: Option<NodeId>) -> Arc<Self> {
-        let state = State {
-            role,
-            round: 1,
-            witness,
-            answer: Answer::default(),
-            ending: None,
-            shown_ending: None,
-            ended_at: None,
-            accepted: false,
-            leaving: false,
-            notes: Vec::new(),
-        };
-        let deadline = now + terms.left_ms;
-        Arc::new(Self { terms, deadline, state: Mutex::new(state), changed: watch::channel(0).0 })
-    }
+/// The part of a record that changes.
+#[derive(Debug, Default)]
+struct State {
+    deadline: Millis,
+    ended_at: Option<Millis>,
+    notes: Vec<Note>,
+    running: Option<AbortHandle>,
+}
 
-    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+/// What the shell keeps about a request.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) terms: Terms,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
 
-    /// Returns the present witness and round.
-    pub(crate) fn witness_and_round(&self) -> (Option<NodeId>, u64) {
-        // One guard for both: a second lock in the same statement would wait for the first forever.
-        let state = self.state();
-        (state.witness.clone(), state.round)
+impl Record {
+    pub(crate) fn new(terms: Terms, now: Millis) -> Arc<Self> {
+        let state = State { deadline: now + terms.left_ms, ..State::default() };
+        Arc::new(Self { terms, state: Mutex::new(state), changed: watch::channel(0).0 })
     }
 
-    /// Returns the owner whose ending this entry waits for as the witness.
-    pub(crate) fn awaited_owner(&self) -> Option<NodeId> {
-        let state = self.state();
-        match &state.role {
-            Role::Witness(_, owner) if state.ending.is_none() => Some(owner.clone()),
-            _ => None,
-        }
+    /// Lets the closure see and change the state; no guard outlives it.
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Wakes whoever waits for a change.
@@ -111,53 +68,50 @@
         self.changed.subscribe()
     }
 
-    /// Waits until a condition holds.
-    pub(crate) async fn wait_for(&self, condition: impl Fn(&State) -> bool) {
-        let mut changes = self.changes();
-        while !condition(&self.state()) {
-            if changes.changed().await.is_err() {
-                return;
+    /// Starts the time of a new round.
+    pub(crate) fn begin_round(&self, now: Millis) {
+        self.with(|state| {
+            if state.ended_at.take().is_some() {
+                state.deadline = now + self.terms.left_ms;
             }
-        }
+        });
+    }
+
+    pub(crate) fn set_ended(&self, now: Millis) {
+        self.with(|state| state.ended_at.get_or_insert(now).to_owned());
     }
 
-    /// Returns the terms with the time that is left now.
-    pub(crate) fn terms_now(&self, now: Millis) -> Terms {
-        Terms { left_ms: self.deadline.saturating_sub(now), ..self.terms.clone() }
+    /// Returns the time from which on it is kept for a while: its end, else its deadline.
+    pub(crate) fn kept_from(&self) -> Millis {
+        self.with(|state| state.ended_at.unwrap_or(state.deadline))
     }
 
     /// Returns the time that is left until the deadline.
     pub(crate) fn left(&self, now: Millis) -> Duration {
-        Duration::from_millis(self.deadline.saturating_sub(now))
+        Duration::from_millis(self.with(|state| state.deadline).saturating_sub(now))
     }
 
-    /// Keeps a decision for `explain`.
-    pub(crate) fn note(&self, text: String) {
-        let mut state = self.state();
-        if state.notes.len() < NOTES {
-            state.notes.push(Note { at_unix_ms: Clock::unix_ms(), text });
-        }
+    pub(crate) fn set_running(&self, task: AbortHandle) {
+        self.with(|state| state.running = Some(task));
     }
 
-    /// Returns what `explain` shows.
-    pub fn view(&self) -> View {
-        let state = self.state();
-        let role = match &state.role {
-            Role::Owner(owner) => format!("owner {:?}", owner.state()),
-            Role::Witness(witness, owner) => format!("witness {:?} for {owner}", witness.state()),
-        };
-        View {
-            role,
-            chunks: state.answer.len(),
-            ending: state.ending.clone(),
-            notes: state.notes.clone(),
+    /// Stops the running attempt.
+    pub(crate) fn cancel(&self) {
+        if let Some(task) = self.with(|state| state.running.take()) {
+            task.abort();
         }
     }
-}
 
-impl State {
-    /// Appends a chunk of the given number.
-    pub(crate) fn append(&mut self, number: usize, tokens: u32, data: Bytes) -> bool {
-        self.answer.append(number, Chunk { tokens, data })
+    /// Keeps a decision for `explain`.
+    pub(crate) fn note(&self, text: String) {
+        self.with(|state| {
+            if state.notes.len() < NOTES {
+                state.notes.push(Note { at_unix_ms: Clock::unix_ms(), text });
+            }
+        });
+    }
+
+    pub(crate) fn notes(&self) -> Vec<Note> {
+        self.with(|state| state.notes.clone())
     }
 }
--- a/crates/exec/src/requests.rs
+++ b/crates/exec/src/requests.rs
@@ -1,18 +1,20 @@
-//! The service: records by key, and what they need.
+//! The service: the book, and what its decisions need.
 
-use crate::record::Record;
+use crate::record::{Record, View};
 use backend::{Engine, Plain};
 use cluster::Cluster;
 use control::Configuration;
 use kernel::prelude::*;
 use kernel::{Metrics, Stop};
-use member::Change;
+use ledger::{Book, Bounds, Input, Response, Ticket};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 use platform::Kv;
 use servers::Servers;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::{Notify, oneshot};
 
 /// Times and bounds of the driver.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +60,9 @@
     pub plain: Plain,
 }
 
+/// Time that a voided round without a record is remembered at least.
+const VOIDED_AGE: Duration = Duration::from_secs(600);
+
 /// Counters of the service.
 pub(crate) struct Counters {
     pub(crate) accepted: Counter<u64>,
@@ -75,8 +80,12 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) counters: Counters,
-    pub(crate) leaving: std::sync::atomic::AtomicBool,
+    /// Notified when a request ended.
+    pub(crate) idle: Notify,
+    book: Mutex<Book>,
     records: Mutex<HashMap<Key, Arc<Record>>>,
+    tickets: Mutex<HashMap<Ticket, oneshot::Sender<Response>>>,
+    next_ticket: AtomicU64,
 }
 
 impl Requests {
@@ -100,8 +109,19 @@
                 .counter("answers_dropped", "Answers that were not passed on, by cause"),
             first_token: metrics.seconds("first_token", "Time to the first token at the entry"),
         };
-        let (leaving, records) = (false.into(), Mutex::default());
-        Arc::new(Self { to, settings, clock, log, counters, leaving, records })
+        let book = Mutex::new(Book::new(to.cluster.me().clone(), Bounds::default()));
+        Arc::new(Self {
+            to,
+            settings,
+            clock,
+            log,
+            counters,
+            idle: Notify::new(),
+            book,
+            records: Mutex::default(),
+            tickets: Mutex::default(),
+            next_ticket: AtomicU64::new(0),
+        })
     }
 
     /// Returns the run of this entry.
@@ -109,36 +129,92 @@
         self.to.cluster.me()
     }
 
-    /// Returns the record of a request, if it is held here.
-    pub fn get(&self, key: &Key) -> Option<Arc<Record>> {
-        self.records().get(key).cloned()
+    /// Returns what is known of a request, if it is held here.
+    pub fn view(&self, key: &Key) -> Option<View> {
+        let (role, chunks, ending) = self.with_book(|book| book.describe(key))?;
+        let record = self.with_records(|records| records.get(key).cloned());
+        let notes = record.map(|record| record.notes()).unwrap_or_default();
+        Some(View { role, chunks, ending, notes })
     }
 
     /// Returns how many records are held, and how many of them have not ended.
     pub fn count(&self) -> (usize, usize) {
-        let records = self.records();
-        let open = records.values().filter(|record| record.state().ended_at.is_none()).count();
-        (records.len(), open)
+        self.with_book(|book| book.count())
+    }
+
+    /// Takes nothing new from now on.
+    pub fn refuse_new(self: &Arc<Self>) {
+        self.feed(Input::RefuseNew);
+    }
+
+    /// Tells whether this entry is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.with_book(|book| book.refuses_new())
+    }
+
+    /// Gives every open request away, and waits until all have ended or moved.
+    pub async fn hand_over_all(self: &Arc<Self>) {
+        self.feed(Input::HandOverAll);
+        self.wait_until_idle().await;
+    }
+
+    /// Waits until every request that this entry owns has ended or moved.
+    pub async fn wait_until_idle(&self) {
+        loop {
+            let notified = self.idle.notified();
+            if self.with_book(|book| book.is_idle()) {
+                return;
+            }
+            notified.await;
+        }
     }
 
     /// Forgets ended requests and takes over those of dead owners, until the stop.
     pub async fn run(self: Arc<Self>, mut stop: Stop) {
         let mut changes = self.to.cluster.changes();
+        let mut every_second = tokio::time::interval(Duration::from_secs(1));
+        let mut every_age = tokio::time::interval(VOIDED_AGE);
         loop {
             tokio::select! {
                 change = changes.recv() => match change {
-                    Ok(Change::Died(node) | Change::Joined(node)) => self.owner_gone(&node),
-                    Ok(_) | Err(RecvError::Lagged(_)) => {}
+                    Ok(_) | Err(RecvError::Lagged(_)) => self.feed(Input::Members),
                     Err(RecvError::Closed) => return,
                 },
-                () = tokio::time::sleep(Duration::from_secs(1)) => self.forget_old(),
+                _ = every_second.tick() => self.forget_old(),
+                _ = every_age.tick() => self.forget_voided(),
                 () = stop.wait() => return,
             }
         }
     }
 
-    pub(crate) fn records(&self) -> MutexGuard<'_, HashMap<Key, Arc<Record>>> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Lets the closure see and change the book; no guard outlives it.
+    ///
+    /// The closure must not call this again.
+    pub(crate) fn with_book<T>(&self, f: impl FnOnce(&mut Book) -> T) -> T {
+        f(&mut self.book.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Lets the closure see and change what the shell keeps; no guard outlives it.
+    pub(crate) fn with_records<T>(&self, f: impl FnOnce(&mut HashMap<Key, Arc<Record>>) -> T) -> T {
+        f(&mut self.records.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn take_ticket(&self) -> (Ticket, oneshot::Receiver<Response>) {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        self.tickets().insert(ticket, tx);
+        (ticket, rx)
+    }
+
+    pub(crate) fn respond(&self, ticket: Ticket, response: Response) {
+        if let Some(tx) = self.tickets().remove(&ticket) {
+            // The caller may have stopped waiting.
+            let _ = tx.send(response);
+        }
+    }
+
+    fn tickets(&self) -> std::sync::MutexGuard<'_, HashMap<Ticket, oneshot::Sender<Response>>> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn count_ending(&self, ending: &ledger::Ending) {
@@ -154,16 +230,29 @@
 
     fn forget_old(&self) {
         let now = self.clock.now();
-        let keep = self
-            .to
-            .configuration
-            .current()
-            .map_or(Duration::from_secs(120), |c| c.config.limits.keep);
-        let keep = keep.as_millis() as Millis;
-        self.records().retain(|_, record| {
-            let ended = record.state().ended_at;
-            // A record that never ended is forgotten as long after its deadline.
-            now < ended.unwrap_or(record.deadline) + keep
+        let limits = self.to.configuration.current().map(|c| c.config.limits.clone());
+        let limits = limits.unwrap_or_default();
+        let keep = limits.keep.as_millis() as Millis;
+        let mut old: Vec<Key> = Vec::new();
+        self.with_records(|records| {
+            records.retain(|key, record| {
+                let keeps = now < record.kept_from() + keep;
+                if !keeps {
+                    old.push(key.clone());
+                }
+                keeps
+            });
+        });
+        self.with_book(|book| {
+            book.set_bounds(Bounds { open: limits.open, answer: limits.answer });
+            for key in &old {
+                book.forget(key);
+            }
         });
     }
+
+    /// Forgets voided rounds without a record once they are as old as an ended request may be.
+    fn forget_voided(&self) {
+        self.with_book(|book| book.forget_voided());
+    }
 }
--- a/crates/fennelfold/src/wiring.rs
+++ b/crates/fennelfold/src/wiring.rs
@@ -178,7 +178,7 @@
 }
 
 /// Leaves in order: not offered, nothing new, records given away or finished.
-async fn shut_down(cause: &Cause, cluster: &Arc<Cluster>, requests: &Requests, log: &Logger) {
+async fn shut_down(cause: &Cause, cluster: &Arc<Cluster>, requests: &Arc<Requests>, log: &Logger) {
     requests.refuse_new();
     cluster.leave().await;
     match cause {
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -130,7 +130,7 @@
     let key = Key::new(organisation, key);
     let unknown =
         || Failure::new(Code::UnknownKey, format!("{key} is not held at {}", front.cluster.me()));
-    let view = front.requests.get(&key).ok_or_else(unknown)?.view();
+    let view = front.requests.view(&key).ok_or_else(unknown)?;
     let explanation = Explanation {
         entry: front.cluster.me().to_string(),
         role: view.role,
--- /dev/null
+++ b/crates/ledger/src/book/relay.rs
@@ -0,0 +1,216 @@
+//! Where a caller's request goes: to its home.
+
+use super::Step;
+use super::input::{Action, Call, CallKind, Holder, Response, Ticket};
+use super::record::{Record, Replica, Role};
+use crate::Home;
+use crate::message::{Message, MessageReply, Terms};
+use crate::owner::{Owner, OwnerEvent};
+use kernel::{Code, Failure, NodeId};
+
+/// Rounds that one relay follows before it gives up.
+const RELAY_ROUNDS: u32 = 3;
+
+/// Which part of the home a relay waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Leg {
+    Owner,
+    Witness,
+}
+
+/// A request on its way to its home.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    terms: Terms,
+    home: Home,
+    round: u64,
+    leg: Leg,
+    /// Whether another entry relayed it to this one.
+    from_peer: bool,
+    rounds_left: u32,
+}
+
+impl Step<'_> {
+    /// Takes a request on or passes it to its home.
+    ///
+    /// `round` is what the entry that relayed it knows; a caller's own request has none.
+    pub(super) fn submit(
+        &mut self,
+        ticket: Ticket,
+        terms: Terms,
+        round: Option<u64>,
+        owner_silent: bool,
+    ) {
+        let Some(home) = Home::parse(&terms.key.id) else {
+            let failure = Failure::new(Code::MalformedKey, "it names no home");
+            return self.respond(ticket, Response::Failed(failure));
+        };
+        let owned = self.book.owns(&terms.key);
+        if owned || home.owner == self.book.me {
+            return self.submit_here(ticket, terms, &home, round);
+        }
+        let relay = Relay {
+            terms,
+            home,
+            round: round.unwrap_or(1),
+            leg: Leg::Owner,
+            from_peer: round.is_some(),
+            rounds_left: RELAY_ROUNDS,
+        };
+        if relay.from_peer && relay.home.witness != self.book.me {
+            return self.respond(ticket, home_lost(&relay.home));
+        }
+        // The sender found the owner silent, but this entry may reach it.
+        let _ = owner_silent;
+        self.to_owner(ticket, relay);
+    }
+
+    fn to_owner(&mut self, ticket: Ticket, relay: Relay) {
+        if self.members.is_gone(&relay.home.owner) {
+            return self.to_witness(ticket, relay);
+        }
+        let to = relay.home.owner.clone();
+        self.send_submit(ticket, Relay { leg: Leg::Owner, ..relay }, to);
+    }
+
+    fn to_witness(&mut self, ticket: Ticket, relay: Relay) {
+        if relay.home.witness == self.book.me {
+            let round = relay.from_peer.then_some(relay.round);
+            return self.demand(ticket, relay.terms, &relay.home.owner, round);
+        }
+        if relay.home.witness == relay.home.owner || self.members.is_gone(&relay.home.witness) {
+            return self.respond(ticket, home_lost(&relay.home));
+        }
+        let to = relay.home.witness.clone();
+        self.send_submit(ticket, Relay { leg: Leg::Witness, ..relay }, to);
+    }
+
+    fn send_submit(&mut self, ticket: Ticket, relay: Relay, to: NodeId) {
+        let message = Message::Submit {
+            terms: relay.terms.clone(),
+            round: relay.round,
+            owner_silent: relay.leg == Leg::Witness,
+        };
+        let kind = CallKind::Submit(ticket);
+        let call = Call { key: relay.terms.key.clone(), round: relay.round, kind };
+        self.book.relays.insert(ticket, relay);
+        self.actions.push(Action::Send { to, call, message });
+    }
+
+    pub(super) fn on_submit_reply(&mut self, ticket: Ticket, reply: Option<MessageReply>) {
+        let Some(relay) = self.book.relays.remove(&ticket) else { return };
+        match (relay.leg, reply) {
+            (_, Some(MessageReply::Over(over))) => self.on_over(ticket, relay, over),
+            (leg, Some(MessageReply::Done)) => {
+                let holder = self.located(&relay.home, leg);
+                self.respond(ticket, Response::Located(holder));
+            }
+            (_, Some(MessageReply::Failure(failure))) if failure.code != Code::PeerUnreachable => {
+                self.respond(ticket, Response::Failed(failure));
+            }
+            (Leg::Owner, _) => self.to_witness(ticket, relay),
+            (Leg::Witness, _) => self.respond(ticket, home_lost(&relay.home)),
+        }
+    }
+
+    /// The round that was sent is over; a caller that still waits wants the next one.
+    fn on_over(&mut self, ticket: Ticket, relay: Relay, over: u64) {
+        if relay.from_peer {
+            return self.respond(ticket, Response::Over(over));
+        }
+        if relay.rounds_left == 0 {
+            let failure = Failure::new(Code::Overloaded, relay.terms.key.to_string()).rejected();
+            return self.respond(ticket, Response::Failed(failure));
+        }
+        let relay = Relay { round: over + 1, rounds_left: relay.rounds_left - 1, ..relay };
+        match relay.leg {
+            Leg::Owner => self.to_owner(ticket, relay),
+            Leg::Witness => self.to_witness(ticket, relay),
+        }
+    }
+
+    fn located(&self, home: &Home, leg: Leg) -> Holder {
+        match leg {
+            // As the witness, this entry reads from the owner and turns to itself.
+            Leg::Owner if home.witness == self.book.me => Holder::At(self.me(), vec![]),
+            Leg::Owner => Holder::At(home.owner.clone(), vec![home.witness.clone()]),
+            Leg::Witness => Holder::At(home.witness.clone(), vec![]),
+        }
+    }
+
+    /// Takes a request on as its owner, or finds the record of an earlier attempt.
+    pub(super) fn submit_here(
+        &mut self,
+        ticket: Ticket,
+        terms: Terms,
+        home: &Home,
+        round: Option<u64>,
+    ) {
+        let key = terms.key.clone();
+        let Some(record) = self.record(&key) else {
+            return self.start(ticket, terms, home, round.unwrap_or(1));
+        };
+        if record.terms.digest != terms.digest {
+            let failure = Failure::new(Code::KeyReused, key.to_string());
+            return self.respond(ticket, Response::Failed(failure));
+        }
+        match record.next_round() {
+            Some(next) if round.is_none_or(|round| round >= next) => {
+                self.start(ticket, terms, home, next);
+            }
+            // A late or repeated message must not begin what nobody asks for any more.
+            Some(next) => self.respond(ticket, Response::Over(next - 1)),
+            None if record.accepted || !record.is_open() => {
+                self.respond(ticket, Response::Located(Holder::Here));
+            }
+            None => record.waiting.push(ticket),
+        }
+    }
+
+    fn start(&mut self, ticket: Ticket, terms: Terms, home: &Home, round: u64) {
+        let refusal = if self.book.refuses_new {
+            Some(Code::Leaving)
+        } else {
+            (self.book.count().1 >= self.book.bounds.open).then_some(Code::Overloaded)
+        };
+        if let Some(code) = refusal {
+            let failure = Failure::new(code, self.book.me.to_string()).rejected();
+            return self.respond(ticket, Response::Failed(failure));
+        }
+        let key = terms.key.clone();
+        if home.owner != self.book.me {
+            return self.restart_taken(ticket, &key, round);
+        }
+        let role = Role::Owner(Owner::offer(terms.repeatable));
+        let mut record = Record::new(terms.clone(), role, round);
+        record.waiting.push(ticket);
+        let sole = home.witness == home.owner;
+        record.replica = if sole { Replica::Sole } else { Replica::Offered(home.witness.clone()) };
+        record.answer.set_alone(sole);
+        self.book.records.insert(key.clone(), record);
+        if sole {
+            return self.run(&key, OwnerEvent::Hold(crate::HoldReply::Held));
+        }
+        self.send_hold(&key, home.witness.clone());
+    }
+
+    /// Begins another round of a request that this entry took over; the right is still its own.
+    fn restart_taken(&mut self, ticket: Ticket, key: &kernel::Key, round: u64) {
+        let Some(record) = self.record(key) else { return };
+        let repeatable = record.terms.repeatable;
+        let Some(owner) = record.owner() else { return };
+        let right = owner.right();
+        record.role = Role::Owner(Owner::take_over(repeatable, right));
+        record.round = round;
+        record.ending = None;
+        record.shown = None;
+        record.accepted = false;
+        record.waiting.push(ticket);
+        self.perform(key, crate::OwnerNext::Dispatch { attempt: 1 });
+    }
+}
+
+fn home_lost(home: &Home) -> Response {
+    let text = format!("{} and {}", home.owner, home.witness);
+    Response::Failed(Failure::new(Code::HomeLost, text))
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,7 +1,8 @@
 //! What owner and witness tell each other, and how a request ends.
 
+use crate::Chunk;
 use bytes::Bytes;
-use kernel::{Code, Key, Name, NodeId};
+use kernel::{Code, Failure, Key, Name, NodeId};
 
 /// What a caller asked for; it never changes once accepted.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -86,3 +87,85 @@
     /// It cannot tell yet who has the request, or is another run.
     Undecided,
 }
+
+/// A message from one entry to another about a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// Hold a copy of a record.
+    Hold {
+        /// The record.
+        terms: Terms,
+        /// Counts the times that a caller sent it again after it was not run.
+        round: u64,
+        /// Its owner.
+        owner: NodeId,
+    },
+    /// Grant the dispatch right.
+    Ask {
+        /// Identity of the request.
+        key: Key,
+        /// Round of the owner.
+        round: u64,
+    },
+    /// Void a record.
+    Void {
+        /// Identity of the request.
+        key: Key,
+        /// Round of the owner.
+        round: u64,
+    },
+    /// Hold these chunks of the answer, and the ending if there is one.
+    Progress {
+        /// Identity of the request.
+        key: Key,
+        /// Round of the owner.
+        round: u64,
+        /// Number of the first chunk.
+        from: usize,
+        /// The chunks.
+        chunks: Vec<Chunk>,
+        /// How it ended, once it has.
+        ending: Option<Ending>,
+    },
+    /// Take the record over from a leaving owner.
+    HandOver {
+        /// The record.
+        terms: Terms,
+        /// Round of the owner.
+        round: u64,
+        /// Right of the leaving owner.
+        right: Right,
+        /// The answer so far.
+        chunks: Vec<Chunk>,
+    },
+    /// Take a caller's request on.
+    Submit {
+        /// What the caller asked for.
+        terms: Terms,
+        /// The round that it may begin; a round that is over stays over.
+        round: u64,
+        /// Whether the sender could not reach the owner.
+        owner_silent: bool,
+    },
+}
+
+/// The answer to a [`Message`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MessageReply {
+    /// Done, nothing to say.
+    Done,
+    /// It failed.
+    Failure(Failure),
+    /// To [`Message::Hold`].
+    Hold(HoldReply),
+    /// To [`Message::Ask`].
+    Ask(AskReply),
+    /// To [`Message::Void`].
+    Void(VoidReply),
+    /// To [`Message::Progress`]: chunks that the witness holds.
+    Have(usize),
+    /// To [`Message::Progress`]: this entry has taken the request over.
+    Taken(NodeId),
+    /// To [`Message::Submit`]: this round is over, and nothing ran in it.
+    Over(u64),
+}
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -1,7 +1,7 @@
 //! What the owner of a request does next.
 
 use crate::message::{AskReply, Ending, HoldReply, Right, VoidReply};
-use kernel::{Code, NodeId};
+use kernel::{Code, NodeId, Outcome};
 
 /// Where the owner stands with a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +53,8 @@
         /// Whether another backend server may be tried.
         again: bool,
     },
+    /// Another entry has taken the request over.
+    Moved(NodeId),
     /// The answer is whole.
     Answered,
     /// Admission refuses it, or its deadline passed before the dispatch.
@@ -114,7 +116,9 @@
 
     /// Starts a request that this entry took over or was given with the right to dispatch.
     pub fn take_over(repeatable: bool, right: Right) -> Self {
-        Self { state: OwnerState::Dispatching(1), right, ..Self::offer(repeatable) }
+        // Without the sole right, the former owner may have dispatched it.
+        let sent = right == Right::None;
+        Self { state: OwnerState::Dispatching(1), right, sent, ..Self::offer(repeatable) }
     }
 
     /// Returns where the request stands.
@@ -149,7 +153,7 @@
                 self.end(Ending::Unknown(Code::Elsewhere))
             }
             (OwnerState::Voiding(code), OwnerEvent::Void(reply)) => self.on_void(code, reply),
-            (OwnerState::Voiding(code), OwnerEvent::WitnessSilent) => self.end_unvoided(code),
+            (OwnerState::Voiding(_), OwnerEvent::WitnessSilent) => self.end_unvoided(),
             (OwnerState::Dispatching(attempt), event) => self.on_dispatching(attempt, event),
             (OwnerState::Offered, OwnerEvent::Refuse(code)) => self.void(code),
             _ => OwnerNext::Wait,
@@ -192,13 +196,14 @@
         match reply {
             VoidReply::Voided => self.end(Ending::NotRun(code)),
             VoidReply::Taken(holder) => self.end(Ending::Follow(holder)),
-            VoidReply::Undecided => self.end_unvoided(code),
+            VoidReply::Undecided => self.end_unvoided(),
         }
     }
 
     fn on_dispatching(&mut self, attempt: u32, event: OwnerEvent) -> OwnerNext {
         match event {
             OwnerEvent::Answered => self.end(Ending::Answered),
+            OwnerEvent::Moved(holder) if self.repeatable => self.end(Ending::Follow(holder)),
             OwnerEvent::NotSent { code, again } => self.on_not_sent(attempt, code, again),
             OwnerEvent::Broke { code, again } => self.on_broke(attempt, code, again),
             OwnerEvent::Refuse(code) => self.give_up(code),
@@ -221,14 +226,14 @@
         if again && self.repeatable {
             self.dispatch(attempt + 1)
         } else {
-            self.end(Ending::Unknown(code))
+            self.end(Ending::Unknown(unknown(code)))
         }
     }
 
     /// Ends a request that no attempt can serve, saying no more than is known.
     fn give_up(&mut self, code: Code) -> OwnerNext {
         if self.may_have_run() {
-            return self.end(Ending::Unknown(code));
+            return self.end(Ending::Unknown(unknown(code)));
         }
         // The holder of the right knows that nobody else can dispatch.
         if self.right != Right::None {
@@ -237,8 +242,9 @@
         self.void(code)
     }
 
-    fn end_unvoided(&mut self, code: Code) -> OwnerNext {
-        self.end(Ending::Rejected(code))
+    /// The witness may still take it over, so "not run" would be a guess.
+    fn end_unvoided(&mut self) -> OwnerNext {
+        self.end(Ending::Unknown(Code::Elsewhere))
     }
 
     fn dispatch_with(&mut self, right: Right) -> OwnerNext {
@@ -267,3 +273,8 @@
         next
     }
 }
+
+/// Returns a code that says "unknown", whatever made the owner give up.
+fn unknown(code: Code) -> Code {
+    if code.outcome() == Outcome::Unknown { code } else { Code::BackendBroke }
+}
--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -12,8 +12,10 @@
     Held(u64),
     /// It granted the dispatch right of this round and will never take over.
     Spent(u64),
-    /// Its claim in the key-value service is undecided.
+    /// Its claim in the key-value service is under way.
     Claiming,
+    /// Its claim may or may not have taken effect; a later demand claims again.
+    Undecided,
     /// It has become the owner.
     TookOver,
     /// Its claim was lost to this entry.
@@ -22,8 +24,8 @@
     Voided(u64),
     /// It gave the record to this entry.
     GivenTo(NodeId),
-    /// The owner told it the ending.
-    Ended(Ending),
+    /// The owner told it the ending of this round.
+    Ended(u64, Ending),
 }
 
 /// What happened to the request at its witness.
@@ -47,11 +49,18 @@
         round: u64,
     },
     /// The owner tells the ending.
-    End(Ending),
+    End {
+        /// Round of the owner.
+        round: u64,
+        /// How it ended.
+        ending: Ending,
+    },
     /// The owner gives the record away, with its right.
     HandOver(Right),
-    /// A caller wants the request while the owner is silent.
+    /// A caller sent the request while the owner is silent.
     Demand,
+    /// A caller reads the answer while the owner is silent.
+    Read,
     /// The owner's run is over.
     OwnerGone,
     /// The claim was won.
@@ -81,6 +90,8 @@
     TakeOver(Right),
     /// Tell the caller that waits here.
     Tell(Ending),
+    /// Refuse the hand-over.
+    RefuseHandOver,
 }
 
 /// The witness's side of one request.
@@ -97,6 +108,11 @@
         Self { me, state: WitnessState::Absent, repeatable }
     }
 
+    /// Starts with a round that was voided before the record came.
+    pub fn voided(me: NodeId, repeatable: bool, round: u64) -> Self {
+        Self { state: WitnessState::Voided(round), ..Self::new(me, repeatable) }
+    }
+
     /// Returns where the witness stands.
     pub fn state(&self) -> &WitnessState {
         &self.state
@@ -110,9 +126,10 @@
             }
             WitnessEvent::Ask { round } => WitnessNext::Ask(self.on_ask(round)),
             WitnessEvent::Void { round } => WitnessNext::Void(self.on_void(round)),
-            WitnessEvent::End(ending) => self.on_end(ending),
+            WitnessEvent::End { round, ending } => self.on_end(round, ending),
             WitnessEvent::HandOver(right) => self.on_hand_over(right),
             WitnessEvent::Demand => self.on_demand(),
+            WitnessEvent::Read => self.on_read(),
             WitnessEvent::OwnerGone => self.on_owner_gone(),
             WitnessEvent::ClaimWon => self.on_claim_won(),
             WitnessEvent::ClaimLost(holder) => self.on_claim_lost(holder),
@@ -125,11 +142,16 @@
         match &self.state {
             WitnessState::Absent => self.hold(round),
             WitnessState::Voided(voided) if round > *voided => self.hold(round),
-            WitnessState::Ended(_) if !same_body => HoldReply::OtherBody,
-            WitnessState::Held(_) | WitnessState::Spent(_) if !same_body => HoldReply::OtherBody,
+            WitnessState::Held(_) | WitnessState::Spent(_) | WitnessState::Ended(..)
+                if !same_body =>
+            {
+                HoldReply::OtherBody
+            }
             WitnessState::Held(held) if round >= *held => self.hold(round),
-            // The owner is the same run that spent the right, so it knows what it did with it.
-            WitnessState::Spent(_) => HoldReply::Held,
+            // The owner is the same run that spent the right, so it knows that nothing was sent.
+            WitnessState::Spent(spent) if round > *spent => self.hold(round),
+            WitnessState::Spent(spent) if round == *spent => HoldReply::Held,
+            WitnessState::Ended(ended, Ending::NotRun(_)) if round > *ended => self.hold(round),
             WitnessState::TookOver => HoldReply::Taken(self.me.clone()),
             WitnessState::GivenTo(entry) | WitnessState::LostTo(entry) => {
                 HoldReply::Taken(entry.clone())
@@ -151,7 +173,7 @@
             }
             // The first answer may have been lost; the same owner asks again.
             WitnessState::Spent(spent) if *spent == round => AskReply::Granted,
-            WitnessState::Claiming => AskReply::Undecided,
+            WitnessState::Claiming | WitnessState::Undecided => AskReply::Undecided,
             WitnessState::TookOver => AskReply::Taken(self.me.clone()),
             WitnessState::GivenTo(entry) | WitnessState::LostTo(entry) => {
                 AskReply::Taken(entry.clone())
@@ -162,7 +184,7 @@
 
     fn on_void(&mut self, round: u64) -> VoidReply {
         match &self.state {
-            WitnessState::Claiming => VoidReply::Undecided,
+            WitnessState::Claiming | WitnessState::Undecided => VoidReply::Undecided,
             WitnessState::TookOver => VoidReply::Taken(self.me.clone()),
             WitnessState::GivenTo(entry) | WitnessState::LostTo(entry) => {
                 VoidReply::Taken(entry.clone())
@@ -170,7 +192,8 @@
             WitnessState::Held(held) | WitnessState::Spent(held) if *held > round => {
                 VoidReply::Undecided
             }
-            WitnessState::Ended(_) => VoidReply::Undecided,
+            WitnessState::Voided(voided) if *voided > round => VoidReply::Undecided,
+            WitnessState::Ended(..) => VoidReply::Undecided,
             _ => {
                 self.state = WitnessState::Voided(round);
                 VoidReply::Voided
@@ -178,45 +201,67 @@
         }
     }
 
-    fn on_end(&mut self, ending: Ending) -> WitnessNext {
-        if matches!(
-            self.state,
-            WitnessState::Absent | WitnessState::Held(_) | WitnessState::Spent(_)
-        ) {
-            self.state = WitnessState::Ended(ending);
+    fn on_end(&mut self, round: u64, ending: Ending) -> WitnessNext {
+        let present = match &self.state {
+            WitnessState::Absent => true,
+            WitnessState::Held(held) | WitnessState::Spent(held) => round >= *held,
+            _ => false,
+        };
+        if present {
+            self.state = WitnessState::Ended(round, ending);
         }
         WitnessNext::Wait
     }
 
     fn on_hand_over(&mut self, right: Right) -> WitnessNext {
-        match (&self.state, right) {
-            // A granted or claimed right moves with the record; so does the sole right to repeat.
-            (WitnessState::Held(_) | WitnessState::Spent(_) | WitnessState::Absent, _)
-                if self.repeatable || right != Right::None =>
-            {
-                self.take_over(right)
-            }
-            // No right was given out yet, and the former owner will never ask again.
-            (WitnessState::Held(_) | WitnessState::Absent, Right::None) => {
-                self.take_over(Right::Granted)
-            }
-            _ => WitnessNext::Wait,
+        let open = matches!(
+            self.state,
+            WitnessState::Absent | WitnessState::Held(_) | WitnessState::Spent(_)
+        );
+        // A right moves with the record; without one only a request that may be repeated moves.
+        if open && (self.repeatable || right != Right::None) {
+            return self.take_over(right);
         }
+        WitnessNext::RefuseHandOver
     }
 
     fn on_demand(&mut self) -> WitnessNext {
         match &self.state {
-            WitnessState::Absent | WitnessState::Held(_) | WitnessState::Voided(_) => {
-                self.take_or_claim()
-            }
+            WitnessState::Absent
+            | WitnessState::Held(_)
+            | WitnessState::Voided(_)
+            | WitnessState::Undecided
+            | WitnessState::Ended(_, Ending::NotRun(_)) => self.take_or_claim(),
+            _ => self.on_read(),
+        }
+    }
+
+    /// Reading starts nothing but a request that is held and was not voided.
+    fn on_read(&mut self) -> WitnessNext {
+        match &self.state {
+            WitnessState::Held(_) => self.take_or_claim(),
             WitnessState::Spent(_) if self.repeatable => self.take_over(Right::None),
-            WitnessState::Spent(_) => WitnessNext::Tell(Ending::Unknown(Code::OwnerSilent)),
-            WitnessState::Claiming => WitnessNext::Tell(Ending::Unknown(Code::Elsewhere)),
             WitnessState::LostTo(entry) | WitnessState::GivenTo(entry) => {
                 WitnessNext::Tell(Ending::Follow(entry.clone()))
             }
-            WitnessState::Ended(ending) => WitnessNext::Tell(ending.clone()),
-            WitnessState::TookOver => WitnessNext::Wait,
+            // The owner may have begun another round since.
+            WitnessState::Ended(_, Ending::NotRun(_))
+            | WitnessState::Absent
+            | WitnessState::Spent(_)
+            | WitnessState::Voided(_) => WitnessNext::Tell(Ending::Unknown(Code::OwnerSilent)),
+            WitnessState::Undecided => WitnessNext::Tell(Ending::Unknown(Code::Elsewhere)),
+            WitnessState::Ended(_, ending) => WitnessNext::Tell(ending.clone()),
+            WitnessState::Claiming | WitnessState::TookOver => WitnessNext::Wait,
+        }
+    }
+
+    /// Returns the round that is over without a run, if it is.
+    pub fn round_over(&self) -> Option<u64> {
+        match &self.state {
+            WitnessState::Voided(round) | WitnessState::Ended(round, Ending::NotRun(_)) => {
+                Some(*round)
+            }
+            _ => None,
         }
     }
 
@@ -253,10 +298,11 @@
     }
 
     fn on_claim_undecided(&mut self) -> WitnessNext {
-        // The claim may still take effect, so the state stays: this witness grants nothing.
         if self.state != WitnessState::Claiming {
             return WitnessNext::Wait;
         }
+        // The claim may still take effect: this witness goes on granting nothing.
+        self.state = WitnessState::Undecided;
         WitnessNext::Tell(Ending::Unknown(Code::Elsewhere))
     }
 
--- a/crates/peer/src/codec/reply.rs
+++ b/crates/peer/src/codec/reply.rs
@@ -1,9 +1,9 @@
 //! Replies.
 
 use super::parts::*;
-use crate::message::{ReadReply, Reply};
+use crate::message::Reply;
 use kernel::{Failure, Outcome};
-use ledger::{AskReply, HoldReply, VoidReply};
+use ledger::{AskReply, HoldReply, MessageReply, Part, VoidReply};
 use std::time::Duration;
 use wire::peer_capnp as w;
 
@@ -12,10 +12,7 @@
         Reply::Done => b.set_done(()),
         Reply::Failure(failure) => write_failure(b.init_failure(), failure),
         Reply::Gossip(gossip) => write_gossip(b.init_gossip(), gossip),
-        Reply::Hold(reply) => write_hold(b.init_hold(), reply),
-        Reply::Ask(reply) => write_ask(b.init_ask(), reply),
-        Reply::Void(reply) => write_void(b.init_void(), reply),
-        Reply::Have(number) => b.set_have(*number as u64),
+        Reply::Record(reply) => write_record(b, reply),
         Reply::Read(reply) => write_read(b.init_read(), reply),
         Reply::Configuration { head, body } => {
             let mut b = b.init_configuration();
@@ -25,20 +22,35 @@
     }
 }
 
+fn write_record(mut b: w::reply::Builder<'_>, reply: &MessageReply) {
+    match reply {
+        MessageReply::Done => b.set_done(()),
+        MessageReply::Failure(failure) => write_failure(b.init_failure(), failure),
+        MessageReply::Hold(reply) => write_hold(b.init_hold(), reply),
+        MessageReply::Ask(reply) => write_ask(b.init_ask(), reply),
+        MessageReply::Void(reply) => write_void(b.init_void(), reply),
+        MessageReply::Have(number) => b.set_have(*number as u64),
+        MessageReply::Taken(node) => write_node(b.init_taken(), node),
+        MessageReply::Over(round) => b.set_over(*round),
+    }
+}
+
 pub(crate) fn read_reply(r: w::reply::Reader<'_>) -> capnp::Result<Reply> {
     use w::reply::Which;
     Ok(match r.which()? {
         Which::Done(()) => Reply::Done,
         Which::Failure(failure) => Reply::Failure(read_failure(failure?)?),
         Which::Gossip(gossip) => Reply::Gossip(read_gossip(gossip?)?),
-        Which::Hold(r) => Reply::Hold(read_hold(r)?),
-        Which::Ask(r) => Reply::Ask(read_ask(r)?),
-        Which::Void(r) => Reply::Void(read_void(r)?),
-        Which::Have(number) => Reply::Have(number as usize),
+        Which::Hold(r) => Reply::Record(MessageReply::Hold(read_hold(r)?)),
+        Which::Ask(r) => Reply::Record(MessageReply::Ask(read_ask(r)?)),
+        Which::Void(r) => Reply::Record(MessageReply::Void(read_void(r)?)),
+        Which::Have(number) => Reply::Record(MessageReply::Have(number as usize)),
+        Which::Taken(node) => Reply::Record(MessageReply::Taken(read_node(node?)?)),
+        Which::Over(round) => Reply::Record(MessageReply::Over(round)),
         Which::Read(r) => {
             let ending = if r.get_ended() { Some(read_ending(r.get_ending()?)?) } else { None };
             let chunks = read_chunks(r.get_chunks()?)?;
-            Reply::Read(ReadReply { from: r.get_from() as usize, chunks, ending })
+            Reply::Read(Part { from: r.get_from() as usize, chunks, ending })
         }
         Which::Configuration(r) => {
             Reply::Configuration { head: name(r.get_head()?)?, body: name(r.get_body()?)? }
@@ -119,7 +131,7 @@
     })
 }
 
-fn write_read(mut b: w::reply::read::Builder<'_>, reply: &ReadReply) {
+fn write_read(mut b: w::reply::read::Builder<'_>, reply: &Part) {
     b.set_from(reply.from as u64);
     write_chunks(b.reborrow().init_chunks(reply.chunks.len() as u32), &reply.chunks);
     b.set_ended(reply.ending.is_some());
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,5 +7,5 @@
 mod message;
 mod transport;
 
-pub use message::{Handler, ReadReply, Reply, Request, Submit};
+pub use message::{Handler, Reply, Request};
 pub use transport::{PeerSettings, Peers};
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -5,6 +5,7 @@
 use capnp::capability::{FromClientHook, Promise};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use kernel::prelude::*;
+use ledger::{Message, MessageReply};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -248,9 +249,15 @@
         return handler.handle(req).await;
     }
     match req {
-        Request::Hold { .. } => Reply::Hold(ledger::HoldReply::OtherRun),
-        Request::Ask { .. } => Reply::Ask(ledger::AskReply::NotHeld),
-        Request::Void { .. } => Reply::Void(ledger::VoidReply::Undecided),
+        Request::Record(Message::Hold { .. }) => {
+            Reply::Record(MessageReply::Hold(ledger::HoldReply::OtherRun))
+        }
+        Request::Record(Message::Ask { .. }) => {
+            Reply::Record(MessageReply::Ask(ledger::AskReply::NotHeld))
+        }
+        Request::Record(Message::Void { .. }) => {
+            Reply::Record(MessageReply::Void(ledger::VoidReply::Undecided))
+        }
         _ => Reply::Failure(Failure::new(Code::PeerUnreachable, format!("{to} is another run"))),
     }
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -93,15 +93,18 @@
       chunks @11 :List(Chunk);
       ending @12 :Ending;
       ended @13 :Bool;        # whether the ending counts
+      round @24 :UInt64;
     }
     handOver :group {
       terms @14 :Terms;
       right @15 :Right;
+      round @25 :UInt64;
       chunks @16 :List(Chunk);
     }
     submit :group {
       terms @17 :Terms;
       ownerSilent @18 :Bool;
+      round @26 :UInt64;      # the round that this may begin
     }
     read :group {
       key @19 :Key;
@@ -160,5 +163,7 @@
       head @20 :Text;         # JSON of the head
       body @21 :Text;         # merged INI text
     }
+    taken @22 :Node;          # has taken the request over
+    over @23 :UInt64;         # this round is over, and nothing ran in it
   }
 }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -3092,6 +3092,7 @@
             self.builder.reborrow().get_pointer_field(2).clear();
             self.builder.reborrow().get_pointer_field(3).clear();
             self.builder.set_bool_field(16, false);
+            self.builder.set_data_field::<u64>(2, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -3100,6 +3101,7 @@
             self.builder.reborrow().get_pointer_field(1).clear();
             self.builder.set_data_field::<u16>(4, 0u16);
             self.builder.reborrow().get_pointer_field(2).clear();
+            self.builder.set_data_field::<u64>(2, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -3107,6 +3109,7 @@
             self.builder.set_data_field::<u16>(0, 6);
             self.builder.reborrow().get_pointer_field(1).clear();
             self.builder.set_bool_field(16, false);
+            self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.into()
         }
         #[inline]
@@ -4201,6 +4204,10 @@
             pub fn get_ended(self) -> bool {
                 self.reader.get_bool_field(16)
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4319,6 +4326,14 @@
             pub fn set_ended(&mut self, value: bool)  {
                 self.builder.set_bool_field(16, value);
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_round(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4336,7 +4351,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(78, 215, 150, 224, 80, 252, 72, 140),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
@@ -4346,49 +4361,56 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
                 ::capnp::word(115, 116, 46, 112, 114, 111, 103, 114),
                 ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(133, 182, 22, 151, 168, 188, 54, 227),
@@ -4433,6 +4455,14 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 110, 100, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4441,6 +4471,7 @@
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::chunk::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     3 => <crate::peer_capnp::ending::Owned as ::capnp::introspect::Introspect>::introspect(),
                     4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4454,9 +4485,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,1,0,5];
             pub(crate) const TYPE_ID: u64 = 0x8c48_fc50_e096_d74e;
         }
     }
@@ -4542,6 +4573,10 @@
             pub fn has_chunks(&self) -> bool {
                 !self.reader.get_pointer_field(2).is_null()
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4636,6 +4671,14 @@
             pub fn has_chunks(&self) -> bool {
                 !self.builder.is_pointer_field_null(2)
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_round(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4650,7 +4693,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(168, 71, 26, 91, 8, 114, 204, 189),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
@@ -4660,35 +4703,42 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
                 ::capnp::word(115, 116, 46, 104, 97, 110, 100, 79),
                 ::capnp::word(118, 101, 114, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 114, 109, 115, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(235, 118, 192, 81, 121, 11, 179, 195),
@@ -4717,12 +4767,21 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 110, 100, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::terms::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::peer_capnp::Right as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::chunk::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4736,9 +4795,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
             pub(crate) const TYPE_ID: u64 = 0xbdcc_7208_5b1a_47a8;
         }
     }
@@ -4816,6 +4875,10 @@
             pub fn get_owner_silent(self) -> bool {
                 self.reader.get_bool_field(16)
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4894,6 +4957,14 @@
             pub fn set_owner_silent(&mut self, value: bool)  {
                 self.builder.set_bool_field(16, value);
             }
+            #[inline]
+            pub fn get_round(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_round(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4908,7 +4979,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(119, 202, 199, 183, 53, 196, 55, 183),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
@@ -4918,28 +4989,35 @@
                 ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
                 ::capnp::word(115, 116, 46, 115, 117, 98, 109, 105),
                 ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 114, 109, 115, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(235, 118, 192, 81, 121, 11, 179, 195),
@@ -4957,11 +5035,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 117, 110, 100, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::terms::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4975,9 +5062,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xb737_c435_b7c7_ca77;
         }
     }
@@ -5570,7 +5657,7 @@
 }
 
 pub mod reply {
-    pub use self::Which::{Done,Failure,Gossip,Hold,Ask,Void,Have,Read,Configuration};
+    pub use self::Which::{Done,Failure,Gossip,Hold,Ask,Void,Have,Read,Configuration,Taken,Over};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -5643,6 +5730,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_taken(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 9 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -5690,6 +5782,16 @@
                         self.reader.into()
                     ))
                 }
+                9 => {
+                    ::core::result::Result::Ok(Taken(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                10 => {
+                    ::core::result::Result::Ok(Over(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5824,6 +5926,26 @@
             self.builder.into()
         }
         #[inline]
+        pub fn set_taken(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_taken(self, ) -> crate::peer_capnp::node::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_taken(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 9 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_over(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(0, 10);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -5871,6 +5993,16 @@
                         self.builder.into()
                     ))
                 }
+                9 => {
+                    ::core::result::Result::Ok(Taken(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                10 => {
+                    ::core::result::Result::Ok(Over(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5885,87 +6017,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 118] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 148] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 9, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 112, 108, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(225, 226, 143, 74, 144, 133, 39, 184),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(252, 98, 77, 21, 195, 204, 189, 224),
-            ::capnp::word(225, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(247, 246, 39, 182, 118, 135, 121, 169),
-            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 249, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(70, 157, 104, 250, 201, 65, 109, 203),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(173, 171, 146, 49, 112, 71, 167, 184),
-            ::capnp::word(157, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6004,6 +6150,22 @@
             ::capnp::word(114, 101, 97, 100, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
             ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 118, 101, 114, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6016,6 +6178,8 @@
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::reply::read::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::peer_capnp::reply::configuration::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6030,11 +6194,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,8,0,1,2,6,3,7,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,8,0,1,2,6,3,10,7,9,5];
         pub(crate) const TYPE_ID: u64 = 0xa400_afab_0941_fa0e;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
         Done(()),
         Failure(A0),
         Gossip(A1),
@@ -6044,9 +6208,11 @@
         Have(u64),
         Read(A5),
         Configuration(A6),
+        Taken(A7),
+        Over(u64),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::failure::Reader<'a>>,::capnp::Result<crate::peer_capnp::gossip::Reader<'a>>,crate::peer_capnp::reply::hold::Reader<'a>,crate::peer_capnp::reply::ask::Reader<'a>,crate::peer_capnp::reply::void::Reader<'a>,crate::peer_capnp::reply::read::Reader<'a>,crate::peer_capnp::reply::configuration::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::failure::Builder<'a>>,::capnp::Result<crate::peer_capnp::gossip::Builder<'a>>,crate::peer_capnp::reply::hold::Builder<'a>,crate::peer_capnp::reply::ask::Builder<'a>,crate::peer_capnp::reply::void::Builder<'a>,crate::peer_capnp::reply::read::Builder<'a>,crate::peer_capnp::reply::configuration::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::failure::Reader<'a>>,::capnp::Result<crate::peer_capnp::gossip::Reader<'a>>,crate::peer_capnp::reply::hold::Reader<'a>,crate::peer_capnp::reply::ask::Reader<'a>,crate::peer_capnp::reply::void::Reader<'a>,crate::peer_capnp::reply::read::Reader<'a>,crate::peer_capnp::reply::configuration::Reader<'a>,::capnp::Result<crate::peer_capnp::node::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::failure::Builder<'a>>,::capnp::Result<crate::peer_capnp::gossip::Builder<'a>>,crate::peer_capnp::reply::hold::Builder<'a>,crate::peer_capnp::reply::ask::Builder<'a>,crate::peer_capnp::reply::void::Builder<'a>,crate::peer_capnp::reply::read::Builder<'a>,crate::peer_capnp::reply::configuration::Builder<'a>,::capnp::Result<crate::peer_capnp::node::Builder<'a>>>;
 
     pub mod hold {
         pub use self::Which::{Held,Taken,Undecided,OtherBody,OtherRun};
