--- a/crates/ledger/src/book/mod.rs
+++ b/crates/ledger/src/book/mod.rs
@@ -164,7 +164,7 @@
 impl Step<'_> {
     fn take(&mut self, input: Input) {
         match input {
-            Input::Submit { ticket, terms } => self.submit(ticket, terms, None, false),
+            Input::Submit { ticket, terms } => self.submit(ticket, terms, None),
             Input::Read { ticket, key } => self.read(ticket, &key),
             Input::Message { ticket, message } => self.receive(ticket, message),
             Input::Reply { call, reply } => self.reply(call, reply),
--- a/crates/ledger/src/book/relay.rs
+++ b/crates/ledger/src/book/relay.rs
@@ -34,13 +34,7 @@
     /// Takes a request on or passes it to its home.
     ///
     /// `round` is what the entry that relayed it knows; a caller's own request has none.
-    pub(super) fn submit(
-        &mut self,
-        ticket: Ticket,
-        terms: Terms,
-        round: Option<u64>,
-        owner_silent: bool,
-    ) {
+    pub(super) fn submit(&mut self, ticket: Ticket, terms: Terms, round: Option<u64>) {
         let Some(home) = Home::parse(&terms.key.id) else {
             let failure = Failure::new(Code::MalformedKey, "it names no home");
             return self.respond(ticket, Response::Failed(failure));
@@ -60,20 +54,19 @@
         if relay.from_peer && relay.home.witness != self.book.me {
             return self.respond(ticket, home_lost(&relay.home));
         }
-        // The sender found the owner silent, but this entry may reach it.
-        let _ = owner_silent;
-        self.to_owner(ticket, relay);
+        // Another entry may have found the owner silent that this one reaches.
+        self.try_owner(ticket, relay);
     }
 
-    fn to_owner(&mut self, ticket: Ticket, relay: Relay) {
+    fn try_owner(&mut self, ticket: Ticket, relay: Relay) {
         if self.members.is_gone(&relay.home.owner) {
-            return self.to_witness(ticket, relay);
+            return self.try_witness(ticket, relay);
         }
         let to = relay.home.owner.clone();
         self.send_submit(ticket, Relay { leg: Leg::Owner, ..relay }, to);
     }
 
-    fn to_witness(&mut self, ticket: Ticket, relay: Relay) {
+    fn try_witness(&mut self, ticket: Ticket, relay: Relay) {
         if relay.home.witness == self.book.me {
             let round = relay.from_peer.then_some(relay.round);
             return self.demand(ticket, relay.terms, &relay.home.owner, round);
@@ -108,7 +101,7 @@
             (_, Some(MessageReply::Failure(failure))) if failure.code != Code::PeerUnreachable => {
                 self.respond(ticket, Response::Failed(failure));
             }
-            (Leg::Owner, _) => self.to_witness(ticket, relay),
+            (Leg::Owner, _) => self.try_witness(ticket, relay),
             (Leg::Witness, _) => self.respond(ticket, home_lost(&relay.home)),
         }
     }
@@ -124,8 +117,8 @@
         }
         let relay = Relay { round: over + 1, rounds_left: relay.rounds_left - 1, ..relay };
         match relay.leg {
-            Leg::Owner => self.to_owner(ticket, relay),
-            Leg::Witness => self.to_witness(ticket, relay),
+            Leg::Owner => self.try_owner(ticket, relay),
+            Leg::Witness => self.try_witness(ticket, relay),
         }
     }
 
--- a/crates/ledger/src/book/witnessing.rs
+++ b/crates/ledger/src/book/witnessing.rs
@@ -13,8 +13,8 @@
     /// Answers a message of another entry.
     pub(super) fn receive(&mut self, ticket: Ticket, message: Message) {
         let reply = match message {
-            Message::Submit { terms, round, owner_silent } => {
-                return self.submit(ticket, terms, Some(round), owner_silent);
+            Message::Submit { terms, round, .. } => {
+                return self.submit(ticket, terms, Some(round));
             }
             Message::Hold { terms, round, owner } => self.on_hold(terms, round, owner),
             Message::Ask { key, round } => self.on_ask(&key, round),
