--- /dev/null
+++ b/crates/faults/src/life.rs
@@ -0,0 +1,89 @@
+//! The lives of a request that the matrix goes through.
+
+use crate::Time;
+
+/// What backend servers do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Serving {
+    /// They answer.
+    Well,
+    /// The first attempt breaks after this many chunks.
+    BreaksAfter(usize),
+    /// None can take the request until this time.
+    RefuseUntil(Time),
+}
+
+/// One life of a request: who sends it where, and what is planned on the way.
+#[derive(Clone, Copy, Debug)]
+pub struct Life {
+    /// Its name in the report.
+    pub name: &'static str,
+    pub(crate) repeatable: bool,
+    /// When each caller sends and the entry that it uses first.
+    pub(crate) callers: &'static [(Time, usize, usize)],
+    pub(crate) serving: Serving,
+    /// When the owner gets a reclaim notice.
+    pub(crate) reclaim: Option<Time>,
+    /// When the owner is told to stop and drains.
+    pub(crate) drain: Option<Time>,
+}
+
+const OWNER: usize = 0;
+const WITNESS: usize = 1;
+const THIRD: usize = 2;
+
+const PLAIN: Life = Life {
+    name: "",
+    repeatable: false,
+    callers: &[(0, OWNER, 0)],
+    serving: Serving::Well,
+    reclaim: None,
+    drain: None,
+};
+
+/// Every life: callers are (time, entry, request).
+pub const LIVES: &[Life] = &[
+    Life { name: "once, at its owner", ..PLAIN },
+    Life { name: "once, at its witness", callers: &[(0, WITNESS, 0)], ..PLAIN },
+    Life { name: "once, at a third entry", callers: &[(0, THIRD, 0)], ..PLAIN },
+    Life {
+        name: "once, again at a third entry",
+        callers: &[(0, OWNER, 0), (3, THIRD, 0)],
+        ..PLAIN
+    },
+    Life { name: "once, refused first", serving: Serving::RefuseUntil(150), ..PLAIN },
+    Life {
+        name: "once, refused first, at a third entry",
+        callers: &[(0, THIRD, 0)],
+        serving: Serving::RefuseUntil(150),
+        ..PLAIN
+    },
+    Life { name: "once, owner reclaimed", reclaim: Some(4), ..PLAIN },
+    Life { name: "repeatable, at its owner", repeatable: true, ..PLAIN },
+    Life {
+        name: "repeatable, two requests at a third entry",
+        repeatable: true,
+        callers: &[(0, THIRD, 0), (2, THIRD, 1)],
+        ..PLAIN
+    },
+    Life {
+        name: "repeatable, read again at a third entry",
+        repeatable: true,
+        callers: &[(0, OWNER, 0), (25, THIRD, 0)],
+        ..PLAIN
+    },
+    Life {
+        name: "repeatable, refused first",
+        repeatable: true,
+        serving: Serving::RefuseUntil(150),
+        ..PLAIN
+    },
+    Life {
+        name: "repeatable, server breaks",
+        repeatable: true,
+        serving: Serving::BreaksAfter(2),
+        ..PLAIN
+    },
+    Life { name: "repeatable, owner reclaimed", repeatable: true, reclaim: Some(25), ..PLAIN },
+    Life { name: "repeatable, owner drains", repeatable: true, drain: Some(25), ..PLAIN },
+];
