--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -86,7 +86,8 @@
 }
 
 fn ran_between(log: &Log, request: usize, from: usize, to: usize) -> bool {
-    let ran = |(_, seen): &(Time, Seen)| matches!(seen, Seen::Ran { request: r, .. } if *r == request);
+    let ran =
+        |(_, seen): &(Time, Seen)| matches!(seen, Seen::Ran { request: r, .. } if *r == request);
     log.seen[from..to].iter().any(ran)
 }
 
@@ -97,9 +98,7 @@
     if others().any(|caller| caller != told && is_waiting(log, caller, i)) {
         return i;
     }
-    let sent = |(_, seen): &(Time, Seen)| {
-        matches!(seen, Seen::Submitted { caller } if log.request_of[*caller] == request)
-    };
+    let sent = |(_, seen): &(Time, Seen)| matches!(seen, Seen::Submitted { caller } if log.request_of[*caller] == request);
     log.seen[i..].iter().position(sent).map_or(log.seen.len(), |next| i + next)
 }
 
@@ -115,21 +114,25 @@
 
 fn not_whole(log: &Log) -> Option<String> {
     let mut next = vec![0; log.request_of.len()];
-    let mut texts: HashMap<(usize, usize), &str> = HashMap::new();
+    let mut words_of: HashMap<usize, &str> = HashMap::new();
     for (at, seen) in &log.seen {
         match seen {
             Seen::Shown { caller, number, text } => {
                 let request = log.request_of[*caller];
                 if *number != next[*caller] {
-                    return Some(format!("caller {caller} saw chunk {number} out of order at {at}"));
+                    return Some(format!(
+                        "caller {caller} saw chunk {number} out of order at {at}"
+                    ));
                 }
                 next[*caller] += 1;
                 if !text.starts_with(&format!("{request}:{number}:")) {
                     return Some(format!("caller {caller} saw another's chunk {text} at {at}"));
                 }
-                let first = texts.entry((request, *number)).or_insert(text);
-                if first != text {
-                    return Some(format!("chunk {number} is {first} and {text} at {at}"));
+                // The words tell which run an answer began with; a resumed run keeps them.
+                let words = text.rsplit(':').next().unwrap_or_default();
+                let first = words_of.entry(*caller).or_insert(words);
+                if *first != words {
+                    return Some(format!("caller {caller} saw {first}, then {text} at {at}"));
                 }
             }
             Seen::Told { caller, word: Word::Answered } if next[*caller] != log.chunks => {
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use check::{Promise, Violation, check};
 pub use fault::{Fault, Plan, Sabotage};
-pub use life::{Life, LIVES};
+pub use life::{LIVES, Life};
 pub use log::{Log, Seen, Word};
 pub use matrix::{Cell, Report, pairs, run, singles, steps};
 pub use world::World;
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -75,6 +75,11 @@
         self.tried
     }
 
+    /// Tells whether every cell kept every promise.
+    pub fn is_clean(&self) -> bool {
+        self.failed.is_empty()
+    }
+
     /// Returns how many cells broke a promise.
     pub fn failed(&self, promise: Promise) -> u64 {
         self.failed.get(&format!("{promise:?}")).copied().unwrap_or(0)
@@ -97,10 +102,3 @@
         write!(f, "{} passed, {total} failed", checks - total)
     }
 }
-
-impl Report {
-    /// Tells whether every cell kept every promise.
-    pub fn is_clean(&self) -> bool {
-        self.failed.is_empty()
-    }
-}
--- a/crates/faults/src/world/mod.rs
+++ b/crates/faults/src/world/mod.rs
@@ -183,6 +183,9 @@
     }
 
     fn take(&mut self, event: Event) {
+        if std::env::var_os("TRACE").is_some() {
+            eprintln!("{} step {} {event:?}", self.now, self.steps);
+        }
         if let Some(event) = self.inject(event) {
             self.process(event);
         }
@@ -245,9 +248,10 @@
                 self.schedule(0, Event::Dispatch { at: id, key, attempt });
             }
             Action::Cancel(key) => {
-                self.runs.values_mut().filter(|run| run.from == id && run.key == key).for_each(
-                    |run| run.open = false,
-                );
+                self.runs
+                    .values_mut()
+                    .filter(|run| run.from == id && run.key == key)
+                    .for_each(|run| run.open = false);
             }
             Action::Respond(ticket, response) => self.on_response(ticket, response),
             Action::Changed(_) | Action::Accepted(_) | Action::Ended(..) => {}
--- a/crates/ledger/src/book/relay.rs
+++ b/crates/ledger/src/book/relay.rs
@@ -6,6 +6,7 @@
 use crate::Home;
 use crate::message::{Message, MessageReply, Terms};
 use crate::owner::{Owner, OwnerEvent};
+use crate::witness::WitnessEvent;
 use kernel::{Code, Failure, NodeId};
 
 /// Rounds that one relay follows before it gives up.
@@ -60,16 +61,17 @@
 
     fn try_owner(&mut self, ticket: Ticket, relay: Relay) {
         if self.members.is_gone(&relay.home.owner) {
-            return self.try_witness(ticket, relay);
+            return self.try_witness(ticket, relay, WitnessEvent::Demand);
         }
         let to = relay.home.owner.clone();
         self.send_submit(ticket, Relay { leg: Leg::Owner, ..relay }, to);
     }
 
-    fn try_witness(&mut self, ticket: Ticket, relay: Relay) {
+    /// Turns to the witness; `event` says what became of the owner.
+    fn try_witness(&mut self, ticket: Ticket, relay: Relay, event: WitnessEvent) {
         if relay.home.witness == self.book.me {
             let round = relay.from_peer.then_some(relay.round);
-            return self.demand(ticket, relay.terms, &relay.home.owner, round);
+            return self.demand(ticket, relay.terms, &relay.home.owner, round, event);
         }
         if relay.home.witness == relay.home.owner || self.members.is_gone(&relay.home.witness) {
             return self.respond(ticket, home_lost(&relay.home));
@@ -98,10 +100,13 @@
                 let holder = self.located(&relay.home, leg);
                 self.respond(ticket, Response::Located(holder));
             }
+            (Leg::Owner, Some(MessageReply::Failure(failure))) if failure.code == Code::Leaving => {
+                self.try_witness(ticket, relay, WitnessEvent::Declined);
+            }
             (_, Some(MessageReply::Failure(failure))) if failure.code != Code::PeerUnreachable => {
                 self.respond(ticket, Response::Failed(failure));
             }
-            (Leg::Owner, _) => self.try_witness(ticket, relay),
+            (Leg::Owner, _) => self.try_witness(ticket, relay, WitnessEvent::Demand),
             (Leg::Witness, _) => self.respond(ticket, home_lost(&relay.home)),
         }
     }
@@ -118,7 +123,7 @@
         let relay = Relay { round: over + 1, rounds_left: relay.rounds_left - 1, ..relay };
         match relay.leg {
             Leg::Owner => self.try_owner(ticket, relay),
-            Leg::Witness => self.try_witness(ticket, relay),
+            Leg::Witness => self.try_witness(ticket, relay, WitnessEvent::Demand),
         }
     }
 
@@ -141,7 +146,7 @@
     ) {
         let key = terms.key.clone();
         let Some(record) = self.record(&key) else {
-            return self.start(ticket, terms, home, round.unwrap_or(1));
+            return self.start(ticket, terms, home, round.unwrap_or(1), round.is_some());
         };
         if record.terms.digest != terms.digest {
             let failure = Failure::new(Code::KeyReused, key.to_string());
@@ -149,7 +154,7 @@
         }
         match record.next_round() {
             Some(next) if round.is_none_or(|round| round >= next) => {
-                self.start(ticket, terms, home, next);
+                self.start(ticket, terms, home, next, round.is_some());
             }
             // A late or repeated message must not begin what nobody asks for any more.
             Some(next) => self.respond(ticket, Response::Over(next - 1)),
@@ -160,7 +165,13 @@
         }
     }
 
-    fn start(&mut self, ticket: Ticket, terms: Terms, home: &Home, round: u64) {
+    fn start(&mut self, ticket: Ticket, terms: Terms, home: &Home, round: u64, from_peer: bool) {
+        let elsewhere = !from_peer && home.owner == self.book.me && home.witness != home.owner;
+        if self.book.refuses_new && elsewhere {
+            let (home, leg, rounds_left) = (home.clone(), Leg::Witness, RELAY_ROUNDS);
+            let relay = Relay { terms, home, round, leg, from_peer, rounds_left };
+            return self.try_witness(ticket, relay, WitnessEvent::Declined);
+        }
         let refusal = if self.book.refuses_new {
             Some(Code::Leaving)
         } else {
--- a/crates/ledger/src/book/witnessing.rs
+++ b/crates/ledger/src/book/witnessing.rs
@@ -126,12 +126,17 @@
         chunks: Vec<Chunk>,
     ) -> MessageReply {
         let refused = MessageReply::Failure(Failure::new(Code::Elsewhere, terms.key.to_string()));
-        if self.book.hands_over {
+        let known = self.book.records.contains_key(&terms.key);
+        if self.book.refuses_new && !known {
             return refused;
         }
+        let leaves = self.book.refuses_new;
         let record = self.witnessed(&terms, &NodeId::default(), round);
         // The first answer was lost and the leaving owner sent it again.
         let Role::Witness(witness, _) = &mut record.role else { return MessageReply::Done };
+        if leaves {
+            return refused;
+        }
         let WitnessNext::TakeOver(right) = witness.next(WitnessEvent::HandOver(right)) else {
             return refused;
         };
@@ -143,13 +148,14 @@
         MessageReply::Done
     }
 
-    /// Takes a request over whose owner is silent, as far as that is safe.
+    /// Takes a request over whose owner is silent or declined it, as far as that is safe.
     pub(super) fn demand(
         &mut self,
         ticket: Ticket,
         terms: Terms,
         owner: &NodeId,
         round: Option<u64>,
+        event: WitnessEvent,
     ) {
         if self.book.refuses_new {
             let failure = Failure::new(Code::Leaving, self.book.me.to_string()).rejected();
@@ -168,7 +174,7 @@
             return self.respond(ticket, Response::Over(over));
         }
         record.round = record.round.max(over.map_or(1, |over| over + 1));
-        let next = witness.next(WitnessEvent::Demand);
+        let next = witness.next(event);
         record.waiting.push(ticket);
         self.perform_as_witness(&terms.key, next);
     }
--- a/crates/ledger/src/witness.rs
+++ b/crates/ledger/src/witness.rs
@@ -59,6 +59,9 @@
     HandOver(Right),
     /// A caller sent the request while the owner is silent.
     Demand,
+    /// A caller sent the request while the owner is leaving: it declined it, and dispatches none of
+    /// its rounds any more.
+    Declined,
     /// A caller reads the answer while the owner is silent.
     Read,
     /// The owner's run is over.
@@ -129,6 +132,7 @@
             WitnessEvent::End { round, ending } => self.on_end(round, ending),
             WitnessEvent::HandOver(right) => self.on_hand_over(right),
             WitnessEvent::Demand => self.on_demand(),
+            WitnessEvent::Declined => self.on_declined(),
             WitnessEvent::Read => self.on_read(),
             WitnessEvent::OwnerGone => self.on_owner_gone(),
             WitnessEvent::ClaimWon => self.on_claim_won(),
@@ -236,6 +240,18 @@
         }
     }
 
+    fn on_declined(&mut self) -> WitnessNext {
+        match &self.state {
+            WitnessState::Absent
+            | WitnessState::Held(_)
+            | WitnessState::Spent(_)
+            | WitnessState::Voided(_)
+            | WitnessState::Undecided
+            | WitnessState::Ended(_, Ending::NotRun(_)) => self.take_over(Right::Granted),
+            _ => self.on_read(),
+        }
+    }
+
     /// Reading starts nothing but a request that is held and was not voided.
     fn on_read(&mut self) -> WitnessNext {
         match &self.state {
