--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -130,7 +130,7 @@
                         let waited = (self.clock.now() - started) as f64 / 1000.0;
                         self.counters.first_token.record(waited, &[]);
                     }
-                    let chunk = Chunk { tokens: 1, data: Bytes::from(piece.text) };
+                    let chunk = Chunk::new(1, Bytes::from(piece.text));
                     self.append(record, tag.attempt, piece.index as usize, chunk);
                 }
                 Err(failure) => {
@@ -159,7 +159,7 @@
         match self.to.plain.call(choice.address, &path, tag, body, left).await {
             Ok(answer) => {
                 let head = format!("{} {}", answer.status, answer.content_type);
-                let chunk = |data| Chunk { tokens: 0, data };
+                let chunk = |data| Chunk::new(0, data);
                 self.append(record, tag.attempt, 0, chunk(Bytes::from(head)));
                 self.append(record, tag.attempt, 1, chunk(answer.body));
                 Attempt::Answered
--- a/crates/exec/src/read.rs
+++ b/crates/exec/src/read.rs
@@ -98,7 +98,7 @@
         match located(self.ask(read).await)? {
             Holder::Here => self.read_here(key, from, self.settings.read_wait).await,
             Holder::At(entry, _) => {
-                Ok(Part { from, chunks: Vec::new(), ending: Some(Ending::Follow(entry)) })
+                Ok(Part { from, ending: Some(Ending::Follow(entry)), ..Part::default() })
             }
         }
     }
--- a/crates/faults/src/check.rs
+++ b/crates/faults/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use crate::log::{Log, Seen, Word};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// A promise to callers.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -114,11 +114,17 @@
 
 fn not_whole(log: &Log) -> Option<String> {
     let mut next = vec![0; log.request_of.len()];
+    let mut told: HashSet<usize> = HashSet::new();
     let mut words_of: HashMap<usize, &str> = HashMap::new();
     for (at, seen) in &log.seen {
         match seen {
             Seen::Shown { caller, number, text } => {
                 let request = log.request_of[*caller];
+                // A caller that was told so reads the answer again from the start.
+                if *number == 0 && told.contains(caller) {
+                    next[*caller] = 0;
+                    words_of.remove(caller);
+                }
                 if *number != next[*caller] {
                     return Some(format!(
                         "caller {caller} saw chunk {number} out of order at {at}"
@@ -139,6 +145,9 @@
                 let seen = next[*caller];
                 return Some(format!("caller {caller} was told answered after {seen} chunks"));
             }
+            Seen::Told { caller, .. } => {
+                told.insert(*caller);
+            }
             _ => {}
         }
     }
@@ -146,11 +155,14 @@
 }
 
 fn lost(log: &Log) -> Option<String> {
-    if !log.announced_only || !log.served {
+    if !log.announced_only || !log.entries_left {
         return None;
     }
     (0..log.request_of.len()).find_map(|caller| {
         let words = words(log, caller);
+        if never_accepted(log, caller, &words) {
+            return None;
+        }
         let bad = words.iter().find(|(_, word)| matches!(word, Word::Unknown | Word::NotRun));
         match (bad, words.last()) {
             (Some((at, word)), _) => Some(format!("caller {caller} was told {word:?} at {at}")),
@@ -160,6 +172,14 @@
     })
 }
 
+/// Tells whether every try was turned away and nothing ran: then nothing was accepted.
+fn never_accepted(log: &Log, caller: usize, words: &[(Time, Word)]) -> bool {
+    let dropped = |(_, seen): &(Time, Seen)| *seen == Seen::Dropped { caller };
+    words.iter().all(|(_, word)| *word == Word::Rejected)
+        && !log.seen.iter().any(dropped)
+        && !ran_between(log, log.request_of[caller], 0, log.seen.len())
+}
+
 fn held_back(log: &Log) -> Option<String> {
     (0..log.request_of.len()).find_map(|caller| {
         let sent = |(at, seen): &(Time, Seen)| match seen {
@@ -169,6 +189,7 @@
         };
         let last = log.seen.iter().filter_map(sent).next_back()?;
         match words(log, caller).last() {
+            _ if !log.entries_left => None,
             Some((at, _)) if *at <= last + TOLD_WITHIN => None,
             Some((at, _)) => Some(format!("caller {caller} sent at {last} and was told at {at}")),
             None => Some(format!("caller {caller} sent at {last} and was told nothing")),
--- a/crates/faults/src/fault.rs
+++ b/crates/faults/src/fault.rs
@@ -63,9 +63,14 @@
         Self::ReclaimBoth,
     ];
 
-    /// Tells whether it is a reclaim that was announced.
-    pub fn is_announced(self) -> bool {
-        matches!(self, Self::Reclaim | Self::ReclaimDataCentre)
+    /// Tells whether a request has to survive it: a reclaim that was announced, and a broken
+    /// backend server for one that may be repeated.
+    pub fn is_survivable(self, repeatable: bool) -> bool {
+        match self {
+            Self::Reclaim | Self::ReclaimDataCentre => true,
+            Self::ReclaimBoth | Self::ServerBreaks => repeatable,
+            _ => false,
+        }
     }
 }
 
--- a/crates/faults/src/life.rs
+++ b/crates/faults/src/life.rs
@@ -32,6 +32,18 @@
 const WITNESS: usize = 1;
 const THIRD: usize = 2;
 
+impl Life {
+    /// Finds a life by its name.
+    pub fn named(name: &str) -> Option<Self> {
+        LIVES.iter().copied().find(|life| life.name == name)
+    }
+
+    /// Tells whether the request may be repeated.
+    pub fn is_repeatable(&self) -> bool {
+        self.repeatable
+    }
+}
+
 const PLAIN: Life = Life {
     name: "",
     repeatable: false,
@@ -85,5 +97,19 @@
         ..PLAIN
     },
     Life { name: "repeatable, owner reclaimed", repeatable: true, reclaim: Some(25), ..PLAIN },
+    Life {
+        name: "repeatable, read again at the leaving owner",
+        repeatable: true,
+        callers: &[(0, OWNER, 0), (30, OWNER, 0)],
+        reclaim: Some(25),
+        ..PLAIN
+    },
+    Life {
+        name: "once, sent again at the leaving owner",
+        callers: &[(0, OWNER, 0), (8, OWNER, 0)],
+        reclaim: Some(4),
+        ..PLAIN
+    },
+    Life { name: "once, owner drains", drain: Some(10), ..PLAIN },
     Life { name: "repeatable, owner drains", repeatable: true, drain: Some(25), ..PLAIN },
 ];
--- a/crates/faults/src/log.rs
+++ b/crates/faults/src/log.rs
@@ -75,8 +75,8 @@
     pub repeatable: bool,
     /// Chunks of a whole answer.
     pub chunks: usize,
-    /// Whether nothing but announced reclaims happened.
+    /// Whether nothing happened but what a request has to survive.
     pub announced_only: bool,
-    /// Whether the backend servers take requests.
-    pub served: bool,
+    /// Whether an entry is left that a caller can reach.
+    pub entries_left: bool,
 }
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -93,7 +93,11 @@
             let failed = self.failed(promise);
             total += failed;
             let (name, passed) = (format!("{promise:?}"), self.tried - failed);
-            writeln!(f, "{name:16} cells {} passed {passed} failed {failed}", self.tried)?;
+            writeln!(
+                f,
+                "{name:16} cells {} passed {passed} failed {failed} known red 0",
+                self.tried
+            )?;
             for example in self.examples.get(&name).into_iter().flatten() {
                 writeln!(f, "    {example}")?;
             }
--- a/crates/faults/src/world/platform.rs
+++ b/crates/faults/src/world/platform.rs
@@ -178,7 +178,7 @@
         let attempts = if ignore { 1..=ATTEMPTS } else { attempt..=attempt };
         for attempt in attempts {
             let data = bytes::Bytes::from(text.clone());
-            let (key, chunk) = (key.clone(), Chunk { tokens: 1, data });
+            let (key, chunk) = (key.clone(), Chunk::new(1, data));
             self.feed(entry, Input::Chunk { key, attempt, number, chunk });
         }
         self.schedule(STALL, Event::Stalled { to: to.clone(), run, pieces });
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -8,7 +8,7 @@
 use futures::Stream;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use kernel::prelude::*;
-use ledger::{Chunk, Ending};
+use ledger::{Chunk, Cursor, Ending};
 use serde_json::json;
 use web::{Reply, Request};
 
@@ -29,14 +29,14 @@
     let holder = front.requests.locate(&key)?;
     let seen = header(req.headers(), "last-event-id")?;
     let Some(seen) = seen else { return whole(front, key, holder).await };
-    let from = seen.parse().ok().filter(|from| *from <= MOST_CHUNKS);
+    let from = parse_event_id(&seen).filter(|from| from.next <= MOST_CHUNKS);
     let from =
         from.ok_or_else(|| Failure::new(Code::MalformedHeader, format!("last-event-id: {seen}")))?;
     Ok(stream(front, key, holder, from))
 }
 
 /// Streams an answer as server-sent events.
-pub(crate) fn stream(front: &Arc<Front>, key: Key, holder: Holder, from: usize) -> Reply {
+pub(crate) fn stream(front: &Arc<Front>, key: Key, holder: Holder, from: Cursor) -> Reply {
     let id = key.id.clone();
     let chunks = events(front.clone(), key, holder, from);
     let mut reply = Reply::new(web::stream(chunks));
@@ -52,12 +52,17 @@
     front: Arc<Front>,
     key: Key,
     holder: Holder,
-    next: usize,
+    cursor: Cursor,
     over: bool,
 }
 
-fn events(front: Arc<Front>, key: Key, holder: Holder, next: usize) -> impl Stream<Item = Bytes> {
-    let place = Place { front, key, holder, next, over: false };
+fn events(
+    front: Arc<Front>,
+    key: Key,
+    holder: Holder,
+    cursor: Cursor,
+) -> impl Stream<Item = Bytes> {
+    let place = Place { front, key, holder, cursor, over: false };
     futures::stream::unfold(place, |mut place| async move {
         if place.over {
             return None;
@@ -70,7 +75,9 @@
 impl Place {
     /// Returns the next events as text.
     async fn step(&mut self) -> String {
-        let read = self.front.requests.read(&self.key, &mut self.holder, self.next).await;
+        let from = self.cursor.next;
+        let read = self.front.requests.read(&self.key, &mut self.holder, from).await;
+        let read = read.and_then(|part| self.cursor.take(&part).map(|()| part));
         let reply = match read {
             Ok(reply) => reply,
             Err(failure) => {
@@ -79,9 +86,8 @@
             }
         };
         let mut text = String::new();
-        for chunk in &reply.chunks {
-            self.next += 1;
-            text.push_str(&chunk_event(&self.key, self.next, chunk));
+        for (next, chunk) in (from + 1..).zip(&reply.chunks) {
+            text.push_str(&chunk_event(&self.key, next, chunk));
         }
         match reply.ending {
             // A comment keeps the connection alive and shows whether the caller is still there.
@@ -103,7 +109,16 @@
         "object": "chat.completion.chunk",
         "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": null}],
     });
-    format!("id: {next}\ndata: {data}\n\n")
+    format!("id: {next}-{:x}\ndata: {data}\n\n", chunk.origin)
+}
+
+/// Reads the id of an event: the number of chunks seen, and their origin.
+fn parse_event_id(id: &str) -> Option<Cursor> {
+    let (next, origin) = match id.split_once('-') {
+        Some((next, origin)) => (next, Some(u64::from_str_radix(origin, 16).ok()?)),
+        None => (id, None),
+    };
+    Some(Cursor { next: next.parse().ok()?, origin })
 }
 
 fn ending_event(key: &Key, ending: &Ending) -> String {
@@ -138,8 +153,15 @@
     mut holder: Holder,
 ) -> Result<Reply, Failure> {
     let mut chunks: Vec<Chunk> = Vec::new();
+    let mut cursor = Cursor::default();
     let ending = loop {
-        let reply = front.requests.read(&key, &mut holder, chunks.len()).await?;
+        let reply = front.requests.read(&key, &mut holder, cursor.next).await?;
+        if cursor.take(&reply).is_err() {
+            // Nothing was shown yet, so the answer is read from the start.
+            cursor = Cursor::default();
+            chunks.clear();
+            continue;
+        }
         chunks.extend(reply.chunks);
         if let Some(ending) = reply.ending {
             break ending;
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -61,7 +61,7 @@
     let terms = terms(head, name, "", service, body);
     let (key, holder) = front.requests.submit(terms).await?;
     if chat.stream {
-        Ok(answer::stream(front, key, holder, 0))
+        Ok(answer::stream(front, key, holder, ledger::Cursor::default()))
     } else {
         answer::whole(front, key, holder).await
     }
--- a/crates/ledger/src/answer.rs
+++ b/crates/ledger/src/answer.rs
@@ -9,6 +9,15 @@
     pub tokens: u32,
     /// The piece itself.
     pub data: Bytes,
+    /// Names the run that the answer began with; a run that goes on from its chunks keeps it.
+    pub origin: u64,
+}
+
+impl Chunk {
+    /// Creates a chunk as it came from a backend server.
+    pub fn new(tokens: u32, data: Bytes) -> Self {
+        Self { tokens, data, origin: 0 }
+    }
 }
 
 /// The chunks of an answer, numbered from 0 without gaps.
@@ -23,8 +32,15 @@
 impl Answer {
     /// Appends the chunk with the given number; a chunk that is here already is passed over.
     ///
-    /// Returns whether the chunk was new. A chunk that would leave a gap is refused.
+    /// Returns whether the chunk was new. A chunk that would leave a gap is refused, and so is one of
+    /// another origin, unless it begins the answer anew.
     pub fn append(&mut self, number: usize, chunk: Chunk) -> bool {
+        let other = self.origin().is_some_and(|origin| origin != chunk.origin);
+        if other && number == 0 {
+            *self = Self { alone: self.alone, ..Self::default() };
+        } else if other {
+            return false;
+        }
         if number != self.chunks.len() {
             return false;
         }
@@ -33,6 +49,11 @@
         true
     }
 
+    /// Returns the origin of its chunks, if there are any.
+    pub fn origin(&self) -> Option<u64> {
+        self.chunks.first().map(|chunk| chunk.origin)
+    }
+
     /// Notes that the witness holds all chunks below `number`.
     pub fn witnessed(&mut self, number: usize) {
         self.witnessed = self.witnessed.max(number.min(self.chunks.len()));
--- a/crates/ledger/src/book/mod.rs
+++ b/crates/ledger/src/book/mod.rs
@@ -11,7 +11,7 @@
 mod witnessing;
 
 pub use input::{Action, Call, CallKind, ClaimResult, Holder, Input, Members, Response, Ticket};
-pub use record::Part;
+pub use record::{Cursor, Part};
 
 use crate::message::Ending;
 use kernel::{Key, NodeId};
--- a/crates/ledger/src/book/owning.rs
+++ b/crates/ledger/src/book/owning.rs
@@ -8,6 +8,7 @@
 use crate::witness::WitnessEvent;
 use crate::{Chunk, Home};
 use kernel::{Code, Key, NodeId};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Entries tried for one record that is given away.
 const HAND_OVER_ENTRIES: usize = 3;
@@ -130,7 +131,10 @@
 
     pub(super) fn chunk(&mut self, key: &Key, attempt: u32, number: usize, chunk: Chunk) {
         let limit = self.book.bounds.answer;
+        let me = self.me();
         let Some(record) = self.record(key) else { return };
+        let origin = record.answer.origin().unwrap_or_else(|| origin(&me, record.round, attempt));
+        let chunk = Chunk { origin, ..chunk };
         if !record.is_attempt(attempt) || !record.answer.append(number, chunk) {
             return;
         }
@@ -286,12 +290,14 @@
     }
 
     fn send_hand_over(&mut self, key: &Key, to: NodeId, right: Right, tries: u32) {
+        let me = self.me();
         let Some(record) = self.record(key) else { return };
         if !record.given_to.contains(&to) {
             record.given_to.push(to.clone());
         }
         let message = Message::HandOver {
             terms: record.terms.clone(),
+            owner: me,
             round: record.round,
             right,
             chunks: record.answer.all_from(0).to_vec(),
@@ -337,3 +343,10 @@
         }
     }
 }
+
+/// Names the answer that an attempt begins.
+fn origin(me: &NodeId, round: u64, attempt: u32) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (me, round, attempt).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/ledger/src/book/record.rs
+++ b/crates/ledger/src/book/record.rs
@@ -5,7 +5,7 @@
 use crate::owner::{Owner, OwnerState};
 use crate::witness::Witness;
 use crate::{Answer, Chunk};
-use kernel::NodeId;
+use kernel::{Code, Failure, NodeId};
 
 /// What this entry is to the request.
 #[derive(Clone, Debug)]
@@ -47,6 +47,8 @@
     pub(crate) replicating: bool,
     /// Entries that it was offered to when this one left.
     pub(crate) given_to: Vec<NodeId>,
+    /// Leaving owner that gave it to this entry.
+    pub(crate) taken_from: Option<NodeId>,
     pub(crate) waiting: Vec<Ticket>,
 }
 
@@ -57,6 +59,8 @@
     pub from: usize,
     /// Chunks from there.
     pub chunks: Vec<Chunk>,
+    /// Origin of the whole answer, once it has chunks.
+    pub origin: Option<u64>,
     /// How the request ended, if these are the last chunks.
     pub ending: Option<Ending>,
 }
@@ -75,6 +79,7 @@
             running: false,
             replicating: false,
             given_to: Vec::new(),
+            taken_from: None,
             waiting: Vec::new(),
         }
     }
@@ -106,6 +111,42 @@
 
     /// Returns the chunks and the ending that a caller may see.
     pub(crate) fn part(&self, from: usize) -> Part {
-        Part { from, chunks: self.answer.visible_from(from).to_vec(), ending: self.shown.clone() }
+        Part {
+            from,
+            chunks: self.answer.visible_from(from).to_vec(),
+            origin: self.answer.origin(),
+            ending: self.shown.clone(),
+        }
+    }
+}
+
+/// How far a caller has read an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Cursor {
+    /// Number of the next chunk.
+    pub next: usize,
+    /// Origin of the chunks before it.
+    pub origin: Option<u64>,
+}
+
+impl Cursor {
+    /// Moves on past a part that was read from here.
+    ///
+    /// # Errors
+    /// [`Code::Incomplete`] when the part does not go on with what was read: the former holder is
+    /// gone with chunks that it had shown, and the caller has to read from the start.
+    pub fn take(&mut self, part: &Part) -> Result<(), Failure> {
+        let begun = self.next > 0;
+        let other = begun && self.origin.is_some() && part.origin != self.origin;
+        // A holder that has nothing yet may still get there.
+        let empty = part.origin.is_none() && part.ending != Some(Ending::Answered);
+        if other && !empty {
+            return Err(Failure::new(Code::Incomplete, "read it again from the start"));
+        }
+        if !part.chunks.is_empty() {
+            self.next += part.chunks.len();
+            self.origin = part.origin;
+        }
+        Ok(())
     }
 }
--- a/crates/ledger/src/book/witnessing.rs
+++ b/crates/ledger/src/book/witnessing.rs
@@ -22,8 +22,8 @@
             Message::Progress { key, round, from, chunks, ending } => {
                 self.on_progress(&key, round, from, chunks, ending)
             }
-            Message::HandOver { terms, round, right, chunks } => {
-                self.on_hand_over(terms, round, right, chunks)
+            Message::HandOver { terms, owner, round, right, chunks } => {
+                self.on_hand_over(terms, &owner, round, right, chunks)
             }
         };
         self.respond(ticket, Response::Reply(reply));
@@ -121,6 +121,7 @@
     fn on_hand_over(
         &mut self,
         terms: Terms,
+        owner: &NodeId,
         round: u64,
         right: Right,
         chunks: Vec<Chunk>,
@@ -131,8 +132,15 @@
             return refused;
         }
         let leaves = self.book.refuses_new;
-        let record = self.witnessed(&terms, &NodeId::default(), round);
+        let record = self.witnessed(&terms, owner, round);
         // The first answer was lost and the leaving owner sent it again.
+        if record.taken_from.as_ref() == Some(owner) {
+            return MessageReply::Done;
+        }
+        // The owner got it from this entry, which is leaving as well.
+        if record.given_to.contains(owner) {
+            return refused;
+        }
         let Role::Witness(witness, _) = &mut record.role else { return MessageReply::Done };
         if leaves {
             return refused;
@@ -141,6 +149,7 @@
             return refused;
         };
         record.round = round;
+        record.taken_from = Some(owner.clone());
         for (number, chunk) in (0..).zip(chunks) {
             record.answer.append(number, chunk);
         }
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -131,6 +131,8 @@
     HandOver {
         /// The record.
         terms: Terms,
+        /// Its owner until now.
+        owner: NodeId,
         /// Round of the owner.
         round: u64,
         /// Right of the leaving owner.
--- a/crates/peer/src/codec/parts.rs
+++ b/crates/peer/src/codec/parts.rs
@@ -57,12 +57,14 @@
         let mut item = b.reborrow().get(i);
         item.set_tokens(chunk.tokens);
         item.set_data(&chunk.data);
+        item.set_origin(chunk.origin);
     }
 }
 
 pub(super) fn read_chunks(r: struct_list::Reader<'_, w::chunk::Owned>) -> Read<Vec<Chunk>> {
     let chunk = |item: w::chunk::Reader<'_>| {
-        Ok(Chunk { tokens: item.get_tokens(), data: item.get_data()?.to_vec().into() })
+        let data = item.get_data()?.to_vec().into();
+        Ok(Chunk { tokens: item.get_tokens(), data, origin: item.get_origin() })
     };
     r.iter().map(chunk).collect()
 }
--- a/crates/peer/src/codec/reply.rs
+++ b/crates/peer/src/codec/reply.rs
@@ -50,7 +50,8 @@
         Which::Read(r) => {
             let ending = if r.get_ended() { Some(read_ending(r.get_ending()?)?) } else { None };
             let chunks = read_chunks(r.get_chunks()?)?;
-            Reply::Read(Part { from: r.get_from() as usize, chunks, ending })
+            let origin = r.get_begun().then(|| r.get_origin());
+            Reply::Read(Part { from: r.get_from() as usize, chunks, origin, ending })
         }
         Which::Configuration(r) => {
             Reply::Configuration { head: name(r.get_head()?)?, body: name(r.get_body()?)? }
@@ -134,6 +135,8 @@
 fn write_read(mut b: w::reply::read::Builder<'_>, reply: &Part) {
     b.set_from(reply.from as u64);
     write_chunks(b.reborrow().init_chunks(reply.chunks.len() as u32), &reply.chunks);
+    b.set_origin(reply.origin.unwrap_or(0));
+    b.set_begun(reply.origin.is_some());
     b.set_ended(reply.ending.is_some());
     if let Some(ending) = &reply.ending {
         write_ending(b.init_ending(), ending);
--- a/crates/peer/src/codec/request.rs
+++ b/crates/peer/src/codec/request.rs
@@ -51,10 +51,11 @@
                 write_ending(b.init_ending(), ending);
             }
         }
-        Message::HandOver { terms, round, right, chunks } => {
+        Message::HandOver { terms, owner, round, right, chunks } => {
             let mut b = b.init_hand_over();
             write_terms(b.reborrow().init_terms(), terms);
             b.set_round(*round);
+            write_node(b.reborrow().init_owner(), owner);
             b.set_right(write_right(*right));
             write_chunks(b.init_chunks(chunks.len() as u32), chunks);
         }
@@ -95,6 +96,7 @@
         }
         Which::HandOver(r) => Request::Record(Message::HandOver {
             terms: read_terms(r.get_terms()?)?,
+            owner: read_node(r.get_owner()?)?,
             round: r.get_round(),
             right: read_right(r.get_right()?),
             chunks: read_chunks(r.get_chunks()?)?,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -30,6 +30,7 @@
 struct Chunk {
   tokens @0 :UInt32;
   data @1 :Data;
+  origin @2 :UInt64;   # names the run that the answer began with
 }
 
 struct Ending {
@@ -99,6 +100,7 @@
       terms @14 :Terms;
       right @15 :Right;
       round @25 :UInt64;
+      owner @27 :Node;
       chunks @16 :List(Chunk);
     }
     submit :group {
@@ -158,6 +160,8 @@
       chunks @17 :List(Chunk);
       ending @18 :Ending;
       ended @19 :Bool;
+      origin @24 :UInt64;
+      begun @25 :Bool;        # whether the origin counts
     }
     configuration :group {
       head @20 :Text;         # JSON of the head
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1494,11 +1494,15 @@
         pub fn has_data(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_origin(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1572,6 +1576,14 @@
         pub fn has_data(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_origin(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_origin(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1583,38 +1595,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(240, 7, 138, 89, 82, 144, 8, 232),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 104, 117, 110, 107),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1631,11 +1650,20 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1649,9 +1677,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
         pub(crate) const TYPE_ID: u64 = 0xe808_9052_598a_07f0;
     }
 }
@@ -3102,6 +3130,7 @@
             self.builder.set_data_field::<u16>(4, 0u16);
             self.builder.reborrow().get_pointer_field(2).clear();
             self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.reborrow().get_pointer_field(3).clear();
             self.builder.into()
         }
         #[inline]
@@ -4577,6 +4606,14 @@
             pub fn get_round(self) -> u64 {
                 self.reader.get_data_field::<u64>(2)
             }
+            #[inline]
+            pub fn get_owner(self) -> ::capnp::Result<crate::peer_capnp::node::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_owner(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4679,6 +4716,22 @@
             pub fn set_round(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(2, value);
             }
+            #[inline]
+            pub fn get_owner(self) -> ::capnp::Result<crate::peer_capnp::node::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_owner(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_owner(self, ) -> crate::peer_capnp::node::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+            }
+            #[inline]
+            pub fn has_owner(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4691,9 +4744,12 @@
             pub fn get_terms(&self) -> crate::peer_capnp::terms::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
+            pub fn get_owner(&self) -> crate::peer_capnp::node::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(168, 71, 26, 91, 8, 114, 204, 189),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
@@ -4703,42 +4759,49 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
                 ::capnp::word(115, 116, 46, 104, 97, 110, 100, 79),
                 ::capnp::word(118, 101, 114, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 101, 114, 109, 115, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(235, 118, 192, 81, 121, 11, 179, 195),
@@ -4775,6 +4838,14 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 119, 110, 101, 114, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4782,6 +4853,7 @@
                     1 => <crate::peer_capnp::Right as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::chunk::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4795,9 +4867,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,1,3,0];
             pub(crate) const TYPE_ID: u64 = 0xbdcc_7208_5b1a_47a8;
         }
     }
@@ -5799,7 +5871,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5916,6 +5988,8 @@
             self.builder.reborrow().get_pointer_field(0).clear();
             self.builder.reborrow().get_pointer_field(1).clear();
             self.builder.set_bool_field(16, false);
+            self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.set_bool_field(17, false);
             self.builder.into()
         }
         #[inline]
@@ -6020,7 +6094,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 148] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
             ::capnp::word(2, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6317,7 +6391,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6443,7 +6517,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(225, 226, 143, 74, 144, 133, 39, 184),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 5, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -6670,7 +6744,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6787,7 +6861,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(252, 98, 77, 21, 195, 204, 189, 224),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 4, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -6990,7 +7064,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7098,7 +7172,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(247, 246, 39, 182, 118, 135, 121, 169),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 3, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -7276,11 +7350,19 @@
             pub fn get_ended(self) -> bool {
                 self.reader.get_bool_field(16)
             }
+            #[inline]
+            pub fn get_origin(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_begun(self) -> bool {
+                self.reader.get_bool_field(17)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7378,6 +7460,22 @@
             pub fn set_ended(&mut self, value: bool)  {
                 self.builder.set_bool_field(16, value);
             }
+            #[inline]
+            pub fn get_origin(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_origin(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_begun(self) -> bool {
+                self.builder.get_bool_field(17)
+            }
+            #[inline]
+            pub fn set_begun(&mut self, value: bool)  {
+                self.builder.set_bool_field(17, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7392,51 +7490,65 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(70, 157, 104, 250, 201, 65, 109, 203),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 101, 112, 108, 121),
                 ::capnp::word(46, 114, 101, 97, 100, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(121, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 17, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7473,6 +7585,22 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 101, 103, 117, 110, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -7480,6 +7608,8 @@
                     1 => <::capnp::struct_list::Owned<crate::peer_capnp::chunk::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::peer_capnp::ending::Owned as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7493,9 +7623,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,1,3,2,0,4];
             pub(crate) const TYPE_ID: u64 = 0xcb6d_41c9_fa68_9d46;
         }
     }
@@ -7581,7 +7711,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7677,7 +7807,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(173, 171, 146, 49, 112, 71, 167, 184),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(14, 250, 65, 9, 171, 175, 0, 164),
                 ::capnp::word(2, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
