A reader of a later round no longer falls back to the owner of an earlier one

Cause: a leaving owner had told "not run" and declined the next round, which the witness ran; a caller's read that could not reach the witness fell back to the owner and was told "not run". The counter-test for late requests had given the first request the wrong round as well.

--- a/crates/faults/src/world/mod.rs
+++ b/crates/faults/src/world/mod.rs
@@ -323,7 +323,7 @@
         let waiter = Waiter::Entry { call, from, at: to, answered };
         self.tickets.insert(ticket, waiter);
         let before = self.forgetful(&message).then(|| self.nodes[entry].book.clone());
-        let message = self.without_round(message);
+        let message = self.without_round(entry, message);
         self.feed(entry, Input::Message { ticket, message });
         if let Some(before) = before {
             self.nodes[entry].book = before;
@@ -334,10 +334,11 @@
         self.sabotage == Some(Sabotage::ForgetGrant) && matches!(message, Message::Ask { .. })
     }
 
-    fn without_round(&self, message: Message) -> Message {
+    fn without_round(&self, entry: usize, message: Message) -> Message {
         match message {
             Message::Submit { terms, owner_silent, .. }
-                if self.sabotage == Some(Sabotage::IgnoreRound) =>
+                if self.sabotage == Some(Sabotage::IgnoreRound)
+                    && self.nodes[entry].book.terms(&terms.key).is_some() =>
             {
                 Message::Submit { terms, owner_silent, round: u64::MAX / 2 }
             }
--- a/crates/ledger/src/book/relay.rs
+++ b/crates/ledger/src/book/relay.rs
@@ -163,7 +163,11 @@
                 others.push(home.witness.clone());
                 Holder::At(home.owner.clone(), others)
             }
-            Leg::Witness | Leg::Successor => Holder::At(relay.to.clone(), others),
+            Leg::Witness | Leg::Successor => {
+                // What the owner knows may be a round that is over.
+                others.retain(|other| *other != home.owner);
+                Holder::At(relay.to.clone(), others)
+            }
         }
     }
 
