A caller that only reads is never told "not run"

Cause: an owner may have told "not run" for a round and not know of the next one, which its witness runs; GET /v1/requests/<key> at that owner would have passed the old word on. Found by reading the trace of the last fault. A reader is told that nothing was accepted under this try instead. The matrix has three more lives in which callers read on, and counts callers' last words.

--- a/crates/faults/src/life.rs
+++ b/crates/faults/src/life.rs
@@ -30,6 +30,8 @@
     pub(crate) step: Time,
     /// Whether a caller goes away once it was told anything.
     pub(crate) goes: bool,
+    /// Whether a caller that lost its connection reads on without sending again.
+    pub(crate) reads_on: bool,
 }
 
 const OWNER: usize = 0;
@@ -57,6 +59,7 @@
     drain: None,
     step: STEP,
     goes: false,
+    reads_on: false,
 };
 
 const STEP: Time = 10;
@@ -143,6 +146,20 @@
         ..PLAIN
     },
     Life { name: "once, long call, owner drains", drain: Some(100), step: LONG_STEP, ..PLAIN },
+    Life { name: "once, read on after a lost connection", reads_on: true, ..PLAIN },
+    Life {
+        name: "once, refused first, read on after a lost connection",
+        callers: &[(0, THIRD, 0), (5, OWNER, 0)],
+        serving: Serving::RefuseUntil(150),
+        reads_on: true,
+        ..PLAIN
+    },
+    Life {
+        name: "repeatable, read on after a lost connection",
+        repeatable: true,
+        reads_on: true,
+        ..PLAIN
+    },
     Life { name: "once, owner drains", drain: Some(10), ..PLAIN },
     Life { name: "repeatable, owner drains", repeatable: true, drain: Some(25), ..PLAIN },
 ];
--- a/crates/faults/src/log.rs
+++ b/crates/faults/src/log.rs
@@ -80,3 +80,17 @@
     /// Whether an entry is left that a caller can reach.
     pub entries_left: bool,
 }
+
+impl Log {
+    /// Returns the last word that each caller was told.
+    pub(crate) fn last_words(&self) -> Vec<String> {
+        let last = |caller: usize| {
+            let word = self.seen.iter().rev().find_map(|(_, seen)| match seen {
+                Seen::Told { caller: c, word } if *c == caller => Some(format!("{word:?}")),
+                _ => None,
+            });
+            word.unwrap_or_else(|| "nothing".to_owned())
+        };
+        (0..self.request_of.len()).map(last).collect()
+    }
+}
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -49,6 +49,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Report {
     tried: u64,
+    /// Last words told to callers, and callers that were told nothing.
+    words: BTreeMap<String, u64>,
     failed: BTreeMap<String, u64>,
     examples: BTreeMap<String, Vec<String>>,
 }
@@ -60,7 +62,11 @@
     /// Runs a cell and counts it.
     pub fn add(&mut self, cell: &Cell) {
         self.tried += 1;
-        for Violation { promise, text } in check(&run(cell, None)) {
+        let log = run(cell, None);
+        for word in log.last_words() {
+            *self.words.entry(word).or_default() += 1;
+        }
+        for Violation { promise, text } in check(&log) {
             let promise = format!("{promise:?}");
             *self.failed.entry(promise.clone()).or_default() += 1;
             let examples = self.examples.entry(promise).or_default();
@@ -102,6 +108,7 @@
                 writeln!(f, "    {example}")?;
             }
         }
+        writeln!(f, "last words to callers: {:?}", self.words)?;
         let checks = self.tried * Promise::ALL.len() as u64;
         write!(f, "{} passed, {total} failed", checks - total)
     }
--- a/crates/faults/src/world/caller.rs
+++ b/crates/faults/src/world/caller.rs
@@ -29,6 +29,8 @@
     cursor: Cursor,
     done: bool,
     waiting: bool,
+    /// Whether the next try only reads.
+    reads: bool,
 }
 
 impl Caller {
@@ -44,6 +46,7 @@
             cursor: Cursor::default(),
             done: false,
             waiting: false,
+            reads: false,
         }
     }
 
@@ -58,6 +61,9 @@
 
 impl World {
     pub(super) fn on_submit(&mut self, caller: usize) {
+        if self.callers[caller].reads {
+            return self.read_on(caller);
+        }
         self.serial += 1;
         let serial = self.serial;
         let c = &mut self.callers[caller];
@@ -77,6 +83,25 @@
         self.feed(entry, Input::Submit { ticket, terms });
     }
 
+    /// Finds the answer by its key, as `GET /v1/requests/<key>` does.
+    fn read_on(&mut self, caller: usize) {
+        self.serial += 1;
+        let serial = self.serial;
+        let mut others = self.successors(caller);
+        let c = &mut self.callers[caller];
+        let here = self.nodes[c.entry].book.owns(&c.key);
+        let Some(home) = Home::parse(&c.key.id) else { return };
+        others.push(home.witness);
+        let holder = if here { Holder::Here } else { Holder::At(home.owner, others) };
+        (c.serial, c.holder, c.waiting) = (serial, Some(holder), true);
+        let up = self.nodes[c.entry].up;
+        self.schedule(CALLER_TIMEOUT, Event::GiveUpTry { caller, serial });
+        if !up {
+            return self.try_elsewhere(caller);
+        }
+        self.schedule(LATENCY, Event::Poll { caller, serial });
+    }
+
     pub(super) fn on_submitted(&mut self, caller: usize, serial: u64, response: Response) {
         if self.callers[caller].serial != serial {
             return;
@@ -94,6 +119,8 @@
     /// Ends the present try without a word, and tries the next entry.
     fn try_elsewhere(&mut self, caller: usize) {
         self.see(Seen::Dropped { caller });
+        let c = &mut self.callers[caller];
+        c.reads = self.life.reads_on && (c.reads || c.holder.is_some());
         self.try_again(caller, true);
     }
 
@@ -133,6 +160,7 @@
             self.now += time;
         }
         self.see(Seen::Told { caller, word });
+        self.callers[caller].reads = false;
         if word == Word::Answered || self.life.goes {
             let c = &mut self.callers[caller];
             (c.done, c.waiting, c.serial) = (true, false, 0);
@@ -168,7 +196,8 @@
             let text = String::from_utf8_lossy(&chunk.data).into_owned();
             self.see(Seen::Shown { caller, number, text });
         }
-        match part.ending {
+        let reads = self.callers[caller].reads;
+        match part.ending.map(|ending| if reads { ending.for_reader() } else { ending }) {
             None => self.schedule(READ_EVERY, Event::Poll { caller, serial }),
             Some(Ending::Answered) => self.told(caller, Word::Answered),
             Some(Ending::NotRun(code) | Ending::Unknown(code)) => {
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -28,17 +28,42 @@
     let key = Key::new(organisation, key);
     let holder = front.requests.locate(&key)?;
     let seen = header(req.headers(), "last-event-id")?;
-    let Some(seen) = seen else { return whole(front, key, holder).await };
+    let Some(seen) = seen else { return whole(front, key, holder, Asked::Read).await };
     let from = parse_event_id(&seen).filter(|from| from.next <= MOST_CHUNKS);
     let from =
         from.ok_or_else(|| Failure::new(Code::MalformedHeader, format!("last-event-id: {seen}")))?;
-    Ok(stream(front, key, holder, from))
+    Ok(stream(front, key, holder, from, Asked::Read))
+}
+
+/// How a caller asked for an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Asked {
+    /// It sent the request.
+    Sent,
+    /// It reads the answer of a request that it sent before.
+    Read,
+}
+
+impl Asked {
+    fn told(self, ending: Ending) -> Ending {
+        match self {
+            Self::Sent => ending,
+            Self::Read => ending.for_reader(),
+        }
+    }
 }
 
 /// Streams an answer as server-sent events.
-pub(crate) fn stream(front: &Arc<Front>, key: Key, holder: Holder, from: Cursor) -> Reply {
+pub(crate) fn stream(
+    front: &Arc<Front>,
+    key: Key,
+    holder: Holder,
+    cursor: Cursor,
+    asked: Asked,
+) -> Reply {
     let id = key.id.clone();
-    let chunks = events(front.clone(), key, holder, from);
+    let place = Place { front: front.clone(), key, holder, cursor, asked, over: false };
+    let chunks = events(place);
     let mut reply = Reply::new(web::stream(chunks));
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -53,16 +78,11 @@
     key: Key,
     holder: Holder,
     cursor: Cursor,
+    asked: Asked,
     over: bool,
 }
 
-fn events(
-    front: Arc<Front>,
-    key: Key,
-    holder: Holder,
-    cursor: Cursor,
-) -> impl Stream<Item = Bytes> {
-    let place = Place { front, key, holder, cursor, over: false };
+fn events(place: Place) -> impl Stream<Item = Bytes> {
     futures::stream::unfold(place, |mut place| async move {
         if place.over {
             return None;
@@ -95,7 +115,7 @@
             None => text,
             Some(ending) => {
                 self.over = true;
-                text.push_str(&ending_event(&self.key, &ending));
+                text.push_str(&ending_event(&self.key, &self.asked.told(ending)));
                 text
             }
         }
@@ -151,6 +171,7 @@
     front: &Arc<Front>,
     key: Key,
     mut holder: Holder,
+    asked: Asked,
 ) -> Result<Reply, Failure> {
     let mut chunks: Vec<Chunk> = Vec::new();
     let mut cursor = Cursor::default();
@@ -164,7 +185,7 @@
         }
         chunks.extend(reply.chunks);
         if let Some(ending) = reply.ending {
-            break ending;
+            break asked.told(ending);
         }
     };
     if let Some(failure) = failure_of(&ending) {
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -1,11 +1,11 @@
 //! Callers' requests: chat completions and plain services.
 
-use crate::answer;
+use crate::answer::{self, Asked};
 use crate::router::{Front, Ready};
 use conf::{Config, Service, ServiceKind};
 use hyper::HeaderMap;
 use kernel::prelude::*;
-use ledger::Terms;
+use ledger::{Cursor, Terms};
 use rand::RngExt;
 use serde::Deserialize;
 use web::{Reply, Request, read_limited};
@@ -61,9 +61,9 @@
     let terms = terms(head, name, "", service, body);
     let (key, holder) = front.requests.submit(terms).await?;
     if chat.stream {
-        Ok(answer::stream(front, key, holder, ledger::Cursor::default()))
+        Ok(answer::stream(front, key, holder, Cursor::default(), Asked::Sent))
     } else {
-        answer::whole(front, key, holder).await
+        answer::whole(front, key, holder, Asked::Sent).await
     }
 }
 
@@ -84,7 +84,7 @@
     let path = rest.iter().map(|part| format!("/{part}")).collect::<String>();
     let terms = terms(head, name.clone(), &path, found, body);
     let (key, holder) = front.requests.submit(terms).await?;
-    answer::whole(front, key, holder).await
+    answer::whole(front, key, holder, Asked::Sent).await
 }
 
 fn usable(front: &Front) -> Result<Arc<control::InForce>, Failure> {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -38,6 +38,17 @@
     Follow(NodeId),
 }
 
+impl Ending {
+    /// Returns what a caller is told that only reads: a round that did not run may have been
+    /// followed by another elsewhere.
+    pub fn for_reader(self) -> Self {
+        match self {
+            Self::NotRun(code) => Self::Rejected(code),
+            other => other,
+        }
+    }
+}
+
 /// Where the right to dispatch comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Right {
