The command line keeps event ids as text

Cause: event ids now carry the origin of an answer; the client parsed them as numbers, so a broken stream would have begun again from the start.

--- a/crates/fennelfold/src/cmd/call.rs
+++ b/crates/fennelfold/src/cmd/call.rs
@@ -61,7 +61,8 @@
     path: String,
     body: Bytes,
     stream: bool,
-    seen: u64,
+    /// Id of the last event; empty before the first.
+    seen: String,
     give_up: Instant,
 }
 
@@ -123,14 +124,14 @@
             path,
             body: body.into(),
             stream,
-            seen: 0,
+            seen: String::new(),
             give_up: Instant::now() + Duration::from_secs(patience),
         })
     }
 
     async fn try_at(&mut self, entry: SocketAddr) -> Next {
-        let seen = self.seen.to_string();
-        let resume = self.seen > 0;
+        let seen = self.seen.clone();
+        let resume = !seen.is_empty();
         let path = if resume { format!("/v1/requests/{}", self.key) } else { self.path.clone() };
         let mut headers = vec![
             ("x-organisation", self.organisation.as_str()),
@@ -182,7 +183,9 @@
             if let Some(content) = value["choices"][0]["delta"]["content"].as_str() {
                 print(content);
             }
-            self.seen = event.id.parse().unwrap_or(self.seen);
+            if !event.id.is_empty() {
+                self.seen = event.id;
+            }
         }
     }
 }
