--- a/crates/fennelfold/src/cmd/call.rs
+++ b/crates/fennelfold/src/cmd/call.rs
@@ -2,7 +2,7 @@
 
 use crate::cmd::caller::{Caller, accept, problem};
 use crate::cmd::inspect::organisation_arg;
-use crate::cmd::{entries, entries_arg, text};
+use crate::cmd::{entries, entries_arg, out, text};
 use bytes::Bytes;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use eyre::Result;
@@ -11,7 +11,6 @@
 use kernel::prelude::*;
 use rand::RngExt;
 use serde_json::{Value, json};
-use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Instant;
 use web::Reader;
@@ -62,6 +61,8 @@
     body: Bytes,
     stream: bool,
     seen: u64,
+    /// Entries that found the home of the key gone.
+    lost: usize,
     give_up: Instant,
 }
 
@@ -69,7 +70,7 @@
 enum Next {
     Done,
     Again(Failure),
-    Fail(Failure),
+    Fail(eyre::Report),
 }
 
 pub(crate) async fn run(matches: &ArgMatches) -> Result<()> {
@@ -79,7 +80,7 @@
         let entry = call.entries[turn % call.entries.len()];
         let failure = match call.try_at(entry).await {
             Next::Done => return Ok(()),
-            Next::Fail(failure) => return Err(failure.into()),
+            Next::Fail(report) => return Err(report),
             Next::Again(failure) => failure,
         };
         if Instant::now() >= call.give_up {
@@ -124,6 +125,7 @@
             body: body.into(),
             stream,
             seen: 0,
+            lost: 0,
             give_up: Instant::now() + Duration::from_secs(patience),
         })
     }
@@ -152,12 +154,30 @@
             return self.follow(Reader::events(answer.into_body())).await;
         }
         match accept(answer).await {
-            Ok(bytes) => {
-                print(&whole_text(&bytes));
-                println!();
-                Next::Done
+            Ok(bytes) => printed(out::line(whole_text(&bytes))),
+            Err(failure) => self.after(failure),
+        }
+    }
+
+    /// Tries again what may be tried again under the same key.
+    fn after(&mut self, failure: Failure) -> Next {
+        // A new run would give another answer than the one that is printed in part.
+        let over = self.seen > 0 && failure.outcome == Outcome::NotRun;
+        let again = match failure.code {
+            Code::PeerUnreachable | Code::Leaving | Code::NoConfiguration | Code::Incomplete => {
+                true
+            }
+            // One entry may be cut off from a home that others still reach.
+            Code::HomeLost => {
+                self.lost += 1;
+                self.lost < self.entries.len()
             }
-            Err(failure) => after(failure),
+            _ => false,
+        };
+        if !over && (again || failure.retry_after.is_some()) {
+            Next::Again(failure)
+        } else {
+            Next::Fail(failure.into())
         }
     }
 
@@ -172,28 +192,27 @@
                 Err(failure) => return Next::Again(failure),
             };
             if event.event == "error" {
-                return after(problem(event.data.as_bytes()));
+                return self.after(problem(event.data.as_bytes()));
             }
             if event.data == "[DONE]" {
-                println!();
-                return Next::Done;
+                return printed(out::line(""));
             }
             let value: Value = serde_json::from_str(&event.data).unwrap_or_default();
-            if let Some(content) = value["choices"][0]["delta"]["content"].as_str() {
-                print(content);
+            let content = value["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+            if let Err(e) = out::print(content) {
+                return Next::Fail(e.into());
             }
             self.seen = event.id.parse().unwrap_or(self.seen);
         }
     }
 }
 
-/// Tries again what may be tried again under the same key.
-fn after(failure: Failure) -> Next {
-    let again = matches!(
-        failure.code,
-        Code::PeerUnreachable | Code::Leaving | Code::NoConfiguration | Code::Incomplete
-    );
-    if again || failure.retry_after.is_some() { Next::Again(failure) } else { Next::Fail(failure) }
+/// Ends the command once the answer is printed.
+fn printed(result: std::io::Result<()>) -> Next {
+    match result {
+        Ok(()) => Next::Done,
+        Err(e) => Next::Fail(e.into()),
+    }
 }
 
 fn chat_body(matches: &ArgMatches, stream: bool) -> String {
@@ -214,9 +233,3 @@
         None => String::from_utf8_lossy(bytes).into_owned(),
     }
 }
-
-fn print(text: &str) {
-    print!("{text}");
-    // A reader that is gone ends the command with the next print.
-    let _ = std::io::stdout().flush();
-}
--- a/crates/fennelfold/src/cmd/config.rs
+++ b/crates/fennelfold/src/cmd/config.rs
@@ -2,7 +2,7 @@
 
 use crate::cmd::caller::Caller;
 use crate::cmd::entry::read_source;
-use crate::cmd::{entries, entries_arg, text};
+use crate::cmd::{entries, entries_arg, out, text};
 use clap::{Arg, ArgMatches, Command};
 use conf::{Config, Head, Merged, Source};
 use control::{Accepted, Offer};
@@ -26,20 +26,35 @@
              fennelfold config apply --base base.ini --site howrah.ini --entry 10.0.0.1:7101",
         )
         .subcommand(with_files(
-            Command::new("check").about("Checks files and reports every mistake"),
+            Command::new("check").about("Checks files and reports every mistake").after_help(
+                "Example:\n  fennelfold config check --base base.ini --site howrah.ini",
+            ),
         ))
         .subcommand(
-            Command::new("show").about("Prints the configuration in force").arg(entries_arg()),
+            Command::new("show")
+                .about("Prints the configuration in force")
+                .after_help("Example:\n  fennelfold config show --entry 10.0.0.1:7101")
+                .arg(entries_arg()),
         )
         .subcommand(
             with_files(
-                Command::new("diff").about("Compares files with the configuration in force"),
+                Command::new("diff")
+                    .about("Compares files with the configuration in force")
+                    .after_help(
+                        "Example:\n  fennelfold config diff --base base.ini --site howrah.ini \
+                         --entry 10.0.0.1:7101",
+                    ),
             )
             .arg(entries_arg()),
         )
         .subcommand(
             with_files(
-                Command::new("apply").about("Offers files, and waits until they are in force"),
+                Command::new("apply")
+                    .about("Offers files, and waits until they are in force")
+                    .after_help(
+                        "Example:\n  fennelfold config apply --base base.ini --site howrah.ini \
+                         --author mira --entry 10.0.0.1:7101",
+                    ),
             )
             .arg(entries_arg())
             .arg(
@@ -64,7 +79,10 @@
             ),
         )
         .subcommand(
-            Command::new("history").about("Lists accepted configurations").arg(entries_arg()),
+            Command::new("history")
+                .about("Lists accepted configurations: generation, time, author and digest")
+                .after_help("Example:\n  fennelfold config history --entry 10.0.0.1:7101")
+                .arg(entries_arg()),
         )
 }
 
@@ -87,14 +105,14 @@
 
 fn check(matches: &ArgMatches) -> Result<()> {
     let (_, config) = read_files(matches)?;
-    println!(
+    out::line(format_args!(
         "ok: {} with {} data centres, {} organisations, {} models, {} services",
         config.deployment,
         config.data_centres.len(),
         config.organisations.len(),
         config.models.len(),
         config.services.len()
-    );
+    ))?;
     Ok(())
 }
 
@@ -112,8 +130,8 @@
 
 async fn show(matches: &ArgMatches) -> Result<()> {
     let report = in_force(&caller(matches)).await?;
-    println!("# generation {} by {}", report.head.generation, report.head.author);
-    print!("{}", report.text);
+    out::line(format_args!("# generation {} by {}", report.head.generation, report.head.author))?;
+    out::print(report.text)?;
     Ok(())
 }
 
@@ -130,10 +148,10 @@
     let report = in_force(&caller(matches)).await?;
     let (old, new) = (lines(&report.text), lines(&merged.render()));
     for line in old.difference(&new) {
-        println!("- {line}");
+        out::line(format_args!("- {line}"))?;
     }
     for line in new.difference(&old) {
-        println!("+ {line}");
+        out::line(format_args!("+ {line}"))?;
     }
     Ok(())
 }
@@ -184,17 +202,19 @@
         }
         Err(failure) => return Err(failure.into()),
     };
-    println!("accepted as generation {}", accepted.head.generation);
-    wait_everywhere(&caller, accepted.head.generation, started).await?;
-    Ok(())
+    // The exit code tells whether it is in force everywhere, so a closed pipe must not end the wait.
+    let _ = out::line(format_args!("accepted as generation {}", accepted.head.generation));
+    let entries = wait_everywhere(&caller, accepted.head.generation, started).await?;
+    let took = started.elapsed().as_secs_f64();
+    Ok(out::line(format_args!("in force at {entries} of {entries} entries in {took:.2} s"))?)
 }
 
-/// Waits until every entry in use has the generation in force.
+/// Waits until every entry in use has the generation in force, and returns their number.
 async fn wait_everywhere(
     caller: &Caller,
     generation: u64,
     started: Instant,
-) -> Result<(), Failure> {
+) -> Result<usize, Failure> {
     loop {
         let list: EntryList = caller.get("/v1/entries").await?;
         let mut late = Vec::new();
@@ -207,8 +227,7 @@
         }
         let (all, took) = (list.entries.len(), started.elapsed());
         if late.is_empty() {
-            println!("in force at {all} of {all} entries in {:.2} s", took.as_secs_f64());
-            return Ok(());
+            return Ok(all);
         }
         if took > EVERYWHERE {
             let text = format!("{} of {all} entries lack it: {}", late.len(), late.join(", "));
@@ -221,7 +240,10 @@
 async fn history(matches: &ArgMatches) -> Result<()> {
     let heads: Vec<Head> = caller(matches).get("/v1/operator/config/history").await?;
     for head in heads {
-        println!("{} {} {} {}", head.generation, head.at_unix_ms, head.author, head.digest);
+        out::line(format_args!(
+            "{} {} {} {}",
+            head.generation, head.at_unix_ms, head.author, head.digest
+        ))?;
     }
     Ok(())
 }
--- a/crates/fennelfold/src/cmd/inspect.rs
+++ b/crates/fennelfold/src/cmd/inspect.rs
@@ -1,10 +1,10 @@
-//! `where`, `status`, `explain`, `drain`.
+//! `where`, `status`, `drain`.
 
 use crate::cmd::caller::Caller;
-use crate::cmd::{entries, entries_arg, text};
+use crate::cmd::{entries, entries_arg, out, text};
 use clap::{Arg, ArgMatches, Command};
 use eyre::Result;
-use front::{DrainAsk, EntryList, Explanation, Status};
+use front::{DrainAsk, EntryList, Status};
 use kernel::prelude::*;
 
 /// Time an entry may take to answer.
@@ -24,17 +24,6 @@
         .arg(entries_arg())
 }
 
-pub(crate) fn explain_command() -> Command {
-    Command::new("explain")
-        .about("Tells what was decided for a request, and why")
-        .after_help(
-            "Example:\n  fennelfold explain --entry 10.0.0.1:7101 --organisation friends KEY",
-        )
-        .arg(entries_arg())
-        .arg(organisation_arg())
-        .arg(Arg::new("key").value_name("KEY").help("Key of the request").required(true))
-}
-
 pub(crate) fn drain_command() -> Command {
     Command::new("drain")
         .about("Takes a backend server out of service, at every entry")
@@ -63,61 +52,42 @@
 
 pub(crate) async fn run_where(matches: &ArgMatches) -> Result<()> {
     let list: EntryList = caller(matches).get("/v1/entries").await?;
-    println!("valid for {} ms", list.valid_for_ms);
+    out::line(format_args!("valid for {} ms", list.valid_for_ms))?;
     for entry in list.entries {
-        println!("{} {} {} {}", entry.name, entry.address, entry.data_centre, entry.key_prefix);
+        out::line(format_args!(
+            "{} {} {} {}",
+            entry.name, entry.address, entry.data_centre, entry.key_prefix
+        ))?;
     }
     Ok(())
 }
 
 pub(crate) async fn run_status(matches: &ArgMatches) -> Result<()> {
     let status: Status = caller(matches).get("/v1/operator/status").await?;
-    println!(
+    out::line(format_args!(
         "entry {} ready {} generation {} records {} open {}",
         status.entry, status.ready, status.generation, status.records, status.open
-    );
+    ))?;
     for entry in status.entries {
-        println!("  entry {} {} {} {}", entry.node, entry.address, entry.data_centre, entry.state);
+        out::line(format_args!(
+            "  entry {} {} {} {}",
+            entry.node, entry.address, entry.data_centre, entry.state
+        ))?;
     }
     for server in status.servers {
         let state = if server.leaving { "leaving" } else { "live" };
-        println!(
+        out::line(format_args!(
             "  server {} {} {state} open {} running {}",
             server.name, server.data_centre, server.open, server.running
-        );
+        ))?;
     }
     Ok(())
 }
 
-pub(crate) async fn run_explain(matches: &ArgMatches) -> Result<()> {
-    let path =
-        format!("/v1/operator/explain/{}/{}", text(matches, "organisation"), text(matches, "key"));
-    let mut found = false;
-    for entry in entries(matches) {
-        let one = Caller::new(vec![entry], ANSWER_TIME);
-        let explanation: Explanation = match one.get(&path).await {
-            Ok(explanation) => explanation,
-            Err(failure) => {
-                println!("{entry}: {failure}");
-                continue;
-            }
-        };
-        found = true;
-        println!(
-            "{}: {}, {} chunks, ending {:?}",
-            explanation.entry, explanation.role, explanation.chunks, explanation.ending
-        );
-        for decision in explanation.decisions {
-            println!("  {decision}");
-        }
-    }
-    if found { Ok(()) } else { Err(Failure::new(Code::UnknownKey, text(matches, "key")).into()) }
-}
-
 pub(crate) async fn run_drain(matches: &ArgMatches) -> Result<()> {
     let ask = DrainAsk { server: text(matches, "server").into() };
     let body = serde_json::to_vec(&ask)?;
     let done: DrainAsk = caller(matches).post("/v1/operator/drain", body.into()).await?;
-    println!("{} takes no new work", done.server);
+    out::line(format_args!("{} takes no new work", done.server))?;
     Ok(())
 }
--- a/crates/fennelfold/src/cmd/mod.rs
+++ b/crates/fennelfold/src/cmd/mod.rs
@@ -4,7 +4,9 @@
 mod caller;
 mod config;
 mod entry;
+mod explain;
 mod inspect;
+pub(crate) mod out;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use clap_complete::Shell;
@@ -23,7 +25,7 @@
         .subcommand(inspect::where_command())
         .subcommand(call::command())
         .subcommand(inspect::status_command())
-        .subcommand(inspect::explain_command())
+        .subcommand(explain::command())
         .subcommand(inspect::drain_command())
         .subcommand(completions());
     debug_assert!(is_sound(&command));
@@ -38,24 +40,29 @@
         Some(("where", matches)) => inspect::run_where(matches).await,
         Some(("call", matches)) => call::run(matches).await,
         Some(("status", matches)) => inspect::run_status(matches).await,
-        Some(("explain", matches)) => inspect::run_explain(matches).await,
+        Some(("explain", matches)) => explain::run(matches).await,
         Some(("drain", matches)) => inspect::run_drain(matches).await,
         Some(("completions", matches)) => {
             let shell = matches.get_one::<Shell>("shell").copied().unwrap_or(Shell::Bash);
-            clap_complete::generate(shell, &mut command(), "fennelfold", &mut std::io::stdout());
-            Ok(())
+            // The generator panics when it cannot write, so it writes into memory.
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut command(), "fennelfold", &mut script);
+            Ok(out::print(String::from_utf8_lossy(&script))?)
         }
         _ => Ok(()),
     }
 }
 
 fn completions() -> Command {
-    Command::new("completions").about("Prints completions for a shell").arg(
-        Arg::new("shell")
-            .help("Shell to print them for")
-            .required(true)
-            .value_parser(clap::value_parser!(Shell)),
-    )
+    Command::new("completions")
+        .about("Prints completions for a shell")
+        .after_help("Example:\n  fennelfold completions bash")
+        .arg(
+            Arg::new("shell")
+                .help("Shell to print them for")
+                .required(true)
+                .value_parser(clap::value_parser!(Shell)),
+        )
 }
 
 /// The argument that names entries to talk to.
@@ -85,5 +92,7 @@
 
 /// Checks that every subcommand says what it does and shows an example.
 fn is_sound(command: &Command) -> bool {
-    command.get_subcommands().all(|sub| sub.get_about().is_some())
+    command
+        .get_subcommands()
+        .all(|sub| sub.get_about().is_some() && sub.get_after_help().is_some() && is_sound(sub))
 }
--- a/crates/fennelfold/src/main.rs
+++ b/crates/fennelfold/src/main.rs
@@ -15,6 +15,8 @@
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
+        // The reader had enough, as `head` does.
+        Err(report) if cmd::out::is_closed(&report) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("fennelfold: {report:#}");
             ExitCode::from(
--- a/crates/fennelfold/tests/it/resuming.rs
+++ b/crates/fennelfold/tests/it/resuming.rs
@@ -93,16 +93,17 @@
     assert_eq!(out(&answer), format!("{}\n", expected_answer("Go on", LONG)));
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_read_at_the_witness_goes_on_there_after_the_owner_is_killed() {
+/// Kills the owner of a request whose answer is read at its witness or at a third entry.
+async fn kill_the_owner(at_witness: bool) {
     let mut deployment = Deployment::start(slow()).await;
     let prefix = deployment.key_prefix(1).await;
     let key = format!("{prefix}witnessed");
     let witness = prefix.split('.').nth(3).unwrap();
-    let witness = deployment.entries.iter().position(|entry| entry.name == witness).unwrap();
+    let reads_here = |n: &usize| *n != 1 && (deployment.entries[*n].name == witness) == at_witness;
+    let reader_at = (0..3).find(reads_here).unwrap();
     let path = "/v1/chat/completions";
     let answer = deployment
-        .send(witness, Method::POST, path, &headers(&key), chat("Witnessed", LONG, true))
+        .send(reader_at, Method::POST, path, &headers(&key), chat("Witnessed", LONG, true))
         .await;
     let mut reader = Reader::events(answer.into_body());
     let mut events = read_some(&mut reader, 10).await;
@@ -112,6 +113,16 @@
     assert_eq!(text, expected_answer("Witnessed", LONG));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_read_at_a_third_entry_goes_on_there_after_the_owner_is_killed() {
+    kill_the_owner(false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_read_at_the_witness_goes_on_there_after_the_owner_is_killed() {
+    kill_the_owner(true).await;
+}
+
 /// Makes the next stream of these engines stop after five tokens.
 fn stop_one_stream(engines: &[std::sync::Arc<Engine>]) {
     for engine in engines {
