Bad input gets numbered errors; connections, requests and bodies are bounded

Causes, each with a test that failed first: - A chat completion sent as a JSON array passed the check, and setting a field of it panicked the driver; the caller waited for 60 s. before: bad_input::a_malformed_body_is_refused: "no answer in time" - A head above the limits got a bare 431 without a number. before: HTTP/1.1 431 ... content-length: 0 - An entry without a platform did not say why it is not ready. before: starting::an_entry_without_a_platform...: "it did not come about: it tells why" - A caller could choose where its answer starts by sending resume_from. - A body that never arrives held its connection for ever; connections above the bound waited in the listen queue; open requests had no bound at all.

Now: codes 1012 (body late) and 1013 (head too large); 2008 at once with Retry-After above the bounds on connections and requests, told as Rejected, because an entry knows nothing there of earlier attempts; calls to the platform are counted and their last failure is shown by /readyz; metrics carry the prefix fennelfold_.

--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -5,7 +5,7 @@
 use hyper::Method;
 use kernel::{Code, Failure};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
 use web::{Client, ClientSettings, Reader};
@@ -92,18 +92,19 @@
         stall: Duration,
     ) -> Result<Generation, Failure> {
         let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
-        let mut asked: Value = serde_json::from_slice(body).map_err(malformed)?;
-        asked["stream"] = json!(true);
-        asked["request_id"] = json!(tag.to_string());
-        asked["deadline_ms"] = json!(left.as_millis() as u64);
-        if !so_far.is_empty() {
-            asked["resume_from"] = json!(so_far);
-        }
+        let mut asked: Map<String, Value> = serde_json::from_slice(body).map_err(malformed)?;
+        asked.insert("stream".into(), json!(true));
+        asked.insert("request_id".into(), json!(tag.to_string()));
+        asked.insert("deadline_ms".into(), json!(left.as_millis() as u64));
+        // Always replaced: a caller must not choose where its answer starts.
+        asked.insert("resume_from".into(), json!(so_far));
         let url = format!("http://{address}/v1/chat/completions");
         let tag = tag.to_string();
         let headers = [("content-type", "application/json"), ("x-request-id", tag.as_str())];
-        let answer =
-            self.client.send(Method::POST, &url, &headers, asked.to_string().into()).await?;
+        let answer = self
+            .client
+            .send(Method::POST, &url, &headers, Value::from(asked).to_string().into())
+            .await?;
         if !answer.status().is_success() {
             let text = format!("{address} answered {}", answer.status());
             return Err(Failure::new(Code::BackendBroke, text));
--- a/crates/fennelfold/src/wiring.rs
+++ b/crates/fennelfold/src/wiring.rs
@@ -10,7 +10,7 @@
 use kernel::{Metrics, Stop};
 use member::{Member, MemberState};
 use peer::{Handler, PeerSettings, Peers, Reply, Request};
-use platform::{Cloud, Etcd, HttpCloud, HttpVmList, Kv, VmList};
+use platform::{Cloud, Etcd, Health, HttpCloud, HttpVmList, Kv, Observed, VmList};
 use rand::RngExt;
 use servers::Servers;
 use std::future::Future;
@@ -114,9 +114,13 @@
     let metrics = Arc::new(Metrics::new()?);
     let named = |service: &'static str| log.new(o!("service" => service));
     let timeout = node.platform.timeout;
-    let kv: Arc<dyn Kv> = Arc::new(Etcd::new(node.platform.kv, timeout));
-    let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(node.platform.vm_list, timeout));
-    let cloud: Arc<dyn Cloud> = Arc::new(HttpCloud::new(node.platform.cloud, NOTICE_WAIT));
+    let health = Health::new(&metrics);
+    let kv = Etcd::new(node.platform.kv, timeout);
+    let kv: Arc<dyn Kv> = Arc::new(Observed::new(kv, &health));
+    let list = HttpVmList::new(node.platform.vm_list, timeout);
+    let list: Arc<dyn VmList> = Arc::new(Observed::new(list, &health));
+    let cloud = HttpCloud::new(node.platform.cloud, NOTICE_WAIT);
+    let cloud: Arc<dyn Cloud> = Arc::new(Observed::new(cloud, &health));
     let engine = Engine::new(timeout);
     let peers = Peers::start(PeerSettings::default())?;
 
@@ -141,6 +145,7 @@
     };
     let requests = Requests::new(to, Settings::default(), &metrics, clock, named(Requests::NAME));
     kernel.add("metrics", metrics);
+    kernel.add(Health::NAME, health);
     kernel.add(Cluster::NAME, cluster);
     kernel.add(Configuration::NAME, configuration);
     kernel.add(Servers::NAME, servers);
--- a/crates/fennelfold/tests/it/main.rs
+++ b/crates/fennelfold/tests/it/main.rs
@@ -1,7 +1,12 @@
 //! The whole path with real entry processes on loopback, one module for each feature.
 
+#![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
+
+mod bad_input;
+mod command_line;
 mod configuring;
 mod resuming;
 mod serving;
+mod starting;
 mod stopping;
 mod support;
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to callers: streamed with offsets, or whole.
 
 use crate::ask::{KEY, check_key, header};
+use crate::limit::Place;
 use crate::router::Front;
 use bytes::Bytes;
 use conf::ServiceKind;
@@ -25,6 +26,7 @@
     if !current.config.organisations.contains_key(organisation.as_str()) {
         return Err(Failure::new(Code::OrganisationForeign, organisation));
     }
+    let place = front.limit.enter(current.config.limits.open)?;
     let key = Key::new(organisation, key);
     let holder = front.requests.locate(&key)?;
     let seen = header(req.headers(), "last-event-id")?;
@@ -32,13 +34,26 @@
     let from = seen.parse().ok().filter(|from| *from <= MOST_CHUNKS);
     let from =
         from.ok_or_else(|| Failure::new(Code::MalformedHeader, format!("last-event-id: {seen}")))?;
-    Ok(stream(front, key, holder, from))
+    Ok(stream(front, key, holder, from, place))
 }
 
 /// Streams an answer as server-sent events.
-pub(crate) fn stream(front: &Arc<Front>, key: Key, holder: Holder, from: usize) -> Reply {
+pub(crate) fn stream(
+    front: &Arc<Front>,
+    key: Key,
+    holder: Holder,
+    from: usize,
+    place: Place,
+) -> Reply {
     let id = key.id.clone();
-    let chunks = events(front.clone(), key, holder, from);
+    let chunks = events(Following {
+        front: front.clone(),
+        key,
+        holder,
+        next: from,
+        over: false,
+        _place: place,
+    });
     let mut reply = Reply::new(web::stream(chunks));
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -48,26 +63,26 @@
 }
 
 /// Where a stream of events stands.
-struct Place {
+struct Following {
     front: Arc<Front>,
     key: Key,
     holder: Holder,
     next: usize,
     over: bool,
+    _place: Place,
 }
 
-fn events(front: Arc<Front>, key: Key, holder: Holder, next: usize) -> impl Stream<Item = Bytes> {
-    let place = Place { front, key, holder, next, over: false };
-    futures::stream::unfold(place, |mut place| async move {
-        if place.over {
+fn events(following: Following) -> impl Stream<Item = Bytes> {
+    futures::stream::unfold(following, |mut following| async move {
+        if following.over {
             return None;
         }
-        let text = place.step().await;
-        Some((Bytes::from(text), place))
+        let text = following.step().await;
+        Some((Bytes::from(text), following))
     })
 }
 
-impl Place {
+impl Following {
     /// Returns the next events as text.
     async fn step(&mut self) -> String {
         let read = self.front.requests.read(&self.key, &mut self.holder, self.next).await;
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -8,7 +8,7 @@
 use ledger::Terms;
 use rand::RngExt;
 use serde::Deserialize;
-use web::{Reply, Request, read_limited};
+use web::{Reply, Request, receive};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Header that names the caller's organisation.
@@ -18,23 +18,38 @@
 /// Header with the milliseconds that the caller waits; the service's deadline bounds it.
 const DEADLINE: &str = "x-deadline-ms";
 
+/// Time for the body of a request to arrive.
+pub(crate) const BODY_TIME: Duration = Duration::from_secs(60);
+
 /// What fennelfold reads of a chat completion request; the rest goes to the engine as it is.
 #[derive(Deserialize)]
 struct Chat {
     model: Name,
-    messages: Vec<Message>,
+    messages: Vec<Object>,
     #[serde(default)]
     stream: bool,
     #[serde(default)]
     max_tokens: Option<u64>,
 }
 
-#[derive(Deserialize)]
-struct Message {
-    #[serde(rename = "role")]
-    _role: String,
-    #[serde(rename = "content")]
-    _content: serde_json::Value,
+type Object = serde_json::Map<String, serde_json::Value>;
+
+impl Chat {
+    /// Reads a JSON object; the reader of [`Chat`] alone would take an array as well.
+    fn read(body: &[u8]) -> Result<Self, Failure> {
+        let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
+        let object: Object = serde_json::from_slice(body).map_err(malformed)?;
+        let chat: Self = serde_json::from_value(object.into()).map_err(malformed)?;
+        let is_message = |message: &Object| {
+            message.get("role").is_some_and(|role| role.is_string())
+                && message.contains_key("content")
+        };
+        if chat.messages.is_empty() || !chat.messages.iter().all(is_message) {
+            let text = "messages: expected at least one, each with role and content";
+            return Err(Failure::new(Code::MalformedBody, text));
+        }
+        Ok(chat)
+    }
 }
 
 /// What the head of a request says.
@@ -47,12 +62,9 @@
 pub(crate) async fn chat(front: &Arc<Front>, req: Request) -> Result<Reply, Failure> {
     let current = usable(front)?;
     let config = &current.config;
-    let (head, body) = receive(req, config).await?;
-    let chat: Chat = serde_json::from_slice(&body)
-        .map_err(|e| Failure::new(Code::MalformedBody, e.to_string()))?;
-    if chat.messages.is_empty() {
-        return Err(Failure::new(Code::MalformedBody, "messages is empty"));
-    }
+    let place = front.limit.enter(config.limits.open)?;
+    let (head, body) = read(req, config).await?;
+    let chat = Chat::read(&body)?;
     let (name, service) = find_model(config, &chat.model)?;
     if chat.max_tokens.is_some_and(|tokens| tokens > service.max_tokens) {
         let text = format!("max_tokens is above the service's {}", service.max_tokens);
@@ -61,7 +73,7 @@
     let terms = terms(head, name, "", service, body);
     let (key, holder) = front.requests.submit(terms).await?;
     if chat.stream {
-        Ok(answer::stream(front, key, holder, 0))
+        Ok(answer::stream(front, key, holder, 0, place))
     } else {
         answer::whole(front, key, holder).await
     }
@@ -80,7 +92,8 @@
         .get_key_value(service)
         .filter(|(_, found)| found.kind == ServiceKind::Plain);
     let (name, found) = found.ok_or_else(|| Failure::new(Code::UnknownService, service))?;
-    let (head, body) = receive(req, config).await?;
+    let _place = front.limit.enter(config.limits.open)?;
+    let (head, body) = read(req, config).await?;
     let path = rest.iter().map(|part| format!("/{part}")).collect::<String>();
     let terms = terms(head, name.clone(), &path, found, body);
     let (key, holder) = front.requests.submit(terms).await?;
@@ -95,9 +108,9 @@
     }
 }
 
-async fn receive(req: Request, config: &Config) -> Result<(Head, bytes::Bytes), Failure> {
+async fn read(req: Request, config: &Config) -> Result<(Head, bytes::Bytes), Failure> {
     let head = read_head(req.headers(), config)?;
-    let body = read_limited(req.into_body(), config.limits.body).await?;
+    let body = receive(req.into_body(), config.limits.body, BODY_TIME).await?;
     Ok((head, body))
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod ask;
 mod entries;
+mod limit;
 mod operator;
 mod router;
 
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -1,12 +1,15 @@
 //! What operators ask of an entry.
 
+use crate::ask::BODY_TIME;
 use crate::router::{Front, Ready};
 use conf::Head;
 use control::Offer;
 use kernel::prelude::*;
+use ledger::Ending;
 use member::MemberState;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use web::{Reply, Request, json, read_json};
+use web::{Reply, Request, json, receive};
 
 /// Largest body of an operator's request; the key-value service holds values up to this size.
 const BODY_LIMIT: usize = 1 << 20;
@@ -78,6 +81,8 @@
     pub chunks: usize,
     /// How it ended.
     pub ending: Option<String>,
+    /// Name of the entry that has it now, when it moved there.
+    pub moved_to: Option<Name>,
     /// What was decided, oldest first.
     pub decisions: Vec<String>,
 }
@@ -135,6 +140,10 @@
         entry: front.cluster.me().to_string(),
         role: view.role,
         chunks: view.chunks,
+        moved_to: match &view.ending {
+            Some(Ending::Follow(entry)) => Some(entry.name.clone()),
+            _ => None,
+        },
         ending: view.ending.map(|ending| format!("{ending:?}")),
         decisions: view
             .notes
@@ -145,6 +154,11 @@
     Ok(json(200, &explanation))
 }
 
+async fn read<T: DeserializeOwned>(req: Request) -> Result<T, Failure> {
+    let body = receive(req.into_body(), BODY_LIMIT, BODY_TIME).await?;
+    serde_json::from_slice(&body).map_err(|e| Failure::new(Code::MalformedBody, e.to_string()))
+}
+
 pub(crate) fn show(front: &Front) -> Result<Reply, Failure> {
     let current = front.configuration.current()?;
     Ok(json(200, &ConfigReport { head: current.head.clone(), text: current.body.text.clone() }))
@@ -155,7 +169,7 @@
 }
 
 pub(crate) async fn apply(front: &Front, req: Request) -> Result<Reply, Failure> {
-    let offer: Offer = read_json(req.into_body(), BODY_LIMIT).await?;
+    let offer: Offer = read(req).await?;
     let accepted = front.configuration.accept(offer).await;
     if let Err(failure) = &accepted {
         warn!(front.log, "configuration refused"; "reason" => failure.to_string());
@@ -164,7 +178,7 @@
 }
 
 pub(crate) async fn drain(front: &Front, req: Request) -> Result<Reply, Failure> {
-    let ask: DrainAsk = read_json(req.into_body(), BODY_LIMIT).await?;
+    let ask: DrainAsk = read(req).await?;
     let known = front.servers.all().iter().any(|server| server.name == ask.server);
     if !known {
         return Err(Failure::new(
--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -1,5 +1,6 @@
 //! Which handler answers which path.
 
+use crate::limit::Limit;
 use crate::{answer, ask, entries, operator};
 use cluster::Cluster;
 use control::Configuration;
@@ -7,6 +8,7 @@
 use hyper::Method;
 use kernel::Metrics;
 use kernel::prelude::*;
+use platform::Health;
 use servers::Servers;
 use web::{Reply, Request, text};
 
@@ -16,6 +18,8 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) requests: Arc<Requests>,
     pub(crate) servers: Arc<Servers>,
+    pub(crate) limit: Limit,
+    health: Arc<Health>,
     metrics: Arc<Metrics>,
     pub(crate) log: Logger,
 }
@@ -26,7 +30,7 @@
     /// It takes requests.
     Yes,
     /// It does not, for this reason.
-    No(&'static str),
+    No(String),
 }
 
 impl Front {
@@ -40,6 +44,8 @@
             configuration: kernel.find(Configuration::NAME)?,
             requests: kernel.find(Requests::NAME)?,
             servers: kernel.find(Servers::NAME)?,
+            limit: Limit::default(),
+            health: kernel.find(Health::NAME)?,
             metrics: kernel.find("metrics")?,
             log,
         }))
@@ -48,14 +54,21 @@
     /// Tells whether this entry may be used.
     pub fn ready(&self) -> Ready {
         if self.requests.is_leaving() {
-            return Ready::No("leaving");
+            return Ready::No("leaving".to_owned());
         }
         if self.configuration.generation() == 0 {
-            return Ready::No("no configuration");
+            return Ready::No(self.why_no_configuration());
         }
         Ready::Yes
     }
 
+    fn why_no_configuration(&self) -> String {
+        match self.health.failure(Health::KV) {
+            Some(failure) => format!("no configuration: {}: {failure}", Health::KV),
+            None => "no configuration: none was accepted yet, or it is still being read".to_owned(),
+        }
+    }
+
     /// Answers one request.
     ///
     /// # Errors
--- a/crates/kernel/src/error/code.rs
+++ b/crates/kernel/src/error/code.rs
@@ -72,6 +72,8 @@
     UnknownPath = 1009, 404, 2, Rejected, 0, "no such path";
     UnknownKey = 1010, 404, 2, Rejected, 0, "no request is known under this key";
     MalformedHeader = 1011, 400, 2, Rejected, 0, "a header is malformed";
+    BodyLate = 1012, 408, 2, Rejected, 1, "the body did not arrive in time";
+    HeadTooLarge = 1013, 431, 2, Rejected, 0, "the head of the request is too large";
     NoServer = 2001, 503, 3, NotRun, 1, "not run: no backend server can take it";
     OverLimit = 2002, 429, 3, NotRun, 1, "not run: the organisation is over its limit";
     TooLate = 2003, 503, 3, NotRun, 1, "not run: it cannot be on time";
--- a/crates/kernel/src/metrics.rs
+++ b/crates/kernel/src/metrics.rs
@@ -4,6 +4,9 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
+/// First part of the name of each metric.
+const NAMESPACE: &str = "fennelfold";
+
 /// The meter of a process and the registry that `/metrics` is rendered from.
 #[derive(Debug)]
 pub struct Metrics {
@@ -19,7 +22,10 @@
     /// [`Code::Internal`] when the exporter cannot be built.
     pub fn new() -> Result<Self, Failure> {
         let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .build();
         let exporter = exporter.map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         Ok(Self { meter: provider.meter("fennelfold"), registry, _provider: provider })
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod cloud_http;
 mod etcd;
 mod kv;
+mod observed;
 mod vm_list;
 mod vms_http;
 
@@ -14,5 +15,6 @@
 pub use cloud_http::HttpCloud;
 pub use etcd::Etcd;
 pub use kv::{Kv, Lease, Stored, Swap};
+pub use observed::{Health, Observed};
 pub use vm_list::{Vm, VmList, VmRole, VmState};
 pub use vms_http::HttpVmList;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -10,6 +10,7 @@
 use kernel::{Code, Failure};
 use serde::de::DeserializeOwned;
 use std::convert::Infallible;
+use std::time::Duration;
 
 /// The body of a reply.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
@@ -45,6 +46,15 @@
     }
 }
 
+/// Reads a whole body of at most `limit` bytes that arrives within `time`.
+///
+/// # Errors
+/// As [`read_limited`], and [`Code::BodyLate`] past the time.
+pub async fn receive(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Failure> {
+    let late = |_| Failure::new(Code::BodyLate, format!("the limit is {time:?}"));
+    tokio::time::timeout(time, read_limited(body, limit)).await.map_err(late)?
+}
+
 /// Reads a whole body as JSON.
 ///
 /// # Errors
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -2,11 +2,12 @@
 
 mod body;
 mod client;
+mod head;
 mod reply;
 mod server;
 mod stall;
 
-pub use body::{Body, Reader, empty, full, read_json, read_limited, stream};
+pub use body::{Body, Reader, empty, full, read_json, read_limited, receive, stream};
 pub use client::{Client, ClientSettings};
 pub use reply::{Reply, json, problem, text};
 pub use server::{Request, ServerSettings, bind, serve};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,9 +1,11 @@
 //! An HTTP server with bounds on connections, requests and time.
 
+use crate::head::check_head;
 use crate::reply::{Reply, problem};
 use crate::stall::StallGuard;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use kernel::{Code, Failure, Stop};
@@ -13,19 +15,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 use tower::ServiceBuilder;
 
 /// A request whose body is still to be read.
 pub type Request = hyper::Request<Incoming>;
 
+/// Connections above the bound that are told so at one time; further ones are closed at once.
+const REFUSALS: usize = 256;
+/// Time for a connection above the bound to send its request and read the refusal.
+const REFUSAL_TIME: Duration = Duration::from_secs(2);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
-    /// Open connections; further ones wait in the listen queue.
+    /// Open connections; a further one is told at once that the process is overloaded.
     pub connections: usize,
-    /// Bytes of the head of a request.
+    /// Bytes of the target and the header fields of a request.
     pub head_bytes: usize,
     /// Header fields of a request.
     pub headers: usize,
@@ -69,30 +78,83 @@
     F: Fn(Request) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Reply, Failure>> + Send + 'static,
 {
-    let slots = Arc::new(Semaphore::new(settings.connections));
+    let slots = Slots::new(settings.connections);
     let mut open = JoinSet::new();
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else { break };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.wait() => break,
         };
         // A failed accept concerns one connection, or too many open files: wait and go on.
         let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = connection(stream, settings, stop.clone(), handler.clone());
-        open.spawn(async move {
-            connection.await;
-            drop(slot);
-        });
+        match slots.admit() {
+            Admission::Serve(slot) => {
+                let connection = connection(stream, settings, stop.clone(), handler.clone());
+                open.spawn(with_slot(slot, connection));
+            }
+            Admission::Refuse(slot) => drop(open.spawn(with_slot(slot, refuse(stream, settings)))),
+            Admission::Drop => drop(stream),
+        }
         while open.try_join_next().is_some() {}
     }
     let rest = async { while open.join_next().await.is_some() {} };
     let _ = tokio::time::timeout(settings.drain, rest).await;
 }
 
+/// What to do with a new connection.
+enum Admission {
+    /// Serve it.
+    Serve(OwnedSemaphorePermit),
+    /// Tell it that the process is overloaded.
+    Refuse(OwnedSemaphorePermit),
+    /// Close it at once: there are too many to tell.
+    Drop,
+}
+
+/// Places for connections, and for those that are told to come back.
+struct Slots {
+    serve: Arc<Semaphore>,
+    refuse: Arc<Semaphore>,
+}
+
+impl Slots {
+    fn new(connections: usize) -> Self {
+        let slots = |count| Arc::new(Semaphore::new(count));
+        Self { serve: slots(connections), refuse: slots(REFUSALS) }
+    }
+
+    fn admit(&self) -> Admission {
+        if let Ok(slot) = self.serve.clone().try_acquire_owned() {
+            return Admission::Serve(slot);
+        }
+        match self.refuse.clone().try_acquire_owned() {
+            Ok(slot) => Admission::Refuse(slot),
+            Err(_) => Admission::Drop,
+        }
+    }
+}
+
+async fn with_slot(slot: OwnedSemaphorePermit, connection: impl Future<Output = ()>) {
+    connection.await;
+    drop(slot);
+}
+
+/// Answers one request of a connection above the bound.
+async fn refuse(stream: TcpStream, settings: ServerSettings) {
+    let text = format!("{} connections are open", settings.connections);
+    let failure = Failure::new(Code::Overloaded, text).rejected();
+    let service = service_fn(move |_req: Request| {
+        let reply = problem(&failure);
+        async move { Ok::<_, Infallible>(reply) }
+    });
+    let io = TokioIo::new(StallGuard::new(stream, settings.stall));
+    let refusing = builder(&settings).keep_alive(false).serve_connection(io, service);
+    let _ = tokio::time::timeout(REFUSAL_TIME, refusing).await;
+}
+
 async fn connection<F, R>(stream: TcpStream, settings: ServerSettings, mut stop: Stop, handler: F)
 where
     F: Fn(Request) -> R + Clone + Send + Sync + 'static,
@@ -100,21 +162,18 @@
 {
     let _ = stream.set_nodelay(true);
     let service = ServiceBuilder::new().service_fn(move |req: Request| {
-        let handled = handler(req);
+        let handled = check_head(&req, &settings).map(|()| handler(req));
         async move {
-            // A handler that panics must not take the connection's answer with it.
-            let reply = tokio::spawn(handled).await;
-            let reply = reply.unwrap_or_else(|e| Err(Failure::new(Code::Internal, e.to_string())));
+            let reply = match handled {
+                // A handler that panics must not take the connection's answer with it.
+                Ok(handled) => tokio::spawn(handled).await.unwrap_or_else(internal),
+                Err(failure) => Err(failure),
+            };
             Ok::<_, Infallible>(reply.unwrap_or_else(|failure| problem(&failure)))
         }
     });
     let io = TokioIo::new(StallGuard::new(stream, settings.stall));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.head_time)
-        .max_buf_size(settings.head_bytes)
-        .max_headers(settings.headers)
-        .serve_connection(io, TowerToHyperService::new(service));
+    let connection = builder(&settings).serve_connection(io, TowerToHyperService::new(service));
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => Some(ended),
@@ -125,3 +184,18 @@
         let _ = connection.await;
     }
 }
+
+/// Sets the parser to twice the limits, so that a head a little above them gets a numbered error.
+fn builder(settings: &ServerSettings) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_time)
+        .max_buf_size(settings.head_bytes * 2)
+        .max_headers(settings.headers * 2);
+    builder
+}
+
+fn internal(e: tokio::task::JoinError) -> Result<Reply, Failure> {
+    Err(Failure::new(Code::Internal, e.to_string()))
+}
