--- a/crates/fennelfold/tests/it/main.rs
+++ b/crates/fennelfold/tests/it/main.rs
@@ -5,6 +5,8 @@
 mod bad_input;
 mod command_line;
 mod configuring;
+mod limits;
+mod observing;
 mod resuming;
 mod serving;
 mod starting;
