--- a/crates/fennelfold/src/cmd/caller.rs
+++ b/crates/fennelfold/src/cmd/caller.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::body::Incoming;
-use kernel::{Code, Failure, Outcome};
+use kernel::{Code, Failure};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -93,13 +93,6 @@
 
 /// Reads the failure out of a problem document or an error event.
 pub(crate) fn problem(bytes: &[u8]) -> Failure {
-    let value: serde_json::Value = serde_json::from_slice(bytes).unwrap_or_default();
-    let number = value["code"].as_u64().and_then(|number| u16::try_from(number).ok());
-    let code = number.and_then(Code::from_number).unwrap_or(Code::Internal);
-    let mut failure = Failure::new(code, value["detail"].as_str().unwrap_or("").to_owned());
-    if value["outcome"] == "Rejected" {
-        failure.outcome = Outcome::Rejected;
-    }
-    failure.retry_after = value["retry_after_ms"].as_u64().map(Duration::from_millis);
-    failure
+    let unreadable = || Failure::new(Code::Internal, String::from_utf8_lossy(bytes));
+    web::read_problem(bytes).unwrap_or_else(unreadable)
 }
--- a/crates/fennelfold/tests/it/support.rs
+++ b/crates/fennelfold/tests/it/support.rs
@@ -156,6 +156,7 @@
         for n in 0..settings.engines {
             let engine = engine::Engine::new(engine::Settings {
                 step: settings.step,
+                models: vec!["small".into()],
                 ..engine::Settings::default()
             });
             let (at, running) = serve(&engine, engine::Engine::handle).await;
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -2,6 +2,7 @@
 
 use crate::answer;
 use crate::router::{Front, Ready};
+use bytes::Bytes;
 use conf::{Config, Service, ServiceKind};
 use hyper::HeaderMap;
 use kernel::prelude::*;
@@ -70,7 +71,9 @@
         let text = format!("max_tokens is above the service's {}", service.max_tokens);
         return Err(Failure::new(Code::MalformedBody, text));
     }
-    let terms = terms(head, name, "", service, body);
+    let digest = digest(&name, "", &body);
+    let body = engine_body(&body, service)?;
+    let terms = terms(head, name, "", service, body, digest);
     let (key, holder) = front.requests.submit(terms).await?;
     if chat.stream {
         Ok(answer::stream(front, key, holder, 0, place))
@@ -95,7 +98,8 @@
     let _place = front.limit.enter(config.limits.open)?;
     let (head, body) = read(req, config).await?;
     let path = rest.iter().map(|part| format!("/{part}")).collect::<String>();
-    let terms = terms(head, name.clone(), &path, found, body);
+    let digest = digest(name, &path, &body);
+    let terms = terms(head, name.clone(), &path, found, body, digest);
     let (key, holder) = front.requests.submit(terms).await?;
     answer::whole(front, key, holder).await
 }
@@ -108,7 +112,7 @@
     }
 }
 
-async fn read(req: Request, config: &Config) -> Result<(Head, bytes::Bytes), Failure> {
+async fn read(req: Request, config: &Config) -> Result<(Head, Bytes), Failure> {
     let head = read_head(req.headers(), config)?;
     let body = receive(req.into_body(), config.limits.body, BODY_TIME).await?;
     Ok((head, body))
@@ -160,18 +164,39 @@
     found.map(|(name, service)| (name.clone(), service)).ok_or_else(unknown)
 }
 
-fn terms(head: Head, service: Name, path: &str, settings: &Service, body: bytes::Bytes) -> Terms {
+/// Returns the digest by which a request under a used key is recognised.
+fn digest(service: &str, path: &str, body: &[u8]) -> u64 {
     let mut hash = Xxh3::new();
     hash.update(service.as_bytes());
     hash.update(path.as_bytes());
-    hash.update(&body);
+    hash.update(body);
+    hash.digest()
+}
+
+/// Puts the engine's name of the model and the priority of the service into a request.
+fn engine_body(body: &[u8], service: &Service) -> Result<Bytes, Failure> {
+    let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
+    let mut object: Object = serde_json::from_slice(body).map_err(malformed)?;
+    object.insert("model".into(), service.model.as_str().into());
+    object.insert("priority".into(), (service.priority as u8).into());
+    Ok(serde_json::to_vec(&object).map_err(malformed)?.into())
+}
+
+fn terms(
+    head: Head,
+    service: Name,
+    path: &str,
+    settings: &Service,
+    body: Bytes,
+    digest: u64,
+) -> Terms {
     let longest = settings.deadline.as_millis() as u64;
     Terms {
         key: Key::new(head.organisation, head.key),
         service,
         path: path.into(),
         body,
-        digest: hash.digest(),
+        digest,
         repeatable: settings.repeatable,
         left_ms: head.deadline_ms.unwrap_or(longest).min(longest),
     }
--- a/crates/kernel/src/error/code.rs
+++ b/crates/kernel/src/error/code.rs
@@ -97,6 +97,9 @@
     PeerUnreachable = 5004, 503, 10, Other, 1, "the entry is unreachable";
     ServiceMissing = 5005, 500, 11, Other, 0, "a service is not registered";
     Internal = 5006, 500, 11, Other, 0, "an internal invariant does not hold";
+    OrderFenced = 5007, 409, 6, Other, 0, "a newer order was given already";
+    VmRefused = 5008, 503, 10, Other, 5, "the cloud has no such VM to give";
+    WeightsBusy = 5009, 429, 10, Other, 1, "the weight store is over its rate";
 }
 
 impl Code {
--- a/crates/platform/src/cloud_http.rs
+++ b/crates/platform/src/cloud_http.rs
@@ -1,11 +1,12 @@
 //! The cloud API by HTTP.
 
-use crate::cloud::{Cloud, Notice};
+use crate::Vm;
+use crate::cloud::{Cloud, Market, Notice, Price, StartVm};
+use crate::http::Endpoint;
 use async_trait::async_trait;
-use kernel::{Code, Failure};
+use kernel::{Failure, Name};
 use std::net::SocketAddr;
 use std::time::Duration;
-use web::{Client, ClientSettings};
 
 /// Time that a call may take beyond the time it waits.
 const MARGIN: Duration = Duration::from_secs(2);
@@ -13,23 +14,35 @@
 /// A client of the cloud API.
 #[derive(Clone, Debug)]
 pub struct HttpCloud {
-    base: String,
-    client: Client,
+    endpoint: Endpoint,
 }
 
 impl HttpCloud {
     /// Creates a client; `wait` is the longest time that a call waits for notices.
     pub fn new(address: SocketAddr, wait: Duration) -> Self {
-        let settings = ClientSettings { answer: wait + MARGIN, ..ClientSettings::default() };
-        Self { base: format!("http://{address}"), client: Client::new(settings) }
+        Self { endpoint: Endpoint::new(address, wait + MARGIN) }
     }
 }
 
 #[async_trait]
 impl Cloud for HttpCloud {
     async fn notices(&self, after: u64, wait_ms: u64) -> Result<Vec<Notice>, Failure> {
-        let url = format!("{}/v1/notices?after={after}&wait_ms={wait_ms}", self.base);
-        let listed = self.client.get(&url).await;
-        listed.map_err(|failure| Failure::new(Code::PlatformUnreachable, failure.context))
+        self.endpoint.get(&format!("/v1/notices?after={after}&wait_ms={wait_ms}")).await
+    }
+}
+
+#[async_trait]
+impl Market for HttpCloud {
+    async fn prices(&self) -> Result<Vec<Price>, Failure> {
+        self.endpoint.get("/v1/prices").await
+    }
+
+    async fn start(&self, wanted: &StartVm) -> Result<Vm, Failure> {
+        self.endpoint.post("/v1/start", wanted).await
+    }
+
+    async fn stop(&self, vm: &Name) -> Result<(), Failure> {
+        let body = serde_json::json!({"vm": vm});
+        self.endpoint.post::<serde_json::Value>("/v1/stop", &body).await.map(drop)
     }
 }
--- a/crates/platform/src/vms_http.rs
+++ b/crates/platform/src/vms_http.rs
@@ -1,32 +1,28 @@
 //! The VM list by HTTP.
 
+use crate::http::Endpoint;
 use crate::vm_list::{Vm, VmList};
 use async_trait::async_trait;
-use kernel::{Code, Failure};
+use kernel::Failure;
 use std::net::SocketAddr;
 use std::time::Duration;
-use web::{Client, ClientSettings};
 
 /// A client of the VM list.
 #[derive(Clone, Debug)]
 pub struct HttpVmList {
-    url: String,
-    client: Client,
+    endpoint: Endpoint,
 }
 
 impl HttpVmList {
     /// Creates a client; a call that takes longer than `timeout` counts as failed.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let settings =
-            ClientSettings { answer: timeout, connect: timeout, ..ClientSettings::default() };
-        Self { url: format!("http://{address}/v1/vms"), client: Client::new(settings) }
+        Self { endpoint: Endpoint::new(address, timeout) }
     }
 }
 
 #[async_trait]
 impl VmList for HttpVmList {
     async fn list(&self) -> Result<Vec<Vm>, Failure> {
-        let listed = self.client.get(&self.url).await;
-        listed.map_err(|failure| Failure::new(Code::PlatformUnreachable, failure.context))
+        self.endpoint.get("/v1/vms").await
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,9 +1,13 @@
 //! A model engine that streams answers which anyone can compute, so that they can be checked.
 
 mod api;
+mod batch;
 mod cache;
+mod generate;
+mod orders;
 
 pub use api::{Engine, Faults, Settings, Stats, run};
+pub use cache::{BLOCK_BYTES, blocks};
 
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod plain;
 pub mod platform_api;
 mod serve;
+pub mod weights;
 
 pub use serve::{Running, start};
--- a/crates/standin/src/platform_api.rs
+++ b/crates/standin/src/platform_api.rs
@@ -1,9 +1,10 @@
 //! VM list and cloud API.
 
 use kernel::{Code, Failure, Name};
-use platform::{Notice, Vm, VmState};
+use platform::{Notice, Price, StartVm, Vm, VmState};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -22,10 +23,29 @@
     pub in_ms: u64,
 }
 
+/// Asks to stop a VM.
+#[derive(Deserialize)]
+struct Stop {
+    vm: Name,
+}
+
+/// Faults that can be set.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Starts that are refused.
+    pub refuse_starts: u64,
+    /// Starts that take effect but whose answer is lost.
+    pub lose_answers: u64,
+}
+
 /// VM list and cloud API.
 #[derive(Debug)]
 pub struct Platform {
     vms: Mutex<Vec<Vm>>,
+    prices: Mutex<Vec<Price>>,
+    started: Mutex<BTreeMap<Name, Vm>>,
+    faults: Mutex<Faults>,
     lag: Duration,
     notices: watch::Sender<Vec<(Notice, Instant)>>,
 }
@@ -43,7 +63,24 @@
 impl Platform {
     /// Creates the platform with these VMs; the list lags by `lag`.
     pub fn new(vms: Vec<Vm>, lag: Duration) -> Arc<Self> {
-        Arc::new(Self { vms: Mutex::new(vms), lag, notices: watch::channel(Vec::new()).0 })
+        Arc::new(Self {
+            vms: Mutex::new(vms),
+            prices: Mutex::default(),
+            started: Mutex::default(),
+            faults: Mutex::default(),
+            lag,
+            notices: watch::channel(Vec::new()).0,
+        })
+    }
+
+    /// Sets the prices.
+    pub fn set_prices(&self, prices: Vec<Price>) {
+        *lock(&self.prices) = prices;
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *lock(&self.faults) = faults;
     }
 
     /// Sends a reclaim notice.
@@ -70,6 +107,28 @@
                 self.reclaim(read_json(req.into_body(), BODY_LIMIT).await?);
                 Ok(json(200, &json!({})))
             }
+            ("POST", "/fault") => {
+                self.set_faults(read_json(req.into_body(), BODY_LIMIT).await?);
+                Ok(json(200, &json!({})))
+            }
+            ("GET", "/v1/prices") => Ok(json(200, &*lock(&self.prices))),
+            ("POST", "/v1/prices") => {
+                self.set_prices(read_json(req.into_body(), BODY_LIMIT).await?);
+                Ok(json(200, &json!({})))
+            }
+            ("POST", "/v1/start") => {
+                let wanted: StartVm = read_json(req.into_body(), BODY_LIMIT).await?;
+                let vm = self.start(&wanted)?;
+                if self.loses_answer() {
+                    std::future::pending::<()>().await;
+                }
+                Ok(json(200, &vm))
+            }
+            ("POST", "/v1/stop") => {
+                let stop: Stop = read_json(req.into_body(), BODY_LIMIT).await?;
+                lock(&self.vms).retain(|vm| vm.name != stop.vm);
+                Ok(json(200, &json!({})))
+            }
             ("GET", "/v1/notices") => {
                 Ok(json(200, &self.notices(req.uri().query().unwrap_or("")).await))
             }
@@ -77,6 +136,38 @@
         }
     }
 
+    /// Starts a VM; the same token gives the same VM.
+    fn start(&self, wanted: &StartVm) -> Result<Vm, Failure> {
+        let mut started = lock(&self.started);
+        if let Some(vm) = started.get(&wanted.token) {
+            return Ok(vm.clone());
+        }
+        if take_one(&mut lock(&self.faults).refuse_starts) {
+            return Err(Failure::new(Code::VmRefused, wanted.data_centre.as_str()));
+        }
+        let number = started.len() + 1;
+        let price = lock(&self.prices).iter().find(|price| is_for(price, wanted)).cloned();
+        let vm = Vm {
+            name: format!("vm-{number}").into(),
+            // Nothing runs on it: whoever starts a process there adds it with its own address.
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            data_centre: wanted.data_centre.clone(),
+            class: wanted.class.clone(),
+            reclaimable: wanted.reclaimable,
+            price_per_hour: price.map_or(0.0, |price| price.per_hour),
+            role: wanted.role,
+            serves: wanted.serves.clone(),
+            state: VmState::Live,
+        };
+        started.insert(wanted.token.clone(), vm.clone());
+        lock(&self.vms).push(vm.clone());
+        Ok(vm)
+    }
+
+    fn loses_answer(&self) -> bool {
+        take_one(&mut lock(&self.faults).lose_answers)
+    }
+
     /// Lists the VMs as they were a while ago.
     fn list(&self) -> Vec<Vm> {
         let notices = self.notices.borrow();
@@ -117,6 +208,19 @@
     }
 }
 
+/// Takes one from a count of faults; `false` when none is left.
+fn take_one(count: &mut u64) -> bool {
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
+
+fn is_for(price: &Price, wanted: &StartVm) -> bool {
+    price.data_centre == wanted.data_centre
+        && price.class == wanted.class
+        && price.reclaimable == wanted.reclaimable
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP client that never repeats a request on its own.
 
 use crate::body::{Body, empty, full, read_limited};
+use crate::reply::read_problem;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Method, Response, Uri};
@@ -85,7 +86,8 @@
     /// Sends JSON and reads a whole JSON answer.
     ///
     /// # Errors
-    /// As [`Client::send`], and [`Code::MalformedBody`] for an answer of another shape or status.
+    /// As [`Client::send`]; the failure that the server tells; and [`Code::MalformedBody`] for an
+    /// answer of another shape or status.
     pub async fn json<T: DeserializeOwned>(
         &self,
         method: Method,
@@ -106,6 +108,9 @@
         let read = tokio::time::timeout(self.settings.answer, read).await;
         let bytes =
             read.map_err(|_| Failure::new(Code::BackendBroke, format!("{url}: body stalled")))??;
+        if let Some(failure) = problem_in(status, &bytes) {
+            return Err(failure);
+        }
         if !status.is_success() {
             let text = String::from_utf8_lossy(&bytes);
             return Err(Failure::new(Code::MalformedBody, format!("{url}: {status}: {text}")));
@@ -138,6 +143,11 @@
     req.body(body).map_err(|e| bad(e.to_string()))
 }
 
+/// Returns the failure that an answer tells, if it tells one with a number.
+fn problem_in(status: hyper::StatusCode, bytes: &[u8]) -> Option<Failure> {
+    if status.is_success() { None } else { read_problem(bytes) }
+}
+
 fn describe(url: &str, e: &hyper_util::client::legacy::Error) -> String {
     use std::error::Error;
     match e.source() {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use body::{Body, Reader, empty, full, read_json, read_limited, receive, stream};
 pub use client::{Client, ClientSettings};
-pub use reply::{Reply, json, problem, text};
+pub use reply::{Reply, json, problem, read_problem, text};
 pub use server::{Request, ServerSettings, bind, serve};
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -3,8 +3,9 @@
 use crate::body::{Body, full};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use kernel::Failure;
+use kernel::{Code, Failure, Outcome};
 use serde::Serialize;
+use std::time::Duration;
 
 /// A reply of the server.
 pub type Reply = Response<Body>;
@@ -43,6 +44,19 @@
     reply
 }
 
+/// Reads the failure out of problem details; `None` when they tell no known number.
+pub fn read_problem(bytes: &[u8]) -> Option<Failure> {
+    let value: serde_json::Value = serde_json::from_slice(bytes).ok()?;
+    let number = u16::try_from(value["code"].as_u64()?).ok()?;
+    let detail = value["detail"].as_str().unwrap_or_default();
+    let mut failure = Failure::new(Code::from_number(number)?, detail);
+    if value["outcome"] == "Rejected" {
+        failure.outcome = Outcome::Rejected;
+    }
+    failure.retry_after = value["retry_after_ms"].as_u64().map(Duration::from_millis);
+    Some(failure)
+}
+
 fn typed(status: u16, content_type: &'static str, bytes: Vec<u8>) -> Reply {
     let mut reply = Response::new(full(bytes));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
