--- a/crates/fennelfold/tests/it/configuring.rs
+++ b/crates/fennelfold/tests/it/configuring.rs
@@ -1,6 +1,6 @@
 //! Operators drive the deployment by its configuration.
 
-use crate::support::{BASE, Deployment, Settings, err, eventually, fennelfold, out};
+use crate::support::{BASE, Deployment, Settings, err, eventually, out};
 
 const CHANGE: &str = "[service recall]\ndeadline = 45s\n";
 
@@ -102,16 +102,3 @@
     .await;
     assert_eq!(deployment.status(3).await.unwrap()["generation"], 1);
 }
-
-#[tokio::test(flavor = "multi_thread")]
-async fn the_example_deployments_pass_the_check() {
-    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
-    for (name, site) in
-        [("demo", "site"), ("lathwell", "scot-central"), ("sathi-kantha", "bengal-east")]
-    {
-        let base = format!("{root}/{name}/base.ini");
-        let site = format!("{root}/{name}/{site}.ini");
-        let checked = fennelfold(&["config", "check", "--base", &base, "--site", &site]).await;
-        assert!(out(&checked).starts_with(&format!("ok: {name} with ")), "{checked:?}");
-    }
-}
--- a/crates/fennelfold/tests/it/main.rs
+++ b/crates/fennelfold/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod command_line;
 mod configuring;
+mod examples;
 mod limits;
 mod observing;
 mod resuming;
