--- a/crates/fennelfold/src/cmd/config.rs
+++ b/crates/fennelfold/src/cmd/config.rs
@@ -193,7 +193,7 @@
     let started = Instant::now();
     let accepted: Accepted = match caller.post("/v1/operator/config", body.into()).await {
         Ok(accepted) => accepted,
-        Err(failure) if failure.code == Code::PeerUnreachable => {
+        Err(failure) if [Code::PeerUnreachable, Code::ConfigUnsettled].contains(&failure.code) => {
             let how = format!(
                 "{}; settle it with --based-on {based_on} --nonce {nonce}",
                 failure.context
--- a/crates/fennelfold/src/cmd/out.rs
+++ b/crates/fennelfold/src/cmd/out.rs
@@ -16,7 +16,7 @@
 /// Prints a line.
 ///
 /// # Errors
-/// As [`print`].
+/// As [`print()`].
 pub(crate) fn line(text: impl Display) -> io::Result<()> {
     print(format_args!("{text}\n"))
 }
--- a/crates/fennelfold/tests/it/limits.rs
+++ b/crates/fennelfold/tests/it/limits.rs
@@ -1,6 +1,6 @@
 //! An entry bounds what callers have open, and says when to come back.
 
-use crate::support::{Deployment, Settings, chat, eventually, headers};
+use crate::support::{Deployment, ORGANISATION, Settings, chat, eventually, headers};
 use hyper::Method;
 use std::time::Duration;
 
@@ -37,3 +37,44 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_of_a_plain_service_above_the_limit_is_told_to_have_run() {
+    let settings = Settings { extra: "[limits]\nbody = 3MiB\n", ..Settings::default() };
+    let deployment = Deployment::start(settings).await;
+    // The service echoes the body as JSON, where each of these characters takes two bytes.
+    let body = "\"".repeat(5 << 19);
+    let path = "/v1/services/reminder";
+    let (_, answer) = deployment.ask(0, Method::POST, path, &headers("large"), body).await;
+    assert_eq!((&answer["code"], &answer["outcome"]), (&3001.into(), &"Unknown".into()));
+    assert_eq!(deployment.plain.runs().values().sum::<u64>(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_is_over_ends_with_a_number() {
+    let settings = Settings { step: Duration::from_millis(50), ..Settings::default() };
+    let deployment = Deployment::start(settings).await;
+    for (key, deadline, codes) in [("none", "0", [2003, 2003]), ("short", "2000", [3005, 3001])] {
+        let headers = [&headers(key)[..], &[("x-deadline-ms", deadline)]].concat();
+        let body = chat("Too long", 1000, false);
+        let (_, answer) = deployment.ask(0, Method::POST, CHAT, &headers, body).await;
+        let code = answer["code"].as_u64().unwrap_or_default();
+        assert!(codes.contains(&code), "{key}: {answer}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_finished_answer_is_forgotten_after_its_time() {
+    let settings = Settings { extra: "[limits]\nkeep = 1s\n", ..Settings::default() };
+    let deployment = Deployment::start(settings).await;
+    let key = format!("{}kept", deployment.key_prefix(0).await);
+    let body = chat("Hello", 3, false);
+    assert_eq!(deployment.ask(0, Method::POST, CHAT, &headers(&key), body).await.0, 200);
+    eventually("it is forgotten", async || {
+        let path = format!("/v1/requests/{key}");
+        let headers = [("x-organisation", ORGANISATION)];
+        let (_, answer) = deployment.ask(0, Method::GET, &path, &headers, "").await;
+        answer["code"] == 1010
+    })
+    .await;
+}
--- a/crates/fennelfold/tests/it/serving.rs
+++ b/crates/fennelfold/tests/it/serving.rs
@@ -88,3 +88,16 @@
     assert_eq!(value["usage"]["completion_tokens"], 7);
     assert_eq!(value["choices"][0]["message"]["content"], expected_answer("Hello", 7));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_a_key_gets_one_by_which_its_answer_is_found() {
+    let deployment = Deployment::start(Settings::default()).await;
+    let organisation = [("x-organisation", crate::support::ORGANISATION)];
+    let path = "/v1/chat/completions";
+    let answer =
+        deployment.send(0, Method::POST, path, &organisation, chat("Hello", 3, false)).await;
+    let key = answer.headers()["idempotency-key"].to_str().unwrap().to_owned();
+    let path = format!("/v1/requests/{key}");
+    let (status, again) = deployment.ask(1, Method::GET, &path, &organisation, "").await;
+    assert_eq!((status, &again["id"]), (200, &json!(key)), "{again}");
+}
