--- a/crates/fennelfold/src/cmd/call.rs
+++ b/crates/fennelfold/src/cmd/call.rs
@@ -60,7 +60,8 @@
     path: String,
     body: Bytes,
     stream: bool,
-    seen: u64,
+    /// Id of the last event seen; empty before the first one.
+    seen: String,
     /// Entries that found the home of the key gone.
     lost: usize,
     give_up: Instant,
@@ -124,15 +125,15 @@
             path,
             body: body.into(),
             stream,
-            seen: 0,
+            seen: String::new(),
             lost: 0,
             give_up: Instant::now() + Duration::from_secs(patience),
         })
     }
 
     async fn try_at(&mut self, entry: SocketAddr) -> Next {
-        let seen = self.seen.to_string();
-        let resume = self.seen > 0;
+        let seen = self.seen.clone();
+        let resume = !seen.is_empty();
         let path = if resume { format!("/v1/requests/{}", self.key) } else { self.path.clone() };
         let mut headers = vec![
             ("x-organisation", self.organisation.as_str()),
@@ -162,7 +163,7 @@
     /// Tries again what may be tried again under the same key.
     fn after(&mut self, failure: Failure) -> Next {
         // A new run would give another answer than the one that is printed in part.
-        let over = self.seen > 0 && failure.outcome == Outcome::NotRun;
+        let over = !self.seen.is_empty() && failure.outcome == Outcome::NotRun;
         let again = match failure.code {
             Code::PeerUnreachable | Code::Leaving | Code::NoConfiguration | Code::Incomplete => {
                 true
@@ -202,7 +203,9 @@
             if let Err(e) = out::print(content) {
                 return Next::Fail(e.into());
             }
-            self.seen = event.id.parse().unwrap_or(self.seen);
+            if !event.id.is_empty() {
+                self.seen = event.id;
+            }
         }
     }
 }
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -9,7 +9,7 @@
 use futures::Stream;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use kernel::prelude::*;
-use ledger::{Chunk, Ending};
+use ledger::{Chunk, Cursor, Ending};
 use serde_json::json;
 use web::{Reply, Request};
 
@@ -30,30 +30,37 @@
     let key = Key::new(organisation, key);
     let holder = front.requests.locate(&key)?;
     let seen = header(req.headers(), "last-event-id")?;
-    let Some(seen) = seen else { return whole(front, key, holder).await };
-    let from = seen.parse().ok().filter(|from| *from <= MOST_CHUNKS);
+    let Some(seen) = seen else { return whole(front, key, holder, Asked::Read).await };
+    let from = parse_event_id(&seen).filter(|from| from.next <= MOST_CHUNKS);
     let from =
         from.ok_or_else(|| Failure::new(Code::MalformedHeader, format!("last-event-id: {seen}")))?;
-    Ok(stream(front, key, holder, from, place))
+    let reading = Reading { key, holder, cursor: from, asked: Asked::Read };
+    Ok(stream(front, reading, place))
+}
+
+/// How a caller asked for an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Asked {
+    /// It sent the request.
+    Sent,
+    /// It reads the answer of a request that it sent before.
+    Read,
+}
+
+impl Asked {
+    fn told(self, ending: Ending) -> Ending {
+        match self {
+            Self::Sent => ending,
+            Self::Read => ending.for_reader(),
+        }
+    }
 }
 
 /// Streams an answer as server-sent events.
-pub(crate) fn stream(
-    front: &Arc<Front>,
-    key: Key,
-    holder: Holder,
-    from: usize,
-    place: Place,
-) -> Reply {
-    let id = key.id.clone();
-    let chunks = events(Following {
-        front: front.clone(),
-        key,
-        holder,
-        next: from,
-        over: false,
-        _place: place,
-    });
+pub(crate) fn stream(front: &Arc<Front>, reading: Reading, place: Place) -> Reply {
+    let id = reading.key.id.clone();
+    let following = Following { front: front.clone(), reading, over: false, _place: place };
+    let chunks = events(following);
     let mut reply = Reply::new(web::stream(chunks));
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -62,12 +69,18 @@
     reply
 }
 
+/// An answer that is read, and how far.
+pub(crate) struct Reading {
+    pub(crate) key: Key,
+    pub(crate) holder: Holder,
+    pub(crate) cursor: Cursor,
+    pub(crate) asked: Asked,
+}
+
 /// Where a stream of events stands.
 struct Following {
     front: Arc<Front>,
-    key: Key,
-    holder: Holder,
-    next: usize,
+    reading: Reading,
     over: bool,
     _place: Place,
 }
@@ -85,7 +98,10 @@
 impl Following {
     /// Returns the next events as text.
     async fn step(&mut self) -> String {
-        let read = self.front.requests.read(&self.key, &mut self.holder, self.next).await;
+        let Reading { key, holder, cursor, asked } = &mut self.reading;
+        let from = cursor.next;
+        let read = self.front.requests.read(key, holder, from).await;
+        let read = read.and_then(|part| cursor.take(&part).map(|()| part));
         let reply = match read {
             Ok(reply) => reply,
             Err(failure) => {
@@ -94,9 +110,8 @@
             }
         };
         let mut text = String::new();
-        for chunk in &reply.chunks {
-            self.next += 1;
-            text.push_str(&chunk_event(&self.key, self.next, chunk));
+        for (next, chunk) in (from + 1..).zip(&reply.chunks) {
+            text.push_str(&chunk_event(key, next, chunk));
         }
         match reply.ending {
             // A comment keeps the connection alive and shows whether the caller is still there.
@@ -104,7 +119,7 @@
             None => text,
             Some(ending) => {
                 self.over = true;
-                text.push_str(&ending_event(&self.key, &ending));
+                text.push_str(&ending_event(key, &asked.told(ending)));
                 text
             }
         }
@@ -118,7 +133,16 @@
         "object": "chat.completion.chunk",
         "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": null}],
     });
-    format!("id: {next}\ndata: {data}\n\n")
+    format!("id: {next}-{:x}\ndata: {data}\n\n", chunk.origin)
+}
+
+/// Reads the id of an event: the number of chunks seen, and their origin.
+fn parse_event_id(id: &str) -> Option<Cursor> {
+    let (next, origin) = match id.split_once('-') {
+        Some((next, origin)) => (next, Some(u64::from_str_radix(origin, 16).ok()?)),
+        None => (id, None),
+    };
+    Some(Cursor { next: next.parse().ok()?, origin })
 }
 
 fn ending_event(key: &Key, ending: &Ending) -> String {
@@ -151,13 +175,21 @@
     front: &Arc<Front>,
     key: Key,
     mut holder: Holder,
+    asked: Asked,
 ) -> Result<Reply, Failure> {
     let mut chunks: Vec<Chunk> = Vec::new();
+    let mut cursor = Cursor::default();
     let ending = loop {
-        let reply = front.requests.read(&key, &mut holder, chunks.len()).await?;
+        let reply = front.requests.read(&key, &mut holder, cursor.next).await?;
+        if cursor.take(&reply).is_err() {
+            // Nothing was shown yet, so the answer is read from the start.
+            cursor = Cursor::default();
+            chunks.clear();
+            continue;
+        }
         chunks.extend(reply.chunks);
         if let Some(ending) = reply.ending {
-            break ending;
+            break asked.told(ending);
         }
     };
     if let Some(failure) = failure_of(&ending) {
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -1,12 +1,12 @@
 //! Callers' requests: chat completions and plain services.
 
-use crate::answer;
+use crate::answer::{self, Asked, Reading};
 use crate::router::{Front, Ready};
 use bytes::Bytes;
 use conf::{Config, Service, ServiceKind};
 use hyper::HeaderMap;
 use kernel::prelude::*;
-use ledger::Terms;
+use ledger::{Cursor, Terms};
 use rand::RngExt;
 use serde::Deserialize;
 use web::{Reply, Request, receive};
@@ -76,9 +76,10 @@
     let terms = terms(head, name, "", service, body, digest);
     let (key, holder) = front.requests.submit(terms).await?;
     if chat.stream {
-        Ok(answer::stream(front, key, holder, 0, place))
+        let (cursor, asked) = (Cursor::default(), Asked::Sent);
+        Ok(answer::stream(front, Reading { key, holder, cursor, asked }, place))
     } else {
-        answer::whole(front, key, holder).await
+        answer::whole(front, key, holder, Asked::Sent).await
     }
 }
 
@@ -101,7 +102,7 @@
     let digest = digest(name, &path, &body);
     let terms = terms(head, name.clone(), &path, found, body, digest);
     let (key, holder) = front.requests.submit(terms).await?;
-    answer::whole(front, key, holder).await
+    answer::whole(front, key, holder, Asked::Sent).await
 }
 
 fn usable(front: &Front) -> Result<Arc<control::InForce>, Failure> {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -30,6 +30,7 @@
 struct Chunk {
   tokens @0 :UInt32;
   data @1 :Data;
+  origin @2 :UInt64;   # names the run that the answer began with
 }
 
 struct Ending {
@@ -93,15 +94,19 @@
       chunks @11 :List(Chunk);
       ending @12 :Ending;
       ended @13 :Bool;        # whether the ending counts
+      round @24 :UInt64;
     }
     handOver :group {
       terms @14 :Terms;
       right @15 :Right;
+      round @25 :UInt64;
+      owner @27 :Node;
       chunks @16 :List(Chunk);
     }
     submit :group {
       terms @17 :Terms;
       ownerSilent @18 :Bool;
+      round @26 :UInt64;      # the round that this may begin
     }
     read :group {
       key @19 :Key;
@@ -155,10 +160,14 @@
       chunks @17 :List(Chunk);
       ending @18 :Ending;
       ended @19 :Bool;
+      origin @24 :UInt64;
+      begun @25 :Bool;        # whether the origin counts
     }
     configuration :group {
       head @20 :Text;         # JSON of the head
       body @21 :Text;         # merged INI text
     }
+    taken @22 :Node;          # has taken the request over
+    over @23 :UInt64;         # this round is over, and nothing ran in it
   }
 }
