--- a/crates/fennelfold/tests/it/command_line.rs
+++ b/crates/fennelfold/tests/it/command_line.rs
@@ -1,6 +1,8 @@
 //! The command line explains itself, and fails with numbered errors.
 
 use crate::support::{Deployment, FENNELFOLD, Settings, err, fennelfold, out};
+use serde_json::json;
+use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 
 /// Every subcommand.
@@ -133,3 +135,50 @@
     let malformed = deployment.run(&["explain", "--organisation", "friends", "a key/?"]).await;
     assert!(err(&malformed).contains("FF-1008"), "{malformed:?}");
 }
+
+/// A stand-in for two entries: the first breaks off, the second takes only what goes on from there.
+async fn broken_stream(req: web::Request, addresses: [SocketAddr; 2]) -> web::Reply {
+    let event = |id: &str, text: &str| {
+        let data = json!({"choices": [{"delta": {"content": text}}]});
+        format!("id: {id}\ndata: {data}\n\n")
+    };
+    let (path, seen) = (req.uri().path(), req.headers().get("last-event-id"));
+    let text = match (path, seen.and_then(|seen| seen.to_str().ok())) {
+        ("/v1/entries", _) => {
+            let entry = |n: usize| {
+                json!({"name": format!("e{n}"), "address": addresses[n], "data_centre": "north",
+                    "key_prefix": "ff1.e0.1.e1.1."})
+            };
+            return web::json(200, &json!({"entries": [entry(0), entry(1)], "valid_for_ms": 1}));
+        }
+        ("/v1/chat/completions", None) => event("1-ab", "one ") + &event("2-ab", "two "),
+        (path, Some("2-ab")) if path.starts_with("/v1/requests/ff1.e0.1.e1.1.") => {
+            event("3-ab", "three") + "data: [DONE]\n\n"
+        }
+        other => panic!("not what a call sends: {other:?}"),
+    };
+    let body = web::stream(futures::stream::iter([bytes::Bytes::from(text)]));
+    let mut reply = web::Reply::new(body);
+    reply.headers_mut().insert("content-type", "text/event-stream".parse().unwrap());
+    reply
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_goes_on_at_the_next_entry_after_the_last_event_it_saw() {
+    let (tx, rx) = tokio::sync::watch::channel(None);
+    let handler = move |req| {
+        let mut rx = rx.clone();
+        async move {
+            let addresses = *rx.wait_for(Option::is_some).await.unwrap();
+            Ok(broken_stream(req, addresses.unwrap()).await)
+        }
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let first = standin::start(any, handler.clone()).await.unwrap();
+    let second = standin::start(any, handler).await.unwrap();
+    tx.send_replace(Some([first.address, second.address]));
+    let entry = first.address.to_string();
+    let args = ["call", "--organisation", "friends", "--model", "m", "--entry", &entry, "Count"];
+    let called = fennelfold(&args).await;
+    assert_eq!(out(&called), "one two three\n", "{}", err(&called));
+}
