--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to callers: streamed with offsets, or whole.
 
 use crate::ask::{KEY, check_key, header};
+use crate::limit::Place;
 use crate::router::Front;
 use bytes::Bytes;
 use conf::ServiceKind;
@@ -25,6 +26,7 @@
     if !current.config.organisations.contains_key(organisation.as_str()) {
         return Err(Failure::new(Code::OrganisationForeign, organisation));
     }
+    let place = front.limit.enter(current.config.limits.open)?;
     let key = Key::new(organisation, key);
     let holder = front.requests.locate(&key)?;
     let seen = header(req.headers(), "last-event-id")?;
@@ -32,7 +34,8 @@
     let from = parse_event_id(&seen).filter(|from| from.next <= MOST_CHUNKS);
     let from =
         from.ok_or_else(|| Failure::new(Code::MalformedHeader, format!("last-event-id: {seen}")))?;
-    Ok(stream(front, key, holder, from, Asked::Read))
+    let reading = Reading { key, holder, cursor: from, asked: Asked::Read };
+    Ok(stream(front, reading, place))
 }
 
 /// How a caller asked for an answer.
@@ -54,16 +57,10 @@
 }
 
 /// Streams an answer as server-sent events.
-pub(crate) fn stream(
-    front: &Arc<Front>,
-    key: Key,
-    holder: Holder,
-    cursor: Cursor,
-    asked: Asked,
-) -> Reply {
-    let id = key.id.clone();
-    let place = Place { front: front.clone(), key, holder, cursor, asked, over: false };
-    let chunks = events(place);
+pub(crate) fn stream(front: &Arc<Front>, reading: Reading, place: Place) -> Reply {
+    let id = reading.key.id.clone();
+    let following = Following { front: front.clone(), reading, over: false, _place: place };
+    let chunks = events(following);
     let mut reply = Reply::new(web::stream(chunks));
     let headers = reply.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -72,32 +69,39 @@
     reply
 }
 
+/// An answer that is read, and how far.
+pub(crate) struct Reading {
+    pub(crate) key: Key,
+    pub(crate) holder: Holder,
+    pub(crate) cursor: Cursor,
+    pub(crate) asked: Asked,
+}
+
 /// Where a stream of events stands.
-struct Place {
+struct Following {
     front: Arc<Front>,
-    key: Key,
-    holder: Holder,
-    cursor: Cursor,
-    asked: Asked,
+    reading: Reading,
     over: bool,
+    _place: Place,
 }
 
-fn events(place: Place) -> impl Stream<Item = Bytes> {
-    futures::stream::unfold(place, |mut place| async move {
-        if place.over {
+fn events(following: Following) -> impl Stream<Item = Bytes> {
+    futures::stream::unfold(following, |mut following| async move {
+        if following.over {
             return None;
         }
-        let text = place.step().await;
-        Some((Bytes::from(text), place))
+        let text = following.step().await;
+        Some((Bytes::from(text), following))
     })
 }
 
-impl Place {
+impl Following {
     /// Returns the next events as text.
     async fn step(&mut self) -> String {
-        let from = self.cursor.next;
-        let read = self.front.requests.read(&self.key, &mut self.holder, from).await;
-        let read = read.and_then(|part| self.cursor.take(&part).map(|()| part));
+        let Reading { key, holder, cursor, asked } = &mut self.reading;
+        let from = cursor.next;
+        let read = self.front.requests.read(key, holder, from).await;
+        let read = read.and_then(|part| cursor.take(&part).map(|()| part));
         let reply = match read {
             Ok(reply) => reply,
             Err(failure) => {
@@ -107,7 +111,7 @@
         };
         let mut text = String::new();
         for (next, chunk) in (from + 1..).zip(&reply.chunks) {
-            text.push_str(&chunk_event(&self.key, next, chunk));
+            text.push_str(&chunk_event(key, next, chunk));
         }
         match reply.ending {
             // A comment keeps the connection alive and shows whether the caller is still there.
@@ -115,7 +119,7 @@
             None => text,
             Some(ending) => {
                 self.over = true;
-                text.push_str(&ending_event(&self.key, &self.asked.told(ending)));
+                text.push_str(&ending_event(key, &asked.told(ending)));
                 text
             }
         }
