control: Follow the configuration by one relay, and stop when cut off

A generation heard of by gossip was asked for once; when that call failed and the platform was down, it was never asked for again. Every entry watched the head and read it at its start without jitter. An entry that reached nobody went on for ever by a configuration that might have been replaced.

Now a pure machine (Upkeep) decides. The relay of a data centre, by rendezvous hashing among its live entries, watches; the others hear by gossip and read the head every 8 to 12 s. While the platform does not answer, an entry asks others and backs off to 4 s. A started entry trusts its peers without the platform only 1 s after the first answer, when it has heard of the others; before that it does not serve. With contact to neither for 16 s it takes nothing new (code 2005); accepted requests go on. front asks Configuration::serving for this.

Ruled out: a follower without any poll (a relay that is alive for its peers and cut off from the platform would hold its data centre back); a poll of a minute (past the 16 s in that case); serving from the first peer's answer (may be behind). With settle at 0 the pure test fails, as it should:

upkeep::without_the_platform_a_started_entry_trusts_its_peers_after_hearing_of_all_of_them ... FAILED left: Current, right: Unconfirmed

Without the start jitter the checker reports it.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -1,14 +1,16 @@
 //! The configuration in force at this entry; it never goes back.
 
-use crate::keys;
+use crate::upkeep::{Standing, Times, Upkeep};
 use cluster::Cluster;
 use conf::{Body, Config, Head};
 use kernel::Stop;
 use kernel::prelude::*;
-use peer::{Reply, Request};
 use platform::Kv;
 use rand::RngExt;
+use std::sync::atomic::AtomicI64;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Longest pause before a failed read of the platform is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
@@ -29,7 +31,10 @@
     pub(crate) kv: Arc<dyn Kv>,
     pub(crate) cluster: Arc<Cluster>,
     pub(crate) log: Logger,
+    pub(crate) revision: AtomicI64,
     current: watch::Sender<Option<Arc<InForce>>>,
+    upkeep: Mutex<Upkeep>,
+    started: Instant,
 }
 
 impl Configuration {
@@ -38,7 +43,25 @@
 
     /// Creates the service without a configuration in force.
     pub fn new(kv: Arc<dyn Kv>, cluster: Arc<Cluster>, log: Logger) -> Arc<Self> {
-        Arc::new(Self { kv, cluster, log, current: watch::channel(None).0 })
+        Self::with_times(kv, cluster, Times::default(), log)
+    }
+
+    /// Creates the service with other times than the usual ones.
+    pub fn with_times(
+        kv: Arc<dyn Kv>,
+        cluster: Arc<Cluster>,
+        times: Times,
+        log: Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            kv,
+            cluster,
+            log,
+            revision: AtomicI64::new(0),
+            current: watch::channel(None).0,
+            upkeep: Mutex::new(Upkeep::new(times)),
+            started: Instant::now(),
+        })
     }
 
     /// Returns the configuration in force.
@@ -52,6 +75,23 @@
         current.ok_or_else(none)
     }
 
+    /// Returns the configuration in force, if this entry may take new requests by it.
+    ///
+    /// # Errors
+    /// [`Code::NoConfiguration`] before there is one, and while neither the platform nor another
+    /// entry has confirmed it lately.
+    pub fn serving(&self) -> Result<Arc<InForce>, Failure> {
+        let current = self.current()?;
+        let reason = match self.upkeep().standing(self.now()) {
+            Standing::Current => return Ok(current),
+            Standing::Unconfirmed => "neither the platform nor an entry answered yet".to_owned(),
+            Standing::Isolated(ms) => {
+                format!("neither the platform nor an entry answered for {} s", ms / 1000)
+            }
+        };
+        Err(Failure::new(Code::NoConfiguration, reason).rejected())
+    }
+
     /// Follows the configuration in force.
     pub fn follow(&self) -> watch::Receiver<Option<Arc<InForce>>> {
         self.current.subscribe()
@@ -96,74 +136,21 @@
 
     /// Keeps up with the platform and with other entries until the stop.
     pub async fn run(self: Arc<Self>, stop: Stop) {
-        tokio::join!(self.follow_platform(stop.clone()), self.follow_peers(stop));
+        tokio::join!(self.keep_up(stop.clone()), self.follow_gossip(stop));
     }
 
-    async fn follow_platform(&self, mut stop: Stop) {
-        let mut failures = 0;
-        let mut revision = 0;
-        while !stop.is_stopping() {
-            let step = async {
-                match self.read_platform().await {
-                    Ok(found) => {
-                        failures = 0;
-                        revision = found.unwrap_or(revision);
-                        // A watch that ends without news is made again after a fresh read.
-                        let _ = self.kv.changed(keys::HEAD, revision).await;
-                    }
-                    Err(failure) => {
-                        failures += 1;
-                        warn!(self.log, "configuration not read"; "reason" => failure.to_string());
-                    }
-                }
-                tokio::time::sleep(pause(failures)).await;
-            };
-            tokio::select! {
-                () = step => {}
-                () = stop.wait() => return,
-            }
-        }
-    }
-
-    /// Reads the head and its body, and returns the revision of the head.
-    async fn read_platform(&self) -> Result<Option<i64>, Failure> {
-        let Some(stored) = self.kv.get(keys::HEAD).await? else { return Ok(None) };
-        let head: Head = serde_json::from_slice(&stored.value)
-            .map_err(|e| Failure::new(Code::ConfigInvalid, format!("head: {e}")))?;
-        if head.generation > self.generation() {
-            let body = self.kv.get(&keys::body(&head.digest)).await?;
-            let gone =
-                || Failure::new(Code::ConfigInvalid, format!("body {} is missing", head.digest));
-            let body = body.ok_or_else(gone)?;
-            self.adopt(head, String::from_utf8_lossy(&body.value).into_owned())?;
-        }
-        Ok(Some(stored.revision))
+    pub(crate) fn upkeep(&self) -> MutexGuard<'_, Upkeep> {
+        self.upkeep.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn follow_peers(&self, mut stop: Stop) {
-        let mut heard = self.cluster.heard_generation();
-        loop {
-            tokio::select! {
-                changed = heard.changed() => if changed.is_err() { return },
-                () = stop.wait() => return,
-            }
-            let (generation, from) = heard.borrow_and_update().clone();
-            let Some(from) = from.filter(|_| generation > self.generation()) else { continue };
-            if let Err(failure) = self.read_peer(&from).await {
-                warn!(self.log, "configuration not read from entry"; "entry" => from.to_string(),
-                    "reason" => failure.to_string());
-            }
-        }
+    /// Reads the milliseconds since the start.
+    pub(crate) fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
     }
 
-    async fn read_peer(&self, from: &NodeId) -> Result<(), Failure> {
-        let reply = self.cluster.call(from, Request::Configuration, None).await?;
-        let Reply::Configuration { head, body } = reply else {
-            return Err(Failure::new(Code::PeerUnreachable, "unexpected reply"));
-        };
-        let head = serde_json::from_str(&head)
-            .map_err(|e| Failure::new(Code::ConfigInvalid, e.to_string()))?;
-        self.adopt(head, body.to_string()).map(drop)
+    /// Returns the time at which the clock reads `at`.
+    pub(crate) fn instant(&self, at: Millis) -> Instant {
+        self.started + Duration::from_millis(at)
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,8 +3,13 @@
 mod accept;
 mod acceptance;
 mod configuration;
+mod follow;
 mod keys;
+mod upkeep;
 
 pub use accept::{Accepted, Offer};
-pub use acceptance::{Acceptance, Candidate, Event, Next, ReadHead, Verdict};
+pub use acceptance::{
+    Acceptance, Candidate, Event as AcceptanceEvent, Next as AcceptanceNext, ReadHead, Verdict,
+};
 pub use configuration::{Configuration, InForce};
+pub use upkeep::{Event as UpkeepEvent, Next as UpkeepNext, Role, Standing, Times, Upkeep, role};
--- a/crates/control/tests/acceptance/kv.rs
+++ b/crates/control/tests/configuration/kv.rs
@@ -6,7 +6,7 @@
 use kernel::prelude::*;
 use platform::{Kv, Lease, Stored, Swap};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, watch};
 
 pub(crate) const HEAD: &str = "fennelfold/config/head";
@@ -61,6 +61,11 @@
         Some(stored)
     }
 
+    /// Counts the watches that wait.
+    pub(crate) fn watches(&self) -> usize {
+        self.revision.receiver_count()
+    }
+
     fn apply(&self, write: &Write) -> Swap {
         let mut items = self.items.lock().expect("not poisoned");
         let known = items.get(&write.key).map_or(0, |stored| stored.revision);
@@ -138,6 +143,7 @@
     pub(crate) crashed: Notify,
     pub(crate) paused: Notify,
     resumed: watch::Sender<bool>,
+    down: AtomicBool,
     pub(crate) race: Notify,
     pub(crate) raced: Notify,
 }
@@ -153,6 +159,7 @@
             crashed: Notify::new(),
             paused: Notify::new(),
             resumed: watch::channel(false).0,
+            down: AtomicBool::new(false),
             race: Notify::new(),
             raced: Notify::new(),
         })
@@ -164,6 +171,11 @@
         self.script.keys().all(|call| *call < calls)
     }
 
+    /// Cuts this client off from the service, or connects it again.
+    pub(crate) fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
     /// Lets paused processes go on.
     pub(crate) fn resume(&self) {
         self.resumed.send_replace(true);
@@ -189,6 +201,9 @@
         let number = self.calls.fetch_add(1, Ordering::SeqCst);
         let fault = self.script.get(&number).copied();
         let failed = || Err(Failure::new(Code::PlatformUnreachable, "no answer"));
+        if self.down.load(Ordering::SeqCst) {
+            return failed();
+        }
         if number < self.down_until.load(Ordering::SeqCst) && fault.is_none() {
             return failed();
         }
@@ -273,6 +288,9 @@
     async fn changed(&self, key: &str, revision: i64) -> Result<Stored, Failure> {
         let mut changes = self.model.revision.subscribe();
         loop {
+            if self.down.load(Ordering::SeqCst) {
+                std::future::pending::<()>().await;
+            }
             if let Some(stored) = self.model.read(key).filter(|s| s.revision > revision) {
                 return Ok(stored);
             }
--- /dev/null
+++ b/crates/control/tests/configuration/main.rs
@@ -0,0 +1,9 @@
+//! The configuration: acceptance, its fault matrix, and dissemination.
+
+mod cell;
+mod dissemination;
+mod entries;
+mod kv;
+mod matrix;
+mod single;
+mod upkeep;
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -88,7 +88,7 @@
 }
 
 fn usable(front: &Front) -> Result<Arc<control::InForce>, Failure> {
-    let current = front.configuration.current()?;
+    let current = front.configuration.serving()?;
     match front.ready() {
         Ready::Yes => Ok(current),
         Ready::No(reason) => Err(Failure::new(Code::Leaving, reason).rejected()),
--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -50,8 +50,8 @@
         if self.requests.is_leaving() {
             return Ready::No("leaving");
         }
-        if self.configuration.generation() == 0 {
-            return Ready::No("no configuration");
+        if self.configuration.serving().is_err() {
+            return Ready::No("no current configuration");
         }
         Ready::Yes
     }
