control: Measure the time until in force everywhere

35 entries in one process (7 data centres of 5), each with peers of its own on loopback and a client of its own of the model key-value service; membership by gossip at the usual times.

The target is 16 s. Not real processes, not 400 entries, not under request load.

--- a/crates/control/tests/configuration/main.rs
+++ b/crates/control/tests/configuration/main.rs
@@ -5,5 +5,6 @@
 mod entries;
 mod kv;
 mod matrix;
+mod measure;
 mod single;
 mod upkeep;
