place: Add the placement lease, fencing numbers and orders, as pure decisions

Holder: who may give orders to a data centre. Time counts from before the grant or the renewal was sent, ends a margin early, and is asked again before each order; the fencing number is the revision of the write that created the key; a creation whose answer was lost is found by the number of its lease. Where engines ignore numbers a new holder waits for lease and longest order time. Orders state the wanted condition and are repeated, or an outside change undone, by what the server reports.

Ruled out: granting before reading the key (every candidate would write at each try); a waiting grant across processes; orders as steps; a second waiting call for "number checked" (the setting says it).

An order that is held up between the check and its effect for longer than the longest order time may still reach an engine that ignores numbers; it is undone then.

Nothing of this runs in an entry yet.

--- /dev/null
+++ b/crates/place/src/lease.rs
@@ -0,0 +1,220 @@
+//! The placement lease of one data centre, as one entry sees it.
+//!
+//! The lease is a key in the key-value service that vanishes with a lease of the platform. Whoever
+//! creates the key holds it; the revision of that write is the fencing number. The holder counts
+//! its time from before it sent the grant or the renewal, so that it never believes in the lease
+//! for longer than the platform does.
+
+use kernel::Millis;
+
+/// Times of the lease, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time after which the platform drops a lease that is not renewed.
+    pub lease: Millis,
+    /// Time kept back from the end of the lease, for clocks that run at different rates.
+    pub margin: Millis,
+    /// Time from one renewal to the next.
+    pub renew: Millis,
+    /// Longest time from the check before an order to its effect.
+    pub order: Millis,
+    /// Pause after a failed call.
+    pub pause: Millis,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self { lease: 10_000, margin: 1_500, renew: 2_500, order: 2_000, pause: 500 }
+    }
+}
+
+/// What an engine does with an order that carries an old fencing number.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fencing {
+    /// It refuses the order.
+    Checked,
+    /// It carries the order out.
+    Ignored,
+}
+
+/// What stands under the key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Found {
+    /// Nothing.
+    Nobody,
+    /// This entry's key, made with this platform lease, at this revision.
+    Mine {
+        /// Number of the platform's lease.
+        lease: i64,
+        /// Revision of the write.
+        revision: i64,
+    },
+    /// The key of another entry.
+    Other,
+}
+
+/// What happened since the last step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A wait is over, or the process has started.
+    Waited,
+    /// The platform granted a lease; the call was sent at this time.
+    Granted {
+        /// Number of the lease.
+        lease: i64,
+        /// When the call was sent.
+        sent: Millis,
+    },
+    /// The key was created at this revision.
+    Created(i64),
+    /// The key was read, or stood in the way of its creation.
+    Found(Found),
+    /// The lease was renewed; the call was sent at this time.
+    Renewed(Millis),
+    /// The platform has dropped the lease.
+    Lapsed,
+    /// The call failed; it may have taken effect.
+    Failed,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Ask the platform for a lease.
+    Grant,
+    /// Create the key with this lease, if nothing stands there.
+    Create(i64),
+    /// Read the key.
+    Read,
+    /// Renew this lease.
+    Renew(i64),
+    /// Wait until this time.
+    Wait(Millis),
+}
+
+/// Whether an order may be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Permit {
+    /// Yes, with this fencing number.
+    Send(i64),
+    /// No: this entry does not hold the lease.
+    NotHeld,
+    /// No: orders of the holder before may still take effect until this time.
+    NotYet(Millis),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    Idle,
+    /// A lease was granted; whether the key was created is open.
+    Creating {
+        lease: i64,
+        until: Millis,
+    },
+    Holding {
+        lease: i64,
+        until: Millis,
+        number: i64,
+        since: Millis,
+    },
+}
+
+/// The lease as one entry sees it.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    times: Times,
+    state: State,
+}
+
+impl Holder {
+    /// Creates the state of an entry that does not hold the lease.
+    pub fn new(times: Times) -> Self {
+        Self { times, state: State::Idle }
+    }
+
+    /// Returns what to do after an event.
+    pub fn next(&mut self, event: Event, now: Millis) -> Next {
+        self.drop_lapsed(now);
+        match (self.state, event) {
+            (_, Event::Granted { lease, sent }) => self.on_granted(lease, sent, now),
+            (State::Creating { lease, until }, Event::Created(number)) => {
+                self.hold(lease, until, number, now)
+            }
+            (State::Creating { .. }, Event::Found(found)) => self.on_found(found, now),
+            // The creation may have taken effect: the key tells.
+            (State::Creating { .. }, Event::Waited) => Next::Read,
+            (State::Creating { .. }, _) => Next::Wait(now + self.times.pause),
+            (State::Holding { lease, number, since, .. }, Event::Renewed(sent)) => {
+                let until = self.end(sent);
+                self.state = State::Holding { lease, until, number, since };
+                Next::Wait(now + self.times.renew)
+            }
+            (State::Holding { lease, .. }, Event::Waited) => Next::Renew(lease),
+            (State::Holding { .. }, Event::Lapsed) => self.give_up(now),
+            (State::Holding { .. }, _) => Next::Wait(now + self.times.pause),
+            (State::Idle, Event::Waited) => Next::Read,
+            (State::Idle, Event::Found(Found::Nobody)) => Next::Grant,
+            (State::Idle, Event::Found(_)) => Next::Wait(now + self.times.renew),
+            _ => self.give_up(now),
+        }
+    }
+
+    /// Tells whether an order may be sent; asked again immediately before each one.
+    pub fn permit(&self, fencing: Fencing, now: Millis) -> Permit {
+        let State::Holding { until, number, since, .. } = self.state else {
+            return Permit::NotHeld;
+        };
+        if now >= until {
+            return Permit::NotHeld;
+        }
+        let from = match fencing {
+            Fencing::Checked => since,
+            Fencing::Ignored => since + self.times.lease + self.times.order,
+        };
+        if now < from { Permit::NotYet(from) } else { Permit::Send(number) }
+    }
+
+    fn on_granted(&mut self, lease: i64, sent: Millis, now: Millis) -> Next {
+        let until = self.end(sent);
+        if now >= until {
+            return self.give_up(now);
+        }
+        self.state = State::Creating { lease, until };
+        Next::Create(lease)
+    }
+
+    fn on_found(&mut self, found: Found, now: Millis) -> Next {
+        let State::Creating { lease, until } = self.state else { return self.give_up(now) };
+        match found {
+            Found::Mine { lease: known, revision } if known == lease => {
+                self.hold(lease, until, revision, now)
+            }
+            Found::Nobody => Next::Create(lease),
+            // A key of an earlier try goes with its lease, like that of another entry.
+            Found::Mine { .. } | Found::Other => self.give_up(now),
+        }
+    }
+
+    fn hold(&mut self, lease: i64, until: Millis, number: i64, now: Millis) -> Next {
+        self.state = State::Holding { lease, until, number, since: now };
+        Next::Renew(lease)
+    }
+
+    fn give_up(&mut self, now: Millis) -> Next {
+        self.state = State::Idle;
+        Next::Wait(now + self.times.pause)
+    }
+
+    fn drop_lapsed(&mut self, now: Millis) {
+        if let State::Creating { until, .. } | State::Holding { until, .. } = self.state
+            && now >= until
+        {
+            self.state = State::Idle;
+        }
+    }
+
+    /// Returns when this entry stops believing in a lease that runs from `sent`.
+    fn end(&self, sent: Millis) -> Millis {
+        sent + self.times.lease - self.times.margin
+    }
+}
--- /dev/null
+++ b/crates/place/tests/leases/single.rs
@@ -0,0 +1,76 @@
+//! The lease and the orders in single cases.
+
+use place::{Event, Fencing, Found, Holder, Next, Orders, Permit, Reason, Times, Wanted};
+
+fn holding() -> Holder {
+    let mut holder = Holder::new(Times::default());
+    holder.next(Event::Granted { lease: 7, sent: 1_000 }, 1_010);
+    assert_eq!(holder.next(Event::Created(42), 1_020), Next::Renew(7));
+    holder
+}
+
+#[test]
+fn the_lease_ends_a_margin_early_counted_from_before_the_call() {
+    let mut holder = holding();
+    holder.next(Event::Renewed(2_000), 5_000);
+    assert_eq!(holder.permit(Fencing::Checked, 10_499), Permit::Send(42));
+    assert_eq!(holder.permit(Fencing::Checked, 10_500), Permit::NotHeld);
+}
+
+#[test]
+fn a_new_holder_waits_out_the_one_before_where_numbers_are_ignored() {
+    let holder = holding();
+    assert_eq!(holder.permit(Fencing::Checked, 1_020), Permit::Send(42));
+    assert_eq!(holder.permit(Fencing::Ignored, 1_020), Permit::NotYet(13_020));
+}
+
+#[test]
+fn a_creation_whose_answer_was_lost_is_found_by_its_lease() {
+    let mut holder = Holder::new(Times::default());
+    holder.next(Event::Granted { lease: 7, sent: 0 }, 10);
+    holder.next(Event::Failed, 2_010);
+    assert_eq!(holder.next(Event::Waited, 2_510), Next::Read);
+    holder.next(Event::Found(Found::Mine { lease: 7, revision: 42 }), 2_520);
+    assert_eq!(holder.permit(Fencing::Checked, 2_520), Permit::Send(42));
+}
+
+#[test]
+fn a_grant_that_arrives_after_its_own_end_is_not_used() {
+    let mut holder = Holder::new(Times::default());
+    let next = holder.next(Event::Granted { lease: 7, sent: 0 }, 8_500);
+    assert!(matches!(next, Next::Wait(_)));
+}
+
+#[test]
+fn a_holder_that_is_told_of_the_lapse_gives_no_orders() {
+    let mut holder = holding();
+    holder.next(Event::Lapsed, 2_000);
+    assert_eq!(holder.permit(Fencing::Checked, 2_000), Permit::NotHeld);
+}
+
+#[test]
+fn an_order_is_sent_until_reported_and_a_change_by_another_is_undone() {
+    let wanted = Wanted { model: "small".into(), version: "2".into() };
+    let other = Wanted { version: "1".into(), ..wanted.clone() };
+    let server = "engine-1".into();
+    let mut orders = Orders::new(2_000, 1_000);
+    let mut reason = |reported: &Wanted, now| {
+        orders.reconcile(&server, &wanted, Some(reported), 42, now).map(|order| order.reason)
+    };
+    assert_eq!(reason(&other, 0), Some(Reason::Differs));
+    assert_eq!(reason(&other, 2_999), None);
+    assert_eq!(reason(&other, 3_000), Some(Reason::Again));
+    assert_eq!(reason(&wanted, 4_000), None);
+    assert_eq!(reason(&other, 5_000), Some(Reason::Undo));
+}
+
+#[test]
+fn a_new_condition_is_ordered_at_once() {
+    let first = Wanted { model: "small".into(), version: "1".into() };
+    let second = Wanted { version: "2".into(), ..first.clone() };
+    let server = "engine-1".into();
+    let mut orders = Orders::new(2_000, 1_000);
+    orders.reconcile(&server, &first, None, 42, 0);
+    let order = orders.reconcile(&server, &second, None, 42, 10).unwrap();
+    assert_eq!((order.wanted, order.reason), (second, Reason::Differs));
+}
