place: Choose the cheapest mix of VMs that survives the loss of a data centre

plan() is exact: the cheapest way to each capacity for each data centre, then for each bound on one data centre the cheapest way to each total, which must be all requests, and high priority plus the bound. The cost counts the price and the expected reclaims. What is short is said.

Ruled out: taking the cheapest unit first with a cap for each data centre (indivisible VMs make it dearer than need be, and there is no bound on by how much); a solver (no need at this size).

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,7 +1,10 @@
-//! Placement: who may give orders to the backend servers of a data centre, and which; pure.
+//! Placement: who may give orders to the backend servers of a data centre, which, and what VMs to
+//! hold; pure.
 
+mod fleet;
 mod lease;
 mod order;
 
+pub use fleet::{Demand, Offer, Plan, plan};
 pub use lease::{Event, Fencing, Found, Holder, Next, Permit, Times};
 pub use order::{Order, Orders, Reason, Wanted};
