place: Repair the fleet by slots with start tokens

Each wanted VM has a slot, written before the start, that holds the token of the start; a successor goes on with it. repair() returns one action for the fleet as read.

A VM reclaimed between its start and its record left a slot whose token starts nothing any more:

Now an ended VM is matched by its token.

The model reads VMs and slots at once and its VM list does not lag.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -4,7 +4,9 @@
 mod fleet;
 mod lease;
 mod order;
+mod repair;
 
 pub use fleet::{Demand, Offer, Plan, plan};
 pub use lease::{Event, Fencing, Found, Holder, Next, Permit, Times};
 pub use order::{Order, Orders, Reason, Wanted};
+pub use repair::{Action, Fleet, Running, Slot, StoredSlot, repair};
