--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -59,6 +59,9 @@
         if self.configuration.generation() == 0 {
             return Ready::No(self.why_no_configuration());
         }
+        if let Err(failure) = self.configuration.serving() {
+            return Ready::No(format!("no current configuration: {}", failure.context));
+        }
         Ready::Yes
     }
 
