A section has one name however many spaces it is written with; apply waits until entries serve

Two spellings of one section were two sections, the later one replacing the earlier whole. Cause of 503 after "in force at 3 of 3 entries": an entry that has not yet asked the platform itself does not serve, and apply counted its generation alone. Ruled out: adoption, which had the generation each time.

--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -196,7 +196,9 @@
         needed(!self.services.is_empty(), "service NAME");
         for (name, service) in &self.services {
             if service.kind == ServiceKind::Model && !self.models.contains_key(&service.model) {
-                let section = &merged.sections[&format!("service {name}")];
+                let Some(section) = merged.sections.get(&format!("service {name}")) else {
+                    continue;
+                };
                 let line = section.values.get("model").map_or(section.line, |value| value.line);
                 let expected = "the name of a model that has a section of its own";
                 mistakes.push(Mistake::new(&section.file, line, "model", expected, &service.model));
--- a/crates/conf/src/source.rs
+++ b/crates/conf/src/source.rs
@@ -93,11 +93,12 @@
                 }
                 continue;
             };
-            let section = self.sections.entry(name.to_owned()).or_default();
+            let name = normal(name);
+            let section = self.sections.entry(name.clone()).or_default();
             section.file = source.file.clone();
-            section.line = lines.section(name);
+            section.line = lines.section(&name);
             for (key, value) in properties.iter() {
-                let line = lines.key(name, key);
+                let line = lines.key(&name, key);
                 let value =
                     Value { text: value.trim().to_owned(), file: source.file.clone(), line };
                 section.values.insert(key.to_owned(), value);
@@ -106,6 +107,11 @@
     }
 }
 
+/// Writes the name of a section with single spaces, so that one section has one name.
+fn normal(name: &str) -> String {
+    name.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
 /// Line numbers of sections and keys; the INI library does not give them.
 #[derive(Default)]
 struct Lines {
@@ -121,7 +127,7 @@
             let line = line.trim();
             let number = index + 1;
             if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
-                section = name.trim().to_owned();
+                section = normal(name);
                 lines.sections.entry(section.clone()).or_insert(number);
             } else if let Some((key, value)) =
                 line.split_once('=').filter(|_| !line.starts_with([';', '#']))
--- a/crates/conf/tests/check.rs
+++ b/crates/conf/tests/check.rs
@@ -76,3 +76,13 @@
         assert!(text.contains(&format!(": {key}: ")), "{key} in {text}");
     }
 }
+
+#[test]
+fn spaces_within_the_name_of_a_section_do_not_make_another_section() {
+    let overlay = Source::new("site.ini", "[service   recall]\nfirst_token = 200ms\n");
+    let config = read(&[Source::new("base.ini", BASE), overlay]).unwrap();
+    assert_eq!(config.services["recall"].first_token, Duration::from_millis(200));
+    let unknown = Source::new("site.ini", "[service  recall]\nmodel = large\n");
+    let mistakes = read(&[Source::new("base.ini", BASE), unknown]).unwrap_err();
+    assert!(mistakes.to_string().contains("site.ini:2: model"), "{mistakes}");
+}
--- a/crates/control/src/accept.rs
+++ b/crates/control/src/accept.rs
@@ -52,8 +52,12 @@
             at_unix_ms: Clock::unix_ms(),
         };
         let candidate = Candidate { based_on: offer.based_on, head };
+        let asked = self.now();
         match self.settle(candidate, &body).await {
-            Verdict::Accepted { head, replaced_by } => Ok(self.accepted(head, replaced_by, body)),
+            Verdict::Accepted { head, replaced_by } => {
+                self.upkeep().confirm(asked);
+                Ok(self.accepted(head, replaced_by, body))
+            }
             Verdict::Conflict { winner, in_force } => Err(conflict(&offer, winner, &in_force)),
             Verdict::Unsettled => Err(unsettled(&offer)),
         }
--- a/crates/control/src/upkeep.rs
+++ b/crates/control/src/upkeep.rs
@@ -153,6 +153,11 @@
         if silent > self.times.bound { Standing::Isolated(silent) } else { Standing::Current }
     }
 
+    /// Notes that the platform answered a call outside of the usual reads, sent at this time.
+    pub fn confirm(&mut self, sent: Millis) {
+        self.note_contact(sent);
+    }
+
     fn on_read(&mut self, sent: Millis, role: Role, now: Millis, draw: f64) -> Next {
         self.note_contact(sent);
         self.failures = 0;
--- a/crates/fennelfold/src/cmd/config.rs
+++ b/crates/fennelfold/src/cmd/config.rs
@@ -221,7 +221,8 @@
         for entry in &list.entries {
             let one = Caller::new(vec![entry.address], Duration::from_secs(1));
             let status: Result<Status, Failure> = one.get("/v1/operator/status").await;
-            if !status.is_ok_and(|status| status.generation >= generation) {
+            if !status.is_ok_and(|status| status.ready == "yes" && status.generation >= generation)
+            {
                 late.push(entry.name.clone());
             }
         }
