--- a/crates/faults/src/world/caller.rs
+++ b/crates/faults/src/world/caller.rs
@@ -128,12 +128,15 @@
         let c = &mut self.callers[caller];
         c.serial = 0;
         c.waiting = false;
-        if c.tries_left == 0 {
-            // A caller that never got a word keeps its last view: nothing was told.
-            c.done = true;
-            return;
+        // An entry that is dead or stands still costs no try: the caller goes on to the next.
+        let node = &self.nodes[c.entry];
+        if node.up && !node.paused {
+            if c.tries_left == 0 {
+                c.done = true;
+                return;
+            }
+            c.tries_left -= 1;
         }
-        c.tries_left -= 1;
         if elsewhere {
             c.entry = (c.entry + 1) % ENTRIES.len();
         }
