A request whose last holder is gone is run again, and reading it ends

Cause: two entries that had given the request on both named a third that had restarted; a read went from one to the other without end, in exec as in the harness. A read now ends as unknown after a number of entries, and an entry that gave a request on which may be repeated runs it again when a caller sends it and its holder is gone. Also: each successor was given the time that only a witness needs, so a chain of them outlasted a caller; and a restarted entry of the harness believed dead entries alive.

--- a/crates/exec/src/read.rs
+++ b/crates/exec/src/read.rs
@@ -7,6 +7,9 @@
 use ledger::{Ending, Holder, Home, Input, Part};
 use peer::{Reply, Request};
 
+/// Entries asked for one read at most.
+const FOLLOWS: usize = 32;
+
 impl Requests {
     /// Finds where the answer of a known request can be read.
     ///
@@ -39,7 +42,7 @@
         holder: &mut Holder,
         from: usize,
     ) -> Result<Part, Failure> {
-        loop {
+        for _ in 0..FOLLOWS {
             let (reply, entry) = match holder {
                 Holder::Here => (self.read_here(key, from, self.settings.read_wait).await?, None),
                 Holder::At(entry, _) if entry == self.me() => {
@@ -60,6 +63,8 @@
                 _ => return Ok(reply),
             }
         }
+        // Those that gave it on name an entry that is gone.
+        Err(Failure::new(Code::HomeLost, key.to_string()))
     }
 
     /// Answers the read of another entry.
--- a/crates/faults/src/world/caller.rs
+++ b/crates/faults/src/world/caller.rs
@@ -29,6 +29,8 @@
     cursor: Cursor,
     done: bool,
     waiting: bool,
+    /// Entries that it was sent on to since it last saw a chunk.
+    follows: usize,
     /// Whether the next try only reads.
     reads: bool,
 }
@@ -46,6 +48,7 @@
             cursor: Cursor::default(),
             done: false,
             waiting: false,
+            follows: 0,
             reads: false,
         }
     }
@@ -68,6 +71,7 @@
         let serial = self.serial;
         let c = &mut self.callers[caller];
         (c.serial, c.holder, c.waiting) = (serial, None, true);
+        c.follows = 0;
         let (entry, terms) = (c.entry, terms(&c.key, c.repeatable));
         self.see(Seen::Submitted { caller });
         self.schedule(CALLER_TIMEOUT, Event::GiveUpTry { caller, serial });
@@ -207,7 +211,11 @@
                 self.told(caller, Word::of(code.outcome()));
             }
             Some(Ending::Rejected(_)) => self.told(caller, Word::Rejected),
+            Some(Ending::Follow(_)) if self.callers[caller].follows >= HOPS => {
+                self.told(caller, Word::Unknown);
+            }
             Some(Ending::Follow(next)) => {
+                self.callers[caller].follows += 1;
                 let others = self.successors(caller);
                 self.callers[caller].holder = Some(Holder::At(next, others));
                 self.schedule(LATENCY, Event::Poll { caller, serial });
--- a/crates/faults/src/world/node.rs
+++ b/crates/faults/src/world/node.rs
@@ -102,6 +102,10 @@
         let id = self.nodes[entry].id.clone();
         self.crash(&id);
         self.nodes[entry] = Node::new(entry, id.incarnation + 1);
+        // An entry that is down answers no join, so the new run does not know it as one that lives.
+        let down: Vec<NodeId> =
+            self.nodes.iter().filter(|node| !node.up).map(|node| node.id.clone()).collect();
+        self.nodes[entry].gone.extend(down);
         self.tell_others(entry, NEWS, &id, News::Gone);
     }
 
--- a/crates/faults/tests/cases.rs
+++ b/crates/faults/tests/cases.rs
@@ -173,3 +173,14 @@
         assert!(whole && same, "{}: {:?}", life.name, log.seen);
     }
 }
+
+#[test]
+fn a_request_whose_last_holder_restarted_is_run_again_by_one_that_gave_it_on() {
+    let life = life("repeatable, long answer, owner reclaimed");
+    let cell = Cell { life, plan: vec![(3, CutIn), (6, Lose), (56, Restart)] };
+    assert_kept(&cell);
+    let log = run(&cell, None);
+    let answered =
+        |(_, seen): &(u64, Seen)| matches!(seen, Seen::Told { word: Word::Answered, .. });
+    assert!(log.seen.iter().any(answered), "{:?}", log.seen);
+}
--- a/crates/ledger/src/book/relay.rs
+++ b/crates/ledger/src/book/relay.rs
@@ -5,7 +5,7 @@
 use super::placing::successors;
 use super::record::{Record, Replica, Role};
 use crate::Home;
-use crate::message::{Message, MessageReply, Terms};
+use crate::message::{Ending, Message, MessageReply, Terms};
 use crate::owner::{Owner, OwnerEvent};
 use crate::witness::WitnessEvent;
 use kernel::{Code, Failure, NodeId};
@@ -105,7 +105,8 @@
         let message = Message::Submit {
             terms: relay.terms.clone(),
             round: relay.round,
-            owner_silent: relay.leg != Leg::Owner,
+            // A successor has the request or not; only the witness may have to settle it first.
+            owner_silent: relay.leg == Leg::Witness,
         };
         let kind = CallKind::Submit(ticket);
         let call = Call { key: relay.terms.key.clone(), round: relay.round, kind };
@@ -180,6 +181,7 @@
         round: Option<u64>,
     ) {
         let key = terms.key.clone();
+        let (members, refuses_new) = (self.members, self.book.refuses_new);
         let Some(record) = self.record(&key) else {
             return self.start(ticket, terms, home, round.unwrap_or(1), round.is_some());
         };
@@ -187,6 +189,14 @@
             let failure = Failure::new(Code::KeyReused, key.to_string());
             return self.respond(ticket, Response::Failed(failure));
         }
+        let lost = match &record.shown {
+            Some(Ending::Follow(to)) => record.terms.repeatable && members.is_gone(to),
+            _ => false,
+        };
+        if lost && !refuses_new {
+            let round = record.round;
+            return self.restart_taken(ticket, &key, round);
+        }
         match record.next_round() {
             Some(next) if round.is_none_or(|round| round >= next) => {
                 self.start(ticket, terms, home, next, round.is_some());
@@ -234,7 +244,7 @@
         self.send_hold(&key, home.witness.clone());
     }
 
-    /// Begins another round of a request that this entry took over; the right is still its own.
+    /// Runs a request again that this entry took over, or whose new holder is gone.
     fn restart_taken(&mut self, ticket: Ticket, key: &kernel::Key, round: u64) {
         let Some(record) = self.record(key) else { return };
         let repeatable = record.terms.repeatable;
