--- a/crates/faults/src/world/caller.rs
+++ b/crates/faults/src/world/caller.rs
@@ -29,6 +29,8 @@
     cursor: Cursor,
     done: bool,
     waiting: bool,
+    /// Entries that it was sent on to since it last saw a chunk.
+    follows: usize,
     /// Whether the next try only reads.
     reads: bool,
 }
@@ -46,6 +48,7 @@
             cursor: Cursor::default(),
             done: false,
             waiting: false,
+            follows: 0,
             reads: false,
         }
     }
@@ -68,6 +71,7 @@
         let serial = self.serial;
         let c = &mut self.callers[caller];
         (c.serial, c.holder, c.waiting) = (serial, None, true);
+        c.follows = 0;
         let (entry, terms) = (c.entry, terms(&c.key, c.repeatable));
         self.see(Seen::Submitted { caller });
         self.schedule(CALLER_TIMEOUT, Event::GiveUpTry { caller, serial });
@@ -128,12 +132,15 @@
         let c = &mut self.callers[caller];
         c.serial = 0;
         c.waiting = false;
-        if c.tries_left == 0 {
-            // A caller that never got a word keeps its last view: nothing was told.
-            c.done = true;
-            return;
+        // An entry that is dead or stands still costs no try: the caller goes on to the next.
+        let node = &self.nodes[c.entry];
+        if node.up && !node.paused {
+            if c.tries_left == 0 {
+                c.done = true;
+                return;
+            }
+            c.tries_left -= 1;
         }
-        c.tries_left -= 1;
         if elsewhere {
             c.entry = (c.entry + 1) % ENTRIES.len();
         }
@@ -204,7 +211,11 @@
                 self.told(caller, Word::of(code.outcome()));
             }
             Some(Ending::Rejected(_)) => self.told(caller, Word::Rejected),
+            Some(Ending::Follow(_)) if self.callers[caller].follows >= HOPS => {
+                self.told(caller, Word::Unknown);
+            }
             Some(Ending::Follow(next)) => {
+                self.callers[caller].follows += 1;
                 let others = self.successors(caller);
                 self.callers[caller].holder = Some(Holder::At(next, others));
                 self.schedule(LATENCY, Event::Poll { caller, serial });
