A caller that goes away gives its place back; failures are counted by code

Cause: the handler of a request ran on as a task of its own after its caller had gone, and held its place among the open requests until the answer ended. Ruled out: dropping the handler altogether, as an aborted submit or acceptance could stop half way; these two run to their end.

Before: limits::a_caller_that_goes_away...: 'it did not come about: its place is free' after 60 s. After: passes, 0.8 s.

Also: fennelfold_failures_total by code, a log line 'not served' with code and reason, and a stream that outlives SIGTERM on its connection, tested.

--- a/crates/fennelfold/tests/it/limits.rs
+++ b/crates/fennelfold/tests/it/limits.rs
@@ -38,6 +38,33 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_gives_its_place_back_before_its_request_ends() {
+    let settings = Settings {
+        step: Duration::from_millis(20),
+        extra: "[limits]\nopen = 1\n\
+                [service story]\nkind = model\nmodel = small\ndeadline = 10m\nmax_tokens = 100000\n",
+        ..Settings::default()
+    };
+    let deployment = Deployment::start(settings).await;
+    let story = chat("Without end", 100_000, false).replace("recall", "story");
+    let headers_of_story = headers("story");
+    let asking = deployment.send(0, Method::POST, CHAT, &headers_of_story, story);
+    let begun = eventually("the story is begun", async || {
+        deployment.engines.iter().any(|engine| engine.stats().tokens > 0)
+    });
+    // The connection ends with the request that is not waited for any longer.
+    tokio::select! {
+        _ = asking => panic!("the story has no end"),
+        () = begun => {}
+    }
+    eventually("its place is free", async || {
+        let headers = headers("next");
+        deployment.ask(0, Method::POST, CHAT, &headers, chat("Hello", 3, false)).await.0 == 200
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_of_a_plain_service_above_the_limit_is_told_to_have_run() {
     let settings = Settings { extra: "[limits]\nbody = 3MiB\n", ..Settings::default() };
--- a/crates/fennelfold/tests/it/observing.rs
+++ b/crates/fennelfold/tests/it/observing.rs
@@ -58,6 +58,21 @@
     assert_eq!(metrics.lines().find(undescribed), None);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn failures_that_callers_are_told_are_counted_by_code() {
+    let deployment = Deployment::start(Settings::default()).await;
+    for _ in 0..2 {
+        let unknown = chat("Hello", 3, false).replace("recall", "huge");
+        let answer = deployment.ask(0, Method::POST, CHAT, &headers("k"), unknown).await;
+        assert_eq!(answer.0, 404);
+    }
+    let metrics = text(&deployment, 0, "/metrics").await;
+    let counted = metrics.lines().find(|line| {
+        line.starts_with("fennelfold_failures_total{") && line.contains("code=\"1004\"")
+    });
+    assert!(counted.is_some_and(|line| line.ends_with(" 2")), "{metrics}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn probes_tell_life_and_readiness() {
     let deployment = Deployment::start(Settings::default()).await;
--- a/crates/fennelfold/tests/it/stopping.rs
+++ b/crates/fennelfold/tests/it/stopping.rs
@@ -41,6 +41,29 @@
     assert!(log.contains(r#""msg":"leaving""#) && log.contains(r#""msg":"stopped""#), "{log}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_lets_an_open_stream_finish_on_its_connection() {
+    let mut deployment = Deployment::start(slow()).await;
+    let key = format!("{}streamed", deployment.key_prefix(0).await);
+    let path = "/v1/chat/completions";
+    let body = chat("To the last word", 100, true);
+    let answer = deployment.send(0, Method::POST, path, &headers(&key), body).await;
+    running(&deployment, 10).await;
+    deployment.entries[0].terminate();
+    let mut reader = web::Reader::events(answer.into_body());
+    let mut text = String::new();
+    loop {
+        let event = reader.next().await.unwrap().expect("the stream goes on to its end");
+        if event.data == "[DONE]" {
+            break;
+        }
+        let value: serde_json::Value = serde_json::from_str(&event.data).unwrap();
+        text.push_str(value["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    assert_eq!(text, expected_answer("To the last word", 100));
+    assert_eq!(deployment.entries[0].exit_code().await, Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_stops_is_not_listed_and_says_so() {
     let mut deployment = Deployment::start(slow()).await;
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -74,7 +74,7 @@
     let digest = digest(&name, "", &body);
     let body = engine_body(&body, service)?;
     let terms = terms(head, name, "", service, body, digest);
-    let (key, holder) = front.requests.submit(terms).await?;
+    let (key, holder) = front.submit(terms).await?;
     if chat.stream {
         let (cursor, asked) = (Cursor::default(), Asked::Sent);
         Ok(answer::stream(front, Reading { key, holder, cursor, asked }, place))
@@ -101,7 +101,7 @@
     let path = rest.iter().map(|part| format!("/{part}")).collect::<String>();
     let digest = digest(name, &path, &body);
     let terms = terms(head, name.clone(), &path, found, body, digest);
-    let (key, holder) = front.requests.submit(terms).await?;
+    let (key, holder) = front.submit(terms).await?;
     answer::whole(front, key, holder, Asked::Sent).await
 }
 
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -170,7 +170,8 @@
 
 pub(crate) async fn apply(front: &Front, req: Request) -> Result<Reply, Failure> {
     let offer: Offer = read(req).await?;
-    let accepted = front.configuration.accept(offer).await;
+    let configuration = front.configuration.clone();
+    let accepted = Front::to_its_end(async move { configuration.accept(offer).await }).await;
     if let Err(failure) = &accepted {
         warn!(front.log, "configuration refused"; "reason" => failure.to_string());
     }
--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -4,12 +4,16 @@
 use crate::{answer, ask, entries, operator};
 use cluster::Cluster;
 use control::Configuration;
-use exec::Requests;
+use exec::{Holder, Requests};
 use hyper::Method;
 use kernel::Metrics;
 use kernel::prelude::*;
+use ledger::Terms;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use platform::Health;
 use servers::Servers;
+use std::future::Future;
 use web::{Reply, Request, text};
 
 /// Answers callers and operators.
@@ -20,6 +24,7 @@
     pub(crate) servers: Arc<Servers>,
     pub(crate) limit: Limit,
     health: Arc<Health>,
+    failures: Counter<u64>,
     metrics: Arc<Metrics>,
     pub(crate) log: Logger,
 }
@@ -39,14 +44,16 @@
     /// # Errors
     /// [`Code::ServiceMissing`] when a service that it needs was not added.
     pub fn new(kernel: &Kernel, log: Logger) -> Result<Arc<Self>, Failure> {
+        let metrics: Arc<Metrics> = kernel.find("metrics")?;
         Ok(Arc::new(Self {
+            failures: metrics.counter("failures", "Failures that callers were told, by code"),
+            metrics,
             cluster: kernel.find(Cluster::NAME)?,
             configuration: kernel.find(Configuration::NAME)?,
             requests: kernel.find(Requests::NAME)?,
             servers: kernel.find(Servers::NAME)?,
             limit: Limit::default(),
             health: kernel.find(Health::NAME)?,
-            metrics: kernel.find("metrics")?,
             log,
         }))
     }
@@ -74,6 +81,26 @@
     /// # Errors
     /// The failure that the caller is told.
     pub async fn handle(self: Arc<Self>, req: Request) -> Result<Reply, Failure> {
+        let answered = self.clone().route(req).await;
+        if let Err(failure) = &answered {
+            self.note(failure);
+        }
+        answered
+    }
+
+    /// Counts a failure and logs why the request was not served.
+    fn note(&self, failure: &Failure) {
+        let number = failure.code.number();
+        self.failures.add(1, &[KeyValue::new("code", i64::from(number))]);
+        // Mistakes of callers are many, and the caller is told.
+        if failure.code.outcome() == Outcome::Rejected {
+            debug!(self.log, "not served"; "code" => number, "reason" => failure.to_string());
+        } else {
+            info!(self.log, "not served"; "code" => number, "reason" => failure.to_string());
+        }
+    }
+
+    async fn route(self: Arc<Self>, req: Request) -> Result<Reply, Failure> {
         let path = req.uri().path().to_owned();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (req.method().clone(), parts.as_slice()) {
@@ -100,6 +127,20 @@
         }
     }
 
+    /// Runs work to its end, also when the caller that asked for it goes away.
+    pub(crate) async fn to_its_end<T: Send + 'static>(
+        work: impl Future<Output = Result<T, Failure>> + Send + 'static,
+    ) -> Result<T, Failure> {
+        let ended = tokio::spawn(work).await;
+        ended.unwrap_or_else(|e| Err(Failure::new(Code::Internal, e.to_string())))
+    }
+
+    /// Takes a request to its home.
+    pub(crate) async fn submit(&self, terms: Terms) -> Result<(Key, Holder), Failure> {
+        let requests = self.requests.clone();
+        Self::to_its_end(async move { requests.submit(terms).await }).await
+    }
+
     fn readyz(&self) -> Reply {
         match self.ready() {
             Ready::Yes => text(200, "ready\n"),
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
 use tower::ServiceBuilder;
 
 /// A request whose body is still to be read.
@@ -69,6 +70,8 @@
 }
 
 /// Serves connections until the stop, then lets open requests finish.
+///
+/// A handler whose caller goes away is given up at its next await.
 pub async fn serve<F, R>(
     listener: TcpListener,
     settings: ServerSettings,
@@ -165,8 +168,11 @@
         let handled = check_head(&req, &settings).map(|()| handler(req));
         async move {
             let reply = match handled {
-                // A handler that panics must not take the connection's answer with it.
-                Ok(handled) => tokio::spawn(handled).await.unwrap_or_else(internal),
+                // A handler that panics must not take the connection's answer with it, and one
+                // whose caller is gone is given up.
+                Ok(handled) => {
+                    AbortOnDropHandle::new(tokio::spawn(handled)).await.unwrap_or_else(internal)
+                }
                 Err(failure) => Err(failure),
             };
             Ok::<_, Infallible>(reply.unwrap_or_else(|failure| problem(&failure)))
