--- a/crates/faults/src/fault.rs
+++ b/crates/faults/src/fault.rs
@@ -87,7 +87,7 @@
 
 /// A protecting mechanism that is switched off, to show that the checker can fail.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Sabotage {
+pub enum Mutation {
     /// The witness forgets that it granted the right.
     ForgetGrant,
     /// Chunks of any attempt count as those of the present one.
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -12,7 +12,7 @@
 mod world;
 
 pub use check::{Promise, Violation, check};
-pub use fault::{Fault, Plan, Sabotage};
+pub use fault::{Fault, Mutation, Plan};
 pub use life::{LIVES, Life};
 pub use log::{Log, Seen, Word};
 pub use matrix::{Cell, Report, pairs, run, singles, steps};
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -1,7 +1,7 @@
 //! Every fault at every step, and pairs of faults at neighbouring steps.
 
 use crate::check::{Promise, Violation, check};
-use crate::fault::{Fault, Plan, Sabotage};
+use crate::fault::{Fault, Mutation, Plan};
 use crate::life::Life;
 use crate::log::Log;
 use crate::world::World;
@@ -18,8 +18,8 @@
 }
 
 /// Runs a cell and returns what was seen.
-pub fn run(cell: &Cell, sabotage: Option<Sabotage>) -> Log {
-    World::new(cell.life, cell.plan.clone(), sabotage).run().0
+pub fn run(cell: &Cell, mutation: Option<Mutation>) -> Log {
+    World::new(cell.life, cell.plan.clone(), mutation).run().0
 }
 
 /// Counts the steps of a life under a plan.
--- a/crates/faults/src/world/caller.rs
+++ b/crates/faults/src/world/caller.rs
@@ -163,7 +163,7 @@
     }
 
     fn told(&mut self, caller: usize, word: Word) {
-        if let Some(Sabotage::HoldBack(time)) = self.sabotage {
+        if let Some(Mutation::HoldBack(time)) = self.mutation {
             self.now += time;
         }
         self.see(Seen::Told { caller, word });
--- a/crates/faults/src/world/mod.rs
+++ b/crates/faults/src/world/mod.rs
@@ -6,7 +6,7 @@
 mod platform;
 
 use crate::Time;
-use crate::fault::{Fault, Plan, Sabotage};
+use crate::fault::{Fault, Mutation, Plan};
 use crate::life::{Life, Serving};
 use crate::log::{Log, Seen};
 use caller::Caller;
@@ -84,7 +84,7 @@
 pub struct World {
     life: Life,
     plan: Plan,
-    sabotage: Option<Sabotage>,
+    mutation: Option<Mutation>,
     now: Time,
     serial: u64,
     steps: usize,
@@ -110,7 +110,7 @@
 
 impl World {
     /// Prepares a run.
-    pub fn new(life: Life, plan: Plan, sabotage: Option<Sabotage>) -> Self {
+    pub fn new(life: Life, plan: Plan, mutation: Option<Mutation>) -> Self {
         let nodes: Vec<Node> = (0..ENTRIES.len()).map(|entry| Node::new(entry, 1)).collect();
         let home = Home { owner: nodes[0].id.clone(), witness: nodes[1].id.clone() };
         let callers: Vec<Caller> = life
@@ -135,7 +135,7 @@
         let mut world = Self {
             life,
             plan,
-            sabotage,
+            mutation,
             now: 0,
             serial: 0,
             steps: 0,
@@ -274,18 +274,18 @@
                 self.schedule(LATENCY, message);
             }
         }
-        if let (CallKind::HandOver { .. }, Some(Sabotage::GiveTwice)) = (kind, self.sabotage) {
+        if let (CallKind::HandOver { .. }, Some(Mutation::GiveTwice)) = (kind, self.mutation) {
             self.give_twice(number);
         }
     }
 
     /// Returns the answer that a switched-off mechanism pretends to have got.
     fn fake_answer(&self, message: &Message) -> Option<MessageReply> {
-        match (self.sabotage?, message) {
-            (Sabotage::PretendHeld, Message::Progress { from, chunks, .. }) => {
+        match (self.mutation?, message) {
+            (Mutation::PretendHeld, Message::Progress { from, chunks, .. }) => {
                 Some(MessageReply::Have(from + chunks.len()))
             }
-            (Sabotage::PretendVoided, Message::Void { .. }) => {
+            (Mutation::PretendVoided, Message::Void { .. }) => {
                 Some(MessageReply::Void(VoidReply::Voided))
             }
             _ => None,
@@ -331,13 +331,13 @@
     }
 
     fn forgetful(&self, message: &Message) -> bool {
-        self.sabotage == Some(Sabotage::ForgetGrant) && matches!(message, Message::Ask { .. })
+        self.mutation == Some(Mutation::ForgetGrant) && matches!(message, Message::Ask { .. })
     }
 
     fn without_round(&self, entry: usize, message: Message) -> Message {
         match message {
             Message::Submit { terms, owner_silent, .. }
-                if self.sabotage == Some(Sabotage::IgnoreRound)
+                if self.mutation == Some(Mutation::IgnoreRound)
                     && self.nodes[entry].book.terms(&terms.key).is_some() =>
             {
                 Message::Submit { terms, owner_silent, round: u64::MAX / 2 }
--- a/crates/faults/src/world/node.rs
+++ b/crates/faults/src/world/node.rs
@@ -136,7 +136,7 @@
         }
         self.schedule(NOTICE, Event::Die { node: node.clone() });
         self.tell_others(entry, NEWS, &node, News::Leaving);
-        if self.sabotage != Some(Sabotage::KeepAll) {
+        if self.mutation != Some(Mutation::KeepAll) {
             self.feed(entry, Input::RefuseNew);
             self.feed(entry, Input::HandOverAll);
         }
@@ -149,7 +149,7 @@
             self.tell_others(entry, NEWS, &node, News::Leaving);
             self.feed(entry, Input::RefuseNew);
         }
-        if self.nodes[entry].book.is_idle() || self.sabotage == Some(Sabotage::KeepAll) {
+        if self.nodes[entry].book.is_idle() || self.mutation == Some(Mutation::KeepAll) {
             // Callers read the rest before the process ends.
             self.schedule(NOTICE, Event::Die { node });
         } else {
--- a/crates/faults/src/world/platform.rs
+++ b/crates/faults/src/world/platform.rs
@@ -119,7 +119,7 @@
         let so_far = running.so_far.clone();
         let request = self.request_of(&key);
         self.see(Seen::Ran { request, resumed: so_far.len() });
-        if self.sabotage == Some(Sabotage::RepeatInPool) {
+        if self.mutation == Some(Mutation::RepeatInPool) {
             self.see(Seen::Ran { request, resumed: so_far.len() });
         }
         if !answered {
@@ -138,7 +138,7 @@
                 );
             }
             after += self.life.step;
-            let crossed = self.sabotage == Some(Sabotage::CrossAnswers) && number == 1;
+            let crossed = self.mutation == Some(Mutation::CrossAnswers) && number == 1;
             let shown = if crossed { request + 1 } else { request };
             let text = format!("{shown}:{number}:{words}");
             self.schedule(after, Event::Piece { to: to.clone(), run, number, text });
@@ -166,7 +166,7 @@
     }
 
     pub(super) fn on_piece(&mut self, to: &NodeId, run: u64, number: usize, text: String) {
-        let ignore = self.sabotage == Some(Sabotage::IgnoreAttempt);
+        let ignore = self.mutation == Some(Mutation::IgnoreAttempt);
         let Some(entry) = self.entry_of(to) else { return };
         let Some(running) = self.runs.get_mut(&run) else { return };
         if !running.open && !ignore {
@@ -201,7 +201,7 @@
     /// The stream stopped: nothing came for a while, or the connection broke.
     pub(super) fn on_stalled(&mut self, to: &NodeId, run: u64, pieces: usize) {
         let Some(entry) = self.entry_of(to) else { return };
-        let accepts = self.sabotage == Some(Sabotage::AcceptCutStream);
+        let accepts = self.mutation == Some(Mutation::AcceptCutStream);
         let Some(running) = self.runs.get_mut(&run).filter(|run| run.open) else { return };
         if pieces != usize::MAX && pieces != running.pieces {
             return;
