Measure routing policies in virtual time

crates/load draws open-loop arrivals from workload files, drives the code of crates/route with the picture of each entry, and models engines (batch, steps, prefix cache, late load reports) and faults on a schedule. scripts/measure compares random, round robin, least in flight (of the entry's own requests), the first version of ours, and today's over both users' workloads.

Cost: a server is paid from its first request until 60 s after its last, plus 60 s for each start; so a policy is paid for servers that it leaves idle.

--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,28 @@
+//! Measures routing policies in virtual time.
+//!
+//! The choice of a server is made by the code that entries run (`route`); arrivals, engines and
+//! faults are small models with a fixed seed, so that a run gives the same figures each time.
+
+mod arrival;
+mod bound;
+mod earliest;
+mod engine;
+mod outcome;
+mod picker;
+mod plot;
+mod report;
+mod run;
+mod settings;
+
+pub use arrival::{Arrival, arrivals};
+pub use bound::{Bound, bound};
+pub use engine::{Engine, Job, Progress};
+pub use outcome::{Outcome, Summary};
+pub use picker::{Picker, PolicyName};
+pub use plot::plot;
+pub use report::{Row, table};
+pub use run::{Scenario, run};
+pub use settings::{
+    Burst, EngineSettings, Fault, FaultKind, Faults, Organisation, RequestKind, ServerGroup,
+    Workload,
+};
--- /dev/null
+++ b/crates/load/src/picker.rs
@@ -0,0 +1,73 @@
+//! The policies that are compared.
+
+use crate::earliest;
+use kernel::{Millis, Name};
+use route::{Pool, Server, Wanted};
+
+/// A policy to compare.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PolicyName {
+    /// Any server.
+    Random,
+    /// Each server in turn.
+    RoundRobin,
+    /// The server with the fewest of this entry's requests.
+    LeastInFlight,
+    /// The first version of ours.
+    Earliest,
+    /// What entries run.
+    Today,
+}
+
+/// One entry's picture of the servers and its policy.
+#[derive(Debug)]
+pub struct Picker {
+    policy: PolicyName,
+    turn: usize,
+    /// The picture.
+    pub pool: Pool,
+}
+
+impl Picker {
+    /// Creates a picker without any server.
+    pub fn new(policy: PolicyName) -> Self {
+        Self { policy, turn: 0, pool: Pool::default() }
+    }
+
+    /// Chooses a server.
+    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
+        match self.policy {
+            PolicyName::Random => self.random(wanted, now),
+            PolicyName::RoundRobin => self.round_robin(wanted, now),
+            PolicyName::LeastInFlight => self.least_in_flight(wanted, now),
+            PolicyName::Earliest => {
+                earliest::choose(&self.pool, wanted, now).map(|(server, _)| server)
+            }
+            PolicyName::Today => self.pool.choose(wanted, now).map(|choice| choice.server),
+        }
+    }
+
+    fn candidates(&self, wanted: &Wanted<'_>, now: Millis) -> Vec<&Server> {
+        self.pool.all().filter(|server| server.can_take(wanted, now)).collect()
+    }
+
+    fn random(&self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
+        let all = self.candidates(wanted, now);
+        let index = wanted.draw as usize % all.len().max(1);
+        all.get(index).map(|server| server.name.clone())
+    }
+
+    fn round_robin(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
+        self.turn += 1;
+        let all = self.candidates(wanted, now);
+        let index = self.turn % all.len().max(1);
+        all.get(index).map(|server| server.name.clone())
+    }
+
+    fn least_in_flight(&self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
+        let all = self.candidates(wanted, now);
+        let fewest = all.iter().map(|server| server.mine).min()?;
+        let tied: Vec<_> = all.into_iter().filter(|server| server.mine == fewest).collect();
+        Some(tied[wanted.draw as usize % tied.len()].name.clone())
+    }
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -72,7 +72,8 @@
 }
 
 impl Server {
-    fn can_take(&self, wanted: &Wanted<'_>, now: Millis) -> bool {
+    /// Tells whether a server may be sent the request.
+    pub fn can_take(&self, wanted: &Wanted<'_>, now: Millis) -> bool {
         !self.leaving
             && now >= self.shunned_until
             && self.serves.iter().any(|name| name == wanted.serves)
