Pack cheap servers, keep prompt starts local, count other entries

Cause: the first version filled the cheapest servers to the edge of their batches.

What an entry sent since the last report counts once for each entry. Predictions are corrected by measured times to the first token. The engine model reports the mean of its last steps, prompt reading included.

--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -10,9 +10,12 @@
 use opentelemetry::KeyValue;
 use rand::RngExt;
 use route::Wanted;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Bytes of a prompt that make about one token.
 const BYTES_PER_TOKEN: u64 = 4;
+/// Bytes at the start of a body that tell one conversation from another.
+const PREFIX_BYTES: usize = 1024;
 
 /// How one attempt at one server ended.
 enum Attempt {
@@ -65,8 +68,11 @@
         let prompt_tokens = record.terms.body.len() as u64 / BYTES_PER_TOKEN;
         let wanted = Wanted {
             serves: &serves,
+            prefix: prefix(record, service),
+            prefix_tokens: prompt_tokens,
             prompt_tokens,
             first_token_ms: service.first_token.as_millis() as f64,
+            between_tokens_ms: service.between_tokens.as_millis() as f64,
             avoid: &[],
             draw: rand::rng().random(),
         };
@@ -82,7 +88,7 @@
         if !may_send {
             return OwnerEvent::Broke { code: Code::Internal, again: false };
         }
-        self.to.servers.sent(&choice.server, prompt_tokens);
+        self.to.servers.sent(&choice.server, wanted.prefix, prompt_tokens);
         let outcome = match service.kind {
             ServiceKind::Model => self.generate(record, service, &choice, &tag).await,
             ServiceKind::Plain => self.call_plain(record, &choice, &tag).await,
@@ -142,8 +148,9 @@
                     Ok(None) => return Attempt::Answered,
                     Ok(Some(piece)) => {
                         if std::mem::take(&mut first) {
-                            let waited = (self.clock.now() - started) as f64 / 1000.0;
-                            self.counters.first_token.record(waited, &[]);
+                            let waited_ms = (self.clock.now() - started) as f64;
+                            self.counters.first_token.record(waited_ms / 1000.0, &[]);
+                            self.to.servers.first_token(choice, waited_ms);
                         }
                         record.state().append(piece.index as usize, 1, Bytes::from(piece.text));
                         record.touch();
@@ -181,6 +188,17 @@
     }
 }
 
+/// Hashes what the prompts of one conversation share: organisation, model and first bytes.
+fn prefix(record: &Record, service: &Service) -> u64 {
+    if service.kind == ServiceKind::Plain {
+        return 0;
+    }
+    let body = &record.terms.body;
+    let start = &body[..body.len().min(PREFIX_BYTES)];
+    let seed = xxh3_64(format!("{}/{}", record.terms.key.organisation, service.model).as_bytes());
+    xxh3_64_with_seed(start, seed)
+}
+
 fn not_sent(code: Code, again: bool) -> OwnerEvent {
     OwnerEvent::NotSent { code, again }
 }
--- a/crates/load/src/arrival.rs
+++ b/crates/load/src/arrival.rs
@@ -81,7 +81,7 @@
     let place = rng.random_range(0..workload.organisations[organisation].sessions);
     let offset = place as f64 * 0.618 % 1.0;
     let turn = (at_s / workload.session_s + offset) as u64;
-    (organisation as u64) << 48 | place << 24 | turn
+    (organisation as u64 + 1) << 48 | place << 24 | turn
 }
 
 /// Draws the length of an answer: uniform between a half and one and a half of the mean.
--- a/crates/load/src/earliest.rs
+++ b/crates/load/src/earliest.rs
@@ -1,10 +1,10 @@
 //! The first version of the policy, kept to compare with.
 
-use kernel::Millis;
+use kernel::{Millis, Name};
 use route::{Pool, Server, Wanted};
 
 /// Chooses the cheapest server predicted on time, or the soonest.
-pub(crate) fn choose(pool: &Pool, wanted: &Wanted<'_>, now: Millis) -> Option<(kernel::Name, f64)> {
+pub(crate) fn choose(pool: &Pool, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
     let fits = |server: &&Server| server.can_take(wanted, now);
     let candidates: Vec<(&Server, f64)> =
         pool.all().filter(fits).map(|server| (server, predict_ms(server, wanted))).collect();
@@ -20,7 +20,7 @@
         }
         None => candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1)),
     };
-    chosen.map(|(server, ms)| (server.name.clone(), *ms))
+    chosen.map(|(server, _)| server.name.clone())
 }
 
 fn predict_ms(server: &Server, wanted: &Wanted<'_>) -> f64 {
--- a/crates/load/src/engine.rs
+++ b/crates/load/src/engine.rs
@@ -5,6 +5,9 @@
 use route::Report;
 use std::collections::{HashMap, VecDeque};
 
+/// Weight of the newest step in the reported mean.
+const MEAN_WEIGHT: f64 = 0.1;
+
 /// A request at an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -49,6 +52,8 @@
     waiting: VecDeque<Job>,
     running: Vec<Running>,
     cache: Cache,
+    /// Mean of the last steps, prompt reading included, in milliseconds.
+    mean_step_ms: f64,
     /// Prompt tokens read.
     pub tokens_read: u64,
     /// Prompt tokens found in the cache.
@@ -60,6 +65,7 @@
     pub fn new(settings: EngineSettings) -> Self {
         Self {
             cache: Cache { capacity: settings.cache_tokens, ..Cache::default() },
+            mean_step_ms: settings.step_ms,
             settings,
             slow: 1.0,
             waiting: VecDeque::new(),
@@ -105,6 +111,7 @@
         let read = self.settings.chunk_tokens - chunk;
         let reading_ms = 1000.0 * read as f64 / self.settings.prompt_tokens_per_s;
         let ms = (self.step_ms() + reading_ms) * self.slow;
+        self.mean_step_ms += MEAN_WEIGHT * (ms - self.mean_step_ms);
         ((ms * 1000.0) as u64, entered)
     }
 
@@ -145,11 +152,12 @@
     pub fn report(&self) -> Report {
         let waiting: u64 = self.waiting.iter().map(|job| job.read_tokens).sum();
         let unread: u64 = self.running.iter().map(|running| running.unread).sum();
+        let step_ms = if self.is_idle() { self.step_ms() * self.slow } else { self.mean_step_ms };
         Report {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             waiting_prompt_tokens: waiting + unread,
-            step_ms: self.step_ms() * self.slow,
+            step_ms,
             prompt_tokens_per_s: self.settings.prompt_tokens_per_s / self.slow,
             batch: self.settings.batch,
         }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -18,7 +18,7 @@
 pub use bound::{Bound, bound};
 pub use engine::{Engine, Job, Progress};
 pub use outcome::{Outcome, Summary};
-pub use picker::{Picker, PolicyName};
+pub use picker::{Picked, Picker, PolicyName};
 pub use plot::plot;
 pub use report::{Row, table};
 pub use run::{Scenario, run};
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::Result;
 use load::{Faults, PolicyName, Row, Scenario, Workload, arrivals, bound, plot, run, table};
+use route::Policy;
 use std::path::{Path, PathBuf};
 
 fn main() -> Result<()> {
@@ -48,7 +49,7 @@
         ("round-robin", PolicyName::RoundRobin),
         ("least-in-flight", PolicyName::LeastInFlight),
         ("earliest", PolicyName::Earliest),
-        ("today", PolicyName::Today),
+        ("today", PolicyName::Today(Policy::default())),
     ]
 }
 
--- a/crates/load/src/picker.rs
+++ b/crates/load/src/picker.rs
@@ -2,7 +2,7 @@
 
 use crate::earliest;
 use kernel::{Millis, Name};
-use route::{Pool, Server, Wanted};
+use route::{Choice, Policy, Pool, Server, Wanted};
 
 /// A policy to compare.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,8 +15,29 @@
     LeastInFlight,
     /// The first version of ours.
     Earliest,
-    /// What entries run.
-    Today,
+    /// What entries run, with these settings.
+    Today(Policy),
+}
+
+/// The server that a policy chose.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Picked {
+    /// Name of the server.
+    pub server: Name,
+    /// Predicted milliseconds to the first token, if the policy predicts.
+    pub predicted_ms: Option<f64>,
+}
+
+impl Picked {
+    fn plain(server: Name) -> Self {
+        Self { server, predicted_ms: None }
+    }
+}
+
+impl From<Choice> for Picked {
+    fn from(choice: Choice) -> Self {
+        Self { server: choice.server, predicted_ms: Some(choice.predicted_ms) }
+    }
 }
 
 /// One entry's picture of the servers and its policy.
@@ -30,20 +51,24 @@
 
 impl Picker {
     /// Creates a picker without any server.
-    pub fn new(policy: PolicyName) -> Self {
-        Self { policy, turn: 0, pool: Pool::default() }
+    pub fn new(policy: PolicyName, entries: usize) -> Self {
+        let settings = match policy {
+            PolicyName::Today(settings) => settings,
+            _ => Policy::default(),
+        };
+        let mut pool = Pool::new(settings);
+        pool.set_entries(entries as u32);
+        Self { policy, turn: 0, pool }
     }
 
     /// Chooses a server.
-    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
+    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Picked> {
         match self.policy {
-            PolicyName::Random => self.random(wanted, now),
-            PolicyName::RoundRobin => self.round_robin(wanted, now),
-            PolicyName::LeastInFlight => self.least_in_flight(wanted, now),
-            PolicyName::Earliest => {
-                earliest::choose(&self.pool, wanted, now).map(|(server, _)| server)
-            }
-            PolicyName::Today => self.pool.choose(wanted, now).map(|choice| choice.server),
+            PolicyName::Random => self.random(wanted, now).map(Picked::plain),
+            PolicyName::RoundRobin => self.round_robin(wanted, now).map(Picked::plain),
+            PolicyName::LeastInFlight => self.least_in_flight(wanted, now).map(Picked::plain),
+            PolicyName::Earliest => earliest::choose(&self.pool, wanted, now).map(Picked::plain),
+            PolicyName::Today(_) => self.pool.choose(wanted, now).map(Picked::from),
         }
     }
 
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -1,18 +1,26 @@
 //! Which backend server takes a request.
 
 use crate::pool::{Pool, Server};
+use crate::predict::Prediction;
 use kernel::{Millis, Name};
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a request needs of a server.
 #[derive(Clone, Debug)]
 pub struct Wanted<'a> {
     /// Service, or model for an engine.
     pub serves: &'a str,
-    /// Prompt tokens to read.
+    /// Hash of organisation, model and the start of the prompt; 0 for none.
+    pub prefix: u64,
+    /// Tokens of that start.
+    pub prefix_tokens: u64,
+    /// Prompt tokens to read, the start included.
     pub prompt_tokens: u64,
     /// Target for the first token, in milliseconds.
     pub first_token_ms: f64,
+    /// Target for the time between two tokens, in milliseconds.
+    pub between_tokens_ms: f64,
     /// Servers that failed this request already.
     pub avoid: &'a [Name],
     /// A random number that breaks ties.
@@ -22,7 +30,11 @@
 /// Why a server was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
-    /// The cheapest of those predicted to be on time.
+    /// Of the servers in use, the one that is likely to hold the start of the prompt.
+    Cached,
+    /// Of the servers in use, the less busy one of two.
+    InUse,
+    /// Those in use would be late; this is the cheapest of the others.
     CheapestOnTime,
     /// None is predicted to be on time; this one is the soonest.
     Soonest,
@@ -37,38 +49,111 @@
     pub address: SocketAddr,
     /// Predicted milliseconds to the first token.
     pub predicted_ms: f64,
+    /// Price of an hour of the server.
+    pub price_per_hour: f64,
+    /// Whether the start of the prompt is thought to be cached there.
+    pub cached: bool,
     /// Number of servers considered.
     pub candidates: usize,
     /// Why this one.
     pub reason: Reason,
 }
 
+/// A server that may take the request.
+struct Candidate<'a> {
+    server: &'a Server,
+    prediction: Prediction,
+    cached: bool,
+    on_time: bool,
+}
+
 impl Pool {
     /// Chooses a server; `None` when none can take the request.
-    pub fn choose(&self, wanted: &Wanted<'_>, now: Millis) -> Option<Choice> {
-        let fits = |server: &&Server| server.can_take(wanted, now);
-        let candidates: Vec<(&Server, f64)> =
-            self.all().filter(fits).map(|server| (server, server.predict_ms(wanted))).collect();
-        let on_time: Vec<&(&Server, f64)> =
-            candidates.iter().filter(|(_, ms)| *ms <= wanted.first_token_ms).collect();
-        let price = |server: &Server| (server.price_per_hour * 1e6) as u64;
-        let cheapest = on_time.iter().map(|(server, _)| price(server)).min();
-        let (chosen, reason) = match cheapest {
-            Some(cheapest) => {
-                let tied: Vec<_> =
-                    on_time.into_iter().filter(|(server, _)| price(server) == cheapest).collect();
-                (two_choices(&tied, wanted.draw)?, Reason::CheapestOnTime)
-            }
-            None => (soonest(&candidates)?, Reason::Soonest),
-        };
+    ///
+    /// The cheapest servers whose batches hold the present demand are in use. A prompt goes to the
+    /// one of them that its start hashes to, as long as that one is on time and not much busier
+    /// than the others. When none in use is on time, the cheapest other one is taken.
+    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Choice> {
+        let demand = self.update_demand(wanted, now);
+        let candidates = self.candidates(wanted, now);
+        let (in_use, others) = candidates.split_at(self.count_in_use(&candidates, demand));
+        let (chosen, reason) = self
+            .choose_cached(in_use, wanted)
+            .map(|chosen| (chosen, Reason::Cached))
+            .or_else(|| two_choices(in_use, wanted.draw).map(|chosen| (chosen, Reason::InUse)))
+            .or_else(|| cheapest(others).map(|chosen| (chosen, Reason::CheapestOnTime)))
+            .or_else(|| soonest(&candidates).map(|chosen| (chosen, Reason::Soonest)))?;
         Some(Choice {
-            server: chosen.0.name.clone(),
-            address: chosen.0.address,
-            predicted_ms: chosen.1,
+            server: chosen.server.name.clone(),
+            address: chosen.server.address,
+            predicted_ms: chosen.prediction.first_token_ms,
+            price_per_hour: chosen.server.price_per_hour,
+            cached: chosen.cached,
             candidates: candidates.len(),
             reason,
         })
     }
+
+    /// Lists the servers that can take a request, the cheapest first.
+    fn candidates(&self, wanted: &Wanted<'_>, now: Millis) -> Vec<Candidate<'_>> {
+        let fits = |server: &&Server| server.can_take(wanted, now);
+        let mut all: Vec<_> =
+            self.all().filter(fits).map(|server| self.candidate(server, wanted)).collect();
+        all.sort_by(|a, b| a.server.price_per_hour.total_cmp(&b.server.price_per_hour));
+        all
+    }
+
+    fn candidate<'a>(&'a self, server: &'a Server, wanted: &Wanted<'_>) -> Candidate<'a> {
+        let cached = self.prefixes.is_at(wanted.prefix, &server.name);
+        let tokens = if cached { wanted.prefix_tokens } else { 0 };
+        let prediction = server.predict(wanted, tokens, self.entries, &self.policy);
+        let headroom = self.policy.headroom;
+        let on_time = prediction.first_token_ms <= headroom * wanted.first_token_ms
+            && prediction.between_tokens_ms <= headroom * wanted.between_tokens_ms;
+        Candidate { server, prediction, cached, on_time }
+    }
+
+    /// Takes the present load in and returns the demand.
+    fn update_demand(&mut self, wanted: &Wanted<'_>, now: Millis) -> f64 {
+        let senders = if self.policy.count_others { f64::from(self.entries.max(1)) } else { 1.0 };
+        let serving = self.all().filter(|server| server.serves(wanted.serves));
+        let load = serving.map(|server| server.busy(senders)).sum();
+        let peak_ms = self.policy.peak_ms;
+        self.demand.entry(wanted.serves.into()).or_default().update(load, now, peak_ms)
+    }
+
+    /// Counts the cheapest servers whose batches, filled to the set share, hold the demand.
+    fn count_in_use(&self, candidates: &[Candidate<'_>], demand: f64) -> usize {
+        if self.policy.fill <= 0.0 {
+            return candidates.len();
+        }
+        let mut room = 0.0;
+        let short = |candidate: &Candidate<'_>| {
+            let is_short = room < demand + 1.0;
+            room += self.policy.fill * f64::from(candidate.server.report.batch);
+            is_short
+        };
+        candidates.iter().map(short).take_while(|is_short| *is_short).count()
+    }
+
+    /// Finds the server that the start of the prompt hashes to, if it is not too busy.
+    fn choose_cached<'a>(
+        &self,
+        in_use: &'a [Candidate<'a>],
+        wanted: &Wanted<'_>,
+    ) -> Option<&'a Candidate<'a>> {
+        if wanted.prefix == 0 || self.policy.load_bound <= 0.0 {
+            return None;
+        }
+        let busy: f64 = in_use.iter().map(|candidate| candidate.prediction.busy).sum();
+        let bound = self.policy.load_bound * (busy + 1.0) / in_use.len().max(1) as f64 + 1.0;
+        let fits =
+            |candidate: &&Candidate<'_>| candidate.on_time && candidate.prediction.busy <= bound;
+        let weight = |candidate: &&Candidate<'_>| {
+            xxh3_64_with_seed(candidate.server.name.as_bytes(), wanted.prefix)
+        };
+        in_use.iter().filter(fits).max_by_key(weight)
+    }
 }
 
 impl Server {
@@ -76,31 +161,30 @@
     pub fn can_take(&self, wanted: &Wanted<'_>, now: Millis) -> bool {
         !self.leaving
             && now >= self.shunned_until
-            && self.serves.iter().any(|name| name == wanted.serves)
+            && self.serves(wanted.serves)
             && !wanted.avoid.contains(&self.name)
     }
 
-    /// Predicts the milliseconds to the first token from the last report and what was sent since.
-    pub fn predict_ms(&self, wanted: &Wanted<'_>) -> f64 {
-        let report = &self.report;
-        let prompt = report.waiting_prompt_tokens + self.prompt_since + wanted.prompt_tokens;
-        let reading = 1000.0 * prompt as f64 / report.prompt_tokens_per_s.max(1.0);
-        let busy = report.running + report.waiting + self.sent_since;
-        let over = f64::from(busy.saturating_sub(report.batch.saturating_sub(1)));
-        // A request beyond the batch waits for one of the batch to end.
-        let queue = over * report.step_ms * 8.0;
-        reading + queue + report.step_ms
+    fn serves(&self, name: &str) -> bool {
+        self.serves.iter().any(|served| served == name)
     }
 }
 
-/// Takes the better of two drawn servers, so that entries with the same picture spread.
-fn two_choices<'a>(tied: &[&'a (&'a Server, f64)], draw: u64) -> Option<&'a (&'a Server, f64)> {
-    let count = tied.len() as u64;
-    let first = tied.get((draw % count.max(1)) as usize)?;
-    let second = tied.get(((draw >> 32) % count) as usize)?;
-    Some(if second.1 < first.1 { second } else { first })
+/// Takes the less busy of two drawn servers, so that entries with the same picture spread.
+fn two_choices<'a>(in_use: &'a [Candidate<'a>], draw: u64) -> Option<&'a Candidate<'a>> {
+    let on_time: Vec<_> = in_use.iter().filter(|candidate| candidate.on_time).collect();
+    let count = on_time.len() as u64;
+    let first = on_time.get((draw % count.max(1)) as usize)?;
+    let second = on_time.get(((draw >> 32) % count) as usize)?;
+    Some(if second.prediction.busy < first.prediction.busy { second } else { first })
+}
+
+/// Takes the first on time of servers in the order of price.
+fn cheapest<'a>(others: &'a [Candidate<'a>]) -> Option<&'a Candidate<'a>> {
+    others.iter().find(|candidate| candidate.on_time)
 }
 
-fn soonest<'a>(candidates: &'a [(&'a Server, f64)]) -> Option<&'a (&'a Server, f64)> {
-    candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1))
+fn soonest<'a>(candidates: &'a [Candidate<'a>]) -> Option<&'a Candidate<'a>> {
+    let ms = |candidate: &Candidate<'_>| candidate.prediction.first_token_ms;
+    candidates.iter().min_by(|a, b| ms(a).total_cmp(&ms(b)))
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,5 +1,8 @@
 //! The backend servers as one entry sees them.
 
+use crate::demand::Demand;
+use crate::policy::Policy;
+use crate::prefixes::Prefixes;
 use kernel::{Millis, Name};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -64,6 +67,8 @@
     pub sent_since: u32,
     /// Prompt tokens of those.
     pub prompt_since: u64,
+    /// Measured times to the first token, divided by the predicted ones.
+    pub correction: f64,
     /// Failures in a row.
     pub failures: u32,
     /// No new work before this time, in milliseconds.
@@ -73,15 +78,34 @@
 /// The backend servers by name.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    pub(crate) policy: Policy,
+    pub(crate) entries: u32,
+    pub(crate) demand: BTreeMap<Name, Demand>,
+    pub(crate) prefixes: Prefixes,
     servers: BTreeMap<Name, Server>,
 }
 
+/// Weight of the newest measurement in the correction of a server.
+const CORRECTION_WEIGHT: f64 = 0.1;
+/// Least and largest correction.
+const CORRECTIONS: (f64, f64) = (0.5, 4.0);
+
 /// Milliseconds without new work after a failure; doubles with each one in a row.
 const SHUN_MS: Millis = 250;
 /// Largest number of doublings.
 const SHUN_DOUBLINGS: u32 = 5;
 
 impl Pool {
+    /// Creates a pool without any server.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, entries: 1, ..Self::default() }
+    }
+
+    /// Sets how many entries send requests to the servers.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries;
+    }
+
     /// Takes the VM list in: new servers appear, missing ones go, a leaving one never comes back.
     pub fn update(&mut self, listed: Vec<Server>) {
         let mut old = std::mem::take(&mut self.servers);
@@ -115,15 +139,32 @@
         }
     }
 
-    /// Notes a request sent to a server.
-    pub fn sent(&mut self, name: &str, prompt_tokens: u64) {
+    /// Notes a request sent to a server, and that it reads a prompt with this start.
+    pub fn sent(&mut self, name: &str, prefix: u64, prompt_tokens: u64) {
         if let Some(server) = self.servers.get_mut(name) {
+            if prefix != 0 {
+                self.prefixes.put(prefix, &server.name);
+            }
             server.mine += 1;
             server.sent_since += 1;
             server.prompt_since += prompt_tokens;
         }
     }
 
+    /// Notes the time to a first token, in milliseconds.
+    pub fn first_token(&mut self, name: &str, predicted_ms: f64, measured_ms: f64) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        let (least, largest) = CORRECTIONS;
+        let plain_ms = predicted_ms / server.correction;
+        let factor = (measured_ms / plain_ms.max(1.0)).clamp(least, largest);
+        server.correction += CORRECTION_WEIGHT * (factor - server.correction);
+    }
+
+    /// Takes in that a start of a prompt is no longer cached.
+    pub fn evicted(&mut self, prefix: u64) {
+        self.prefixes.remove(prefix);
+    }
+
     /// Notes the end of a request at a server.
     pub fn ended(&mut self, name: &str, failed: bool, now: Millis) {
         let Some(server) = self.servers.get_mut(name) else { return };
--- /dev/null
+++ b/crates/route/src/predict.rs
@@ -0,0 +1,55 @@
+//! Predictions from the last report and what was sent since.
+
+use crate::choice::Wanted;
+use crate::policy::Policy;
+use crate::pool::Server;
+
+/// Tokens of a usual answer, after which a place in the batch becomes free.
+const USUAL_ANSWER_TOKENS: f64 = 100.0;
+
+/// What is expected of a server if it gets a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Milliseconds to the first token.
+    pub first_token_ms: f64,
+    /// Milliseconds between two tokens.
+    pub between_tokens_ms: f64,
+    /// Requests that it holds.
+    pub busy: f64,
+}
+
+impl Server {
+    /// Predicts how a server would serve a request of which it has `cached` tokens.
+    pub fn predict(
+        &self,
+        wanted: &Wanted<'_>,
+        cached: u64,
+        entries: u32,
+        policy: &Policy,
+    ) -> Prediction {
+        let report = &self.report;
+        let senders = if policy.count_others { f64::from(entries.max(1)) } else { 1.0 };
+        let busy = self.busy(senders);
+        let since = self.prompt_since as f64 * senders;
+        let own = wanted.prompt_tokens.saturating_sub(cached);
+        let unread = report.waiting_prompt_tokens as f64 + since + own as f64;
+        let reading = 1000.0 * unread / report.prompt_tokens_per_s.max(1.0);
+        let over = (busy + 1.0 - f64::from(report.batch)).max(0.0);
+        let leaves_ms = USUAL_ANSWER_TOKENS * report.step_ms / f64::from(report.batch.max(1));
+        let correction = if policy.correct { self.correction } else { 1.0 };
+        Prediction {
+            first_token_ms: (reading + report.step_ms) * correction + over * leaves_ms,
+            between_tokens_ms: report.step_ms,
+            busy,
+        }
+    }
+
+    /// Estimates the requests that the server holds, when each of `senders` sends as this entry.
+    pub(crate) fn busy(&self, senders: f64) -> f64 {
+        if !self.model {
+            return f64::from(self.mine) * senders;
+        }
+        let reported = f64::from(self.report.running + self.report.waiting);
+        reported + f64::from(self.sent_since) * senders
+    }
+}
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -58,16 +58,23 @@
         log: Logger,
     ) -> Arc<Self> {
         let settings = Settings::default();
-        let (pool, reclaimed) = (Mutex::default(), watch::channel(None).0);
+        let pool = Mutex::new(Pool::new(route::Policy::default()));
+        let reclaimed = watch::channel(None).0;
         Arc::new(Self { pool, engine, list, cloud, cluster, clock, log, settings, reclaimed })
     }
 
     /// Chooses a server and logs the choice.
     pub fn choose(&self, key: &Key, wanted: &Wanted<'_>) -> Option<Choice> {
-        let choice = self.pool().choose(wanted, self.clock.now());
+        let entries = self.cluster.members().iter().filter(|member| takes_new(member)).count();
+        let choice = {
+            let mut pool = self.pool();
+            pool.set_entries(entries as u32);
+            pool.choose(wanted, self.clock.now())
+        };
         match &choice {
             Some(choice) => info!(self.log, "routed"; "key" => key.to_string(),
                 "server" => choice.server.as_str(), "predicted_ms" => choice.predicted_ms,
+                "price_per_hour" => choice.price_per_hour, "cached" => choice.cached,
                 "candidates" => choice.candidates, "reason" => format!("{:?}", choice.reason)),
             None => {
                 warn!(self.log, "not routed"; "key" => key.to_string(), "serves" => wanted.serves)
@@ -76,9 +83,14 @@
         choice
     }
 
-    /// Notes a request sent to a server.
-    pub fn sent(&self, server: &str, prompt_tokens: u64) {
-        self.pool().sent(server, prompt_tokens);
+    /// Notes a request sent to a server, and that it reads a prompt with this start.
+    pub fn sent(&self, server: &str, prefix: u64, prompt_tokens: u64) {
+        self.pool().sent(server, prefix, prompt_tokens);
+    }
+
+    /// Notes the time to a first token, in milliseconds.
+    pub fn first_token(&self, choice: &Choice, measured_ms: f64) {
+        self.pool().first_token(&choice.server, choice.predicted_ms, measured_ms);
     }
 
     /// Notes the end of a request at a server.
@@ -202,6 +214,10 @@
     }
 }
 
+fn takes_new(member: &member::Member) -> bool {
+    member.state == member::MemberState::Alive
+}
+
 fn server(vm: Vm, leaving: &[Name]) -> Server {
     Server {
         leaving: vm.state == VmState::Leaving || leaving.contains(&vm.name),
@@ -217,6 +233,7 @@
         mine: 0,
         sent_since: 0,
         prompt_since: 0,
+        correction: 1.0,
         failures: 0,
         shunned_until: 0,
     }
