Guard long requests from reclaims; drop parts that do not pay

A request of 8,192 tokens or more (policy key guard_tokens) now goes to servers that are not reclaimed, packed among themselves, and to any other when those are late.

The engine model now reads prompts of higher priority first, as engines do. The fill goes from 0.5 to 0.35 of a batch. Both are policy keys.

Tests red first, with guard, packing and cache locality off: a_request_with_many_tokens_to_lose_goes_to_a_server_that_is_not_reclaimed left: "kept" right: "cheap" an_idle_fleet_is_packed_on_its_cheapest_server FAILED one_prompt_start_goes_to_one_server left: InUse right: Cached With them on: 7 passed.

--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -130,11 +130,21 @@
     pub retry_share: f64,
     /// Time that callers may keep the list of entries.
     pub entries_valid: Duration,
+    /// Share of its batch up to which a server is filled before another one is used.
+    pub fill: f64,
+    /// Tokens of prompt and answer from which a request goes to a server that is not reclaimed; 0
+    /// for none.
+    pub guard_tokens: u64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { retry_share: 0.1, entries_valid: Duration::from_secs(10) }
+        Self {
+            retry_share: 0.1,
+            entries_valid: Duration::from_secs(10),
+            fill: 0.35,
+            guard_tokens: 8_192,
+        }
     }
 }
 
@@ -286,6 +296,8 @@
             0.0..=1.0,
         ),
         entries_valid: fields.duration("entries_valid", default.entries_valid),
+        fill: fields.number("fill", "the share of a batch", default.fill, 0.05..=1.0),
+        guard_tokens: fields.count("guard_tokens", default.guard_tokens, 0..=100_000_000),
     };
     fields.finish();
     policy
--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -40,7 +40,10 @@
 
     async fn dispatch(&self, record: &Arc<Record>, attempt: u32) -> OwnerEvent {
         let service = match self.to.configuration.current() {
-            Ok(current) => current.config.service(&record.terms.service).cloned(),
+            Ok(current) => {
+                self.to.servers.set_policy(&current.config.policy);
+                current.config.service(&record.terms.service).cloned()
+            }
             Err(_) => None,
         };
         let Some(service) = service else { return not_sent(Code::UnknownService, false) };
@@ -71,6 +74,7 @@
             prefix: prefix(record, service),
             prefix_tokens: prompt_tokens,
             prompt_tokens,
+            answer_tokens: service.max_tokens,
             first_token_ms: service.first_token.as_millis() as f64,
             between_tokens_ms: service.between_tokens.as_millis() as f64,
             avoid: &[],
@@ -148,9 +152,8 @@
                     Ok(None) => return Attempt::Answered,
                     Ok(Some(piece)) => {
                         if std::mem::take(&mut first) {
-                            let waited_ms = (self.clock.now() - started) as f64;
-                            self.counters.first_token.record(waited_ms / 1000.0, &[]);
-                            self.to.servers.first_token(choice, waited_ms);
+                            let waited = (self.clock.now() - started) as f64 / 1000.0;
+                            self.counters.first_token.record(waited, &[]);
                         }
                         record.state().append(piece.index as usize, 1, Bytes::from(piece.text));
                         record.touch();
--- a/crates/load/src/engine.rs
+++ b/crates/load/src/engine.rs
@@ -101,14 +101,8 @@
             self.tokens_cached += cached;
             self.running.push(Running { unread: job.read_tokens - cached, job });
         }
-        let mut chunk = self.settings.chunk_tokens;
-        for running in &mut self.running {
-            let read = running.unread.min(chunk);
-            running.unread -= read;
-            chunk -= read;
-            self.tokens_read += read;
-        }
-        let read = self.settings.chunk_tokens - chunk;
+        let read = self.read_chunk();
+        self.tokens_read += read;
         let reading_ms = 1000.0 * read as f64 / self.settings.prompt_tokens_per_s;
         let ms = (self.step_ms() + reading_ms) * self.slow;
         self.mean_step_ms += MEAN_WEIGHT * (ms - self.mean_step_ms);
@@ -163,6 +157,19 @@
         }
     }
 
+    /// Reads one chunk of prompts, those of higher priority first; returns its tokens.
+    fn read_chunk(&mut self) -> u64 {
+        let mut left = self.settings.chunk_tokens;
+        for priority in [Priority::High, Priority::Normal, Priority::Low] {
+            for running in self.running.iter_mut().filter(|r| r.job.priority == priority) {
+                let read = running.unread.min(left);
+                running.unread -= read;
+                left -= read;
+            }
+        }
+        self.settings.chunk_tokens - left
+    }
+
     fn step_ms(&self) -> f64 {
         self.settings.step_ms + self.settings.step_per_request_ms * self.running.len() as f64
     }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,21 +2,25 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::Result;
-use load::{Faults, PolicyName, Row, Scenario, Workload, arrivals, bound, plot, run, table};
+use load::{Faults, PolicyName, Row, Scenario, Total, Workload, arrivals, plot, run, table};
 use route::Policy;
 use std::path::{Path, PathBuf};
 
 fn main() -> Result<()> {
     let matches = command().get_matches();
-    let seed: u64 = matches.get_one("seed").copied().unwrap_or(1);
+    let seeds: u64 = matches.get_one("seeds").copied().unwrap_or(1);
     let out: &PathBuf = matches.get_one("out").ok_or_else(|| eyre::eyre!("no --out"))?;
     std::fs::create_dir_all(out)?;
+    let mut policies = policies();
+    for text in matches.get_many::<String>("variant").into_iter().flatten() {
+        policies.push((text.clone(), PolicyName::Today(variant(text)?)));
+    }
     let mut rows = Vec::new();
     for workload in paths(&matches, "workload") {
         let workload = Workload::read(workload)?;
         for faults in paths(&matches, "faults") {
             let faults = Faults::read(faults)?;
-            let some = compare(&workload, &faults, &policies(), seed);
+            let some = compare(&workload, &faults, &policies, seeds);
             print!("{}", table(&some));
             plot(&some, &out.join(format!("{}-{}.svg", workload.name, faults.name)))?;
             rows.extend(some);
@@ -36,41 +40,72 @@
         .arg(path("workload").required(true).help("Settings file of a workload"))
         .arg(path("faults").required(true).help("Schedule of faults"))
         .arg(path("out").action(ArgAction::Set).required(true).help("Directory for results"))
-        .arg(Arg::new("seed").long("seed").value_parser(value_parser!(u64)).help("Seed"))
+        .arg(Arg::new("variant").long("variant").action(ArgAction::Append).help(
+            "Settings of today's policy to compare as well, such as fill=0.4,count_others=false",
+        ))
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_parser(value_parser!(u64))
+                .help("Runs, with seeds from 1"),
+        )
 }
 
 fn paths<'a>(matches: &'a ArgMatches, name: &str) -> impl Iterator<Item = &'a Path> {
     matches.get_many::<PathBuf>(name).into_iter().flatten().map(PathBuf::as_path)
 }
 
-fn policies() -> Vec<(&'static str, PolicyName)> {
-    vec![
+/// Reads settings such as `fill=0.4,count_others=false`; the others are those of today.
+fn variant(text: &str) -> Result<Policy> {
+    let mut policy = Policy::default();
+    for part in text.split(',') {
+        let (key, value) = part.split_once('=').ok_or_else(|| eyre::eyre!("{part} lacks ="))?;
+        match key {
+            "fill" => policy.fill = value.parse()?,
+            "load_bound" => policy.load_bound = value.parse()?,
+            "guard_tokens" => policy.guard_tokens = value.parse()?,
+            "count_others" => policy.count_others = value.parse()?,
+            "average_ms" => policy.average_ms = value.parse()?,
+            _ => return Err(eyre::eyre!("{key} is no setting of the policy")),
+        }
+    }
+    Ok(policy)
+}
+
+fn policies() -> Vec<(String, PolicyName)> {
+    let all = vec![
         ("random", PolicyName::Random),
         ("round-robin", PolicyName::RoundRobin),
         ("least-in-flight", PolicyName::LeastInFlight),
         ("earliest", PolicyName::Earliest),
         ("today", PolicyName::Today(Policy::default())),
-    ]
+    ];
+    all.into_iter().map(|(name, policy)| (name.to_owned(), policy)).collect()
 }
 
 fn compare(
     workload: &Workload,
     faults: &Faults,
-    policies: &[(&str, PolicyName)],
-    seed: u64,
+    policies: &[(String, PolicyName)],
+    seeds: u64,
 ) -> Vec<Row> {
-    let arrivals = arrivals(workload, seed);
-    let bound = bound(workload, &arrivals);
-    let one = |(name, policy): &(&str, PolicyName)| {
-        let scenario = Scenario { workload, faults, arrivals: &arrivals, policy, seed };
-        let outcome = run(&scenario);
+    let drawn: Vec<_> = (1..=seeds).map(|seed| (seed, arrivals(workload, seed))).collect();
+    let one = |(name, policy): &(String, PolicyName)| {
+        let mut total = Total::default();
+        for (seed, arrivals) in &drawn {
+            let scenario = Scenario { workload, faults, arrivals, policy, seed: *seed };
+            total.add(workload, arrivals, run(&scenario));
+        }
         Row {
             workload: workload.name.clone(),
             faults: faults.name.clone(),
-            policy: (*name).to_owned(),
-            summary: outcome.summary(workload, &arrivals, bound.per_thousand),
-            by_second: outcome.by_second,
+            policy: name.clone(),
+            summary: total.summary(),
+            by_second: total.by_second(),
         }
     };
-    policies.iter().map(one).collect()
+    std::thread::scope(|scope| {
+        let runs: Vec<_> = policies.iter().map(|policy| scope.spawn(move || one(policy))).collect();
+        runs.into_iter().filter_map(|run| run.join().ok()).collect()
+    })
 }
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -1,6 +1,7 @@
 //! What became of the requests, and what the servers cost.
 
 use crate::arrival::Arrival;
+use crate::bound::bound;
 use crate::settings::{RequestKind, Workload};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -145,41 +146,91 @@
     pub between_ms: [f64; 3],
 }
 
-impl Outcome {
+/// The sum of runs with several seeds.
+#[derive(Debug, Default)]
+pub struct Total {
+    sum: Option<Outcome>,
+    models: Counts,
+    plains: Counts,
+    bound: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    came: u64,
+    on_time: u64,
+}
+
+impl Counts {
+    fn percent(self) -> f64 {
+        100.0 * self.on_time as f64 / self.came.max(1) as f64
+    }
+
+    fn per_thousand(self, cost: f64) -> f64 {
+        1000.0 * cost / self.on_time.max(1) as f64
+    }
+}
+
+impl Total {
+    /// Adds one run.
+    pub fn add(&mut self, workload: &Workload, arrivals: &[Arrival], outcome: Outcome) {
+        for (end, arrival) in outcome.ends.iter().zip(arrivals) {
+            let kind = &workload.kinds[arrival.kind];
+            let counts = if kind.model { &mut self.models } else { &mut self.plains };
+            counts.came += 1;
+            counts.on_time += u64::from(end.is_on_time(kind));
+        }
+        self.bound += bound(workload, arrivals).cost;
+        match &mut self.sum {
+            Some(sum) => sum.add(&outcome),
+            None => self.sum = Some(outcome),
+        }
+    }
+
     /// Sums up, against the lowest price of a thousand model answers that is possible.
-    pub fn summary(&self, workload: &Workload, arrivals: &[Arrival], bound: f64) -> Summary {
-        let (models, models_on_time) = self.count(workload, arrivals, true);
-        let (plains, plains_on_time) = self.count(workload, arrivals, false);
-        let percent = |part: u64, all: u64| 100.0 * part as f64 / all.max(1) as f64;
-        let per_thousand = |cost: f64, on_time: u64| 1000.0 * cost / on_time.max(1) as f64;
-        let cost_per_thousand = per_thousand(self.model_cost, models_on_time);
+    pub fn summary(&self) -> Summary {
+        let empty = Outcome::new(0);
+        let sum = self.sum.as_ref().unwrap_or(&empty);
+        let cost_per_thousand = self.models.per_thousand(sum.model_cost);
+        let bound = 1000.0 * self.bound / self.models.came.max(1) as f64;
         Summary {
-            requests: models + plains,
-            model_on_time_percent: percent(models_on_time, models),
-            plain_on_time_percent: percent(plains_on_time, plains),
+            requests: self.models.came + self.plains.came,
+            model_on_time_percent: self.models.percent(),
+            plain_on_time_percent: self.plains.percent(),
             cost_per_thousand,
             cost_to_bound: cost_per_thousand / bound,
-            plain_cost_per_thousand: per_thousand(self.plain_cost, plains_on_time),
-            recomputed: self.recomputed,
-            read: self.read,
-            refused: self.refused,
-            retries: self.retries,
-            first_ms: percentiles(&self.first),
-            between_ms: percentiles(&self.between),
+            plain_cost_per_thousand: self.plains.per_thousand(sum.plain_cost),
+            recomputed: sum.recomputed,
+            read: sum.read,
+            refused: sum.refused,
+            retries: sum.retries,
+            first_ms: percentiles(&sum.first),
+            between_ms: percentiles(&sum.between),
         }
     }
 
-    /// Counts the requests of model engines or of plain services, and those on time.
-    fn count(&self, workload: &Workload, arrivals: &[Arrival], model: bool) -> (u64, u64) {
-        let mut counts = (0, 0);
-        for (end, arrival) in self.ends.iter().zip(arrivals) {
-            let kind = &workload.kinds[arrival.kind];
-            if kind.model == model {
-                counts.0 += 1;
-                counts.1 += u64::from(end.is_on_time(kind));
-            }
+    /// Returns the requests on time and the arrivals in each second.
+    pub fn by_second(&self) -> Vec<(u64, u64)> {
+        self.sum.as_ref().map(|sum| sum.by_second.clone()).unwrap_or_default()
+    }
+}
+
+impl Outcome {
+    /// Adds the counts and times of another run.
+    fn add(&mut self, other: &Self) {
+        // Both histograms have the same bounds, so that adding cannot fail.
+        let _ = self.first.add(&other.first);
+        let _ = self.between.add(&other.between);
+        self.refused += other.refused;
+        self.retries += other.retries;
+        self.recomputed += other.recomputed;
+        self.read += other.read;
+        self.model_cost += other.model_cost;
+        self.plain_cost += other.plain_cost;
+        for (sum, more) in self.by_second.iter_mut().zip(&other.by_second) {
+            sum.0 += more.0;
+            sum.1 += more.1;
         }
-        counts
     }
 }
 
--- a/crates/load/src/picker.rs
+++ b/crates/load/src/picker.rs
@@ -2,7 +2,7 @@
 
 use crate::earliest;
 use kernel::{Millis, Name};
-use route::{Choice, Policy, Pool, Server, Wanted};
+use route::{Policy, Pool, Server, Wanted};
 
 /// A policy to compare.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,27 +19,6 @@
     Today(Policy),
 }
 
-/// The server that a policy chose.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Picked {
-    /// Name of the server.
-    pub server: Name,
-    /// Predicted milliseconds to the first token, if the policy predicts.
-    pub predicted_ms: Option<f64>,
-}
-
-impl Picked {
-    fn plain(server: Name) -> Self {
-        Self { server, predicted_ms: None }
-    }
-}
-
-impl From<Choice> for Picked {
-    fn from(choice: Choice) -> Self {
-        Self { server: choice.server, predicted_ms: Some(choice.predicted_ms) }
-    }
-}
-
 /// One entry's picture of the servers and its policy.
 #[derive(Debug)]
 pub struct Picker {
@@ -62,13 +41,13 @@
     }
 
     /// Chooses a server.
-    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Picked> {
+    pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Name> {
         match self.policy {
-            PolicyName::Random => self.random(wanted, now).map(Picked::plain),
-            PolicyName::RoundRobin => self.round_robin(wanted, now).map(Picked::plain),
-            PolicyName::LeastInFlight => self.least_in_flight(wanted, now).map(Picked::plain),
-            PolicyName::Earliest => earliest::choose(&self.pool, wanted, now).map(Picked::plain),
-            PolicyName::Today(_) => self.pool.choose(wanted, now).map(Picked::from),
+            PolicyName::Random => self.random(wanted, now),
+            PolicyName::RoundRobin => self.round_robin(wanted, now),
+            PolicyName::LeastInFlight => self.least_in_flight(wanted, now),
+            PolicyName::Earliest => earliest::choose(&self.pool, wanted, now),
+            PolicyName::Today(_) => self.pool.choose(wanted, now).map(|choice| choice.server),
         }
     }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -80,8 +80,6 @@
     attempt: u32,
     server: Option<(usize, Name)>,
     tokens: u64,
-    sent_us: u64,
-    predicted_ms: Option<f64>,
     last_us: u64,
     /// Tokens read for it so far, its cached start included.
     computed: u64,
@@ -201,18 +199,16 @@
             prefix: if kind.model { arrival.prefix } else { 0 },
             prefix_tokens: kind.prefix_tokens,
             prompt_tokens: read,
+            answer_tokens: kind.answer_tokens,
             first_token_ms: kind.first_token_ms - since_ms,
             between_tokens_ms: kind.between_tokens_ms,
             avoid: &[],
             draw: self.rng.random(),
         };
         let now_ms = self.now / 1000;
-        let Some(picked) = self.pickers[arrival.entry].choose(&wanted, now_ms) else {
+        let Some(name) = self.pickers[arrival.entry].choose(&wanted, now_ms) else {
             return self.refuse(request);
         };
-        let name = picked.server;
-        self.live[request].sent_us = self.now;
-        self.live[request].predicted_ms = picked.predicted_ms;
         self.pickers[arrival.entry].pool.sent(&name, wanted.prefix, read);
         self.live[request].attempt += 1;
         self.outcome.retries += u64::from(self.live[request].attempt > 1);
@@ -312,7 +308,6 @@
     fn token(&mut self, request: usize, done: bool) {
         let asked = self.scenario.arrivals[request].at_us;
         let model = self.kind(request).model;
-        self.measure_first(request);
         let live = &mut self.live[request];
         let end = &mut self.outcome.ends[request];
         live.tokens += 1;
@@ -337,16 +332,6 @@
         }
     }
 
-    /// Tells the entry how long the first token of an attempt took.
-    fn measure_first(&mut self, request: usize) {
-        let live = &mut self.live[request];
-        let Some(predicted_ms) = live.predicted_ms.take() else { return };
-        let Some((_, name)) = &live.server else { return };
-        let measured_ms = (self.now - live.sent_us) as f64 / 1000.0;
-        let entry = self.scenario.arrivals[request].entry;
-        self.pickers[entry].pool.first_token(name, predicted_ms, measured_ms);
-    }
-
     fn poll(&mut self, entry: usize) {
         let up = self.places.iter().filter(|place| place.up);
         let model = up.filter(|place| self.scenario.workload.groups[place.group].model);
@@ -508,7 +493,6 @@
             mine: 0,
             sent_since: 0,
             prompt_since: 0,
-            correction: 1.0,
             failures: 0,
             shunned_until: 0,
         }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -17,6 +17,8 @@
     pub prefix_tokens: u64,
     /// Prompt tokens to read, the start included.
     pub prompt_tokens: u64,
+    /// Tokens of the answer, as far as can be told.
+    pub answer_tokens: u64,
     /// Target for the first token, in milliseconds.
     pub first_token_ms: f64,
     /// Target for the time between two tokens, in milliseconds.
@@ -67,15 +69,33 @@
     on_time: bool,
 }
 
+/// Which servers are considered.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Class {
+    /// Those that are not reclaimed.
+    Kept,
+    /// All.
+    Any,
+}
+
 impl Pool {
     /// Chooses a server; `None` when none can take the request.
     ///
     /// The cheapest servers whose batches hold the present demand are in use. A prompt goes to the
     /// one of them that its start hashes to, as long as that one is on time and not much busier
-    /// than the others. When none in use is on time, the cheapest other one is taken.
+    /// than the others. When none in use is on time, the cheapest other one is taken. A request
+    /// with many tokens to lose does so among the servers that are not reclaimed first.
     pub fn choose(&mut self, wanted: &Wanted<'_>, now: Millis) -> Option<Choice> {
-        let demand = self.update_demand(wanted, now);
-        let candidates = self.candidates(wanted, now);
+        let tokens = wanted.prompt_tokens + wanted.answer_tokens;
+        let guarded = self.policy.guard_tokens > 0 && tokens >= self.policy.guard_tokens;
+        let kept = if guarded { self.choose_among(Class::Kept, wanted, now) } else { None };
+        let on_time = kept.filter(|choice| choice.reason != Reason::Soonest);
+        on_time.or_else(|| self.choose_among(Class::Any, wanted, now))
+    }
+
+    fn choose_among(&mut self, class: Class, wanted: &Wanted<'_>, now: Millis) -> Option<Choice> {
+        let demand = self.update_demand(class, wanted, now);
+        let candidates = self.candidates(class, wanted, now);
         let (in_use, others) = candidates.split_at(self.count_in_use(&candidates, demand));
         let (chosen, reason) = self
             .choose_cached(in_use, wanted)
@@ -95,8 +115,8 @@
     }
 
     /// Lists the servers that can take a request, the cheapest first.
-    fn candidates(&self, wanted: &Wanted<'_>, now: Millis) -> Vec<Candidate<'_>> {
-        let fits = |server: &&Server| server.can_take(wanted, now);
+    fn candidates(&self, class: Class, wanted: &Wanted<'_>, now: Millis) -> Vec<Candidate<'_>> {
+        let fits = |server: &&Server| server.is_in(class) && server.can_take(wanted, now);
         let mut all: Vec<_> =
             self.all().filter(fits).map(|server| self.candidate(server, wanted)).collect();
         all.sort_by(|a, b| a.server.price_per_hour.total_cmp(&b.server.price_per_hour));
@@ -106,20 +126,24 @@
     fn candidate<'a>(&'a self, server: &'a Server, wanted: &Wanted<'_>) -> Candidate<'a> {
         let cached = self.prefixes.is_at(wanted.prefix, &server.name);
         let tokens = if cached { wanted.prefix_tokens } else { 0 };
-        let prediction = server.predict(wanted, tokens, self.entries, &self.policy);
-        let headroom = self.policy.headroom;
-        let on_time = prediction.first_token_ms <= headroom * wanted.first_token_ms
-            && prediction.between_tokens_ms <= headroom * wanted.between_tokens_ms;
+        let prediction = server.predict(wanted, tokens, self.senders());
+        let on_time = prediction.first_token_ms <= wanted.first_token_ms
+            && prediction.between_tokens_ms <= wanted.between_tokens_ms;
         Candidate { server, prediction, cached, on_time }
     }
 
+    /// Returns how many entries are taken to send as much as this one.
+    fn senders(&self) -> f64 {
+        if self.policy.count_others { f64::from(self.entries.max(1)) } else { 1.0 }
+    }
+
     /// Takes the present load in and returns the demand.
-    fn update_demand(&mut self, wanted: &Wanted<'_>, now: Millis) -> f64 {
-        let senders = if self.policy.count_others { f64::from(self.entries.max(1)) } else { 1.0 };
-        let serving = self.all().filter(|server| server.serves(wanted.serves));
-        let load = serving.map(|server| server.busy(senders)).sum();
-        let peak_ms = self.policy.peak_ms;
-        self.demand.entry(wanted.serves.into()).or_default().update(load, now, peak_ms)
+    fn update_demand(&mut self, class: Class, wanted: &Wanted<'_>, now: Millis) -> f64 {
+        let serves = |server: &&Server| server.is_in(class) && server.serves(wanted.serves);
+        let load = self.all().filter(serves).map(|server| server.busy(self.senders())).sum();
+        let policy = self.policy;
+        let demand = self.demand.entry((class, wanted.serves.into())).or_default();
+        demand.update(load, now, &policy)
     }
 
     /// Counts the cheapest servers whose batches, filled to the set share, hold the demand.
@@ -165,6 +189,10 @@
             && !wanted.avoid.contains(&self.name)
     }
 
+    fn is_in(&self, class: Class) -> bool {
+        class == Class::Any || !self.reclaimable
+    }
+
     fn serves(&self, name: &str) -> bool {
         self.serves.iter().any(|served| served == name)
     }
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -1,21 +1,22 @@
-//! How many requests the servers hold, with the memory of a past peak.
+//! How many requests servers hold, averaged.
 
+use crate::policy::Policy;
 use kernel::Millis;
 
 /// The demand for one model or plain service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Demand {
-    level: f64,
+    mean: f64,
     at: Millis,
 }
 
 impl Demand {
-    /// Takes the present load in and returns the demand, which falls slowly after a peak.
-    pub(crate) fn update(&mut self, load: f64, now: Millis, peak_ms: Millis) -> f64 {
+    /// Takes the present load in and returns the requests expected at once.
+    pub(crate) fn update(&mut self, load: f64, now: Millis, policy: &Policy) -> f64 {
         let passed = now.saturating_sub(self.at) as f64;
-        let fallen = self.level * (-passed / peak_ms.max(1) as f64).exp();
-        self.level = load.max(fallen);
+        let kept = (-passed / policy.average_ms.max(1) as f64).exp();
+        self.mean = load + (self.mean - load) * kept;
         self.at = now;
-        self.level
+        self.mean
     }
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,5 +1,6 @@
 //! The backend servers as one entry sees them.
 
+use crate::choice::Class;
 use crate::demand::Demand;
 use crate::policy::Policy;
 use crate::prefixes::Prefixes;
@@ -67,8 +68,6 @@
     pub sent_since: u32,
     /// Prompt tokens of those.
     pub prompt_since: u64,
-    /// Measured times to the first token, divided by the predicted ones.
-    pub correction: f64,
     /// Failures in a row.
     pub failures: u32,
     /// No new work before this time, in milliseconds.
@@ -80,16 +79,11 @@
 pub struct Pool {
     pub(crate) policy: Policy,
     pub(crate) entries: u32,
-    pub(crate) demand: BTreeMap<Name, Demand>,
+    pub(crate) demand: BTreeMap<(Class, Name), Demand>,
     pub(crate) prefixes: Prefixes,
     servers: BTreeMap<Name, Server>,
 }
 
-/// Weight of the newest measurement in the correction of a server.
-const CORRECTION_WEIGHT: f64 = 0.1;
-/// Least and largest correction.
-const CORRECTIONS: (f64, f64) = (0.5, 4.0);
-
 /// Milliseconds without new work after a failure; doubles with each one in a row.
 const SHUN_MS: Millis = 250;
 /// Largest number of doublings.
@@ -101,6 +95,11 @@
         Self { policy, entries: 1, ..Self::default() }
     }
 
+    /// Sets the policy.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Sets how many entries send requests to the servers.
     pub fn set_entries(&mut self, entries: u32) {
         self.entries = entries;
@@ -151,15 +150,6 @@
         }
     }
 
-    /// Notes the time to a first token, in milliseconds.
-    pub fn first_token(&mut self, name: &str, predicted_ms: f64, measured_ms: f64) {
-        let Some(server) = self.servers.get_mut(name) else { return };
-        let (least, largest) = CORRECTIONS;
-        let plain_ms = predicted_ms / server.correction;
-        let factor = (measured_ms / plain_ms.max(1.0)).clamp(least, largest);
-        server.correction += CORRECTION_WEIGHT * (factor - server.correction);
-    }
-
     /// Takes in that a start of a prompt is no longer cached.
     pub fn evicted(&mut self, prefix: u64) {
         self.prefixes.remove(prefix);
--- a/crates/route/src/predict.rs
+++ b/crates/route/src/predict.rs
@@ -1,7 +1,6 @@
 //! Predictions from the last report and what was sent since.
 
 use crate::choice::Wanted;
-use crate::policy::Policy;
 use crate::pool::Server;
 
 /// Tokens of a usual answer, after which a place in the batch becomes free.
@@ -19,16 +18,10 @@
 }
 
 impl Server {
-    /// Predicts how a server would serve a request of which it has `cached` tokens.
-    pub fn predict(
-        &self,
-        wanted: &Wanted<'_>,
-        cached: u64,
-        entries: u32,
-        policy: &Policy,
-    ) -> Prediction {
+    /// Predicts how a server would serve a request of which it has `cached` tokens, when each of
+    /// `senders` entries sends as much as this one.
+    pub fn predict(&self, wanted: &Wanted<'_>, cached: u64, senders: f64) -> Prediction {
         let report = &self.report;
-        let senders = if policy.count_others { f64::from(entries.max(1)) } else { 1.0 };
         let busy = self.busy(senders);
         let since = self.prompt_since as f64 * senders;
         let own = wanted.prompt_tokens.saturating_sub(cached);
@@ -36,9 +29,8 @@
         let reading = 1000.0 * unread / report.prompt_tokens_per_s.max(1.0);
         let over = (busy + 1.0 - f64::from(report.batch)).max(0.0);
         let leaves_ms = USUAL_ANSWER_TOKENS * report.step_ms / f64::from(report.batch.max(1));
-        let correction = if policy.correct { self.correction } else { 1.0 };
         Prediction {
-            first_token_ms: (reading + report.step_ms) * correction + over * leaves_ms,
+            first_token_ms: reading + report.step_ms + over * leaves_ms,
             between_tokens_ms: report.step_ms,
             busy,
         }
--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,141 @@
+//! Choice of a server.
+
+use kernel::Name;
+use proptest::prelude::*;
+use route::{Policy, Pool, Reason, Report, Server, Wanted};
+use std::net::SocketAddr;
+
+fn server(name: &str, price_per_hour: f64, reclaimable: bool) -> Server {
+    Server {
+        name: name.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "howrah".into(),
+        price_per_hour,
+        reclaimable,
+        model: true,
+        serves: vec!["m".into()],
+        leaving: false,
+        report: Report::default(),
+        reported_at: 0,
+        mine: 0,
+        sent_since: 0,
+        prompt_since: 0,
+        failures: 0,
+        shunned_until: 0,
+    }
+}
+
+fn wanted(prefix: u64, draw: u64) -> Wanted<'static> {
+    Wanted {
+        serves: "m",
+        prefix,
+        prefix_tokens: 1_000,
+        prompt_tokens: 1_100,
+        answer_tokens: 100,
+        first_token_ms: 350.0,
+        between_tokens_ms: 40.0,
+        avoid: &[],
+        draw,
+    }
+}
+
+fn pool(servers: Vec<Server>) -> Pool {
+    let mut pool = Pool::new(Policy::default());
+    pool.update(servers);
+    pool
+}
+
+fn busy(running: u32) -> Report {
+    Report { running, ..Report::default() }
+}
+
+fn names(pool: &mut Pool, count: u64) -> Vec<Name> {
+    let choose = |draw| pool.choose(&wanted(draw + 1, draw << 32 | draw), 0);
+    (0..count).filter_map(choose).map(|choice| choice.server).collect()
+}
+
+#[test]
+fn an_idle_fleet_is_packed_on_its_cheapest_server() {
+    let servers = vec![server("a", 2.0, true), server("b", 1.0, true), server("c", 3.0, true)];
+    assert!(names(&mut pool(servers), 20).iter().all(|name| name == "b"));
+}
+
+#[test]
+fn a_second_server_is_used_when_the_demand_exceeds_the_fill_of_the_first() {
+    let mut pool = pool(vec![server("a", 2.0, true), server("b", 1.0, true)]);
+    pool.report("b", busy(14), 10_000);
+    let chosen: Vec<Name> = (0..50)
+        .filter_map(|draw| pool.choose(&wanted(draw + 1, draw), 20_000))
+        .map(|choice| choice.server)
+        .collect();
+    assert!(chosen.iter().any(|name| name == "a"));
+}
+
+#[test]
+fn one_prompt_start_goes_to_one_server() {
+    let mut pool = pool((0..8).map(|n| server(&format!("s{n}"), 1.0, true)).collect());
+    for n in 0..8 {
+        pool.report(&format!("s{n}"), busy(8), 0);
+    }
+    let first = pool.choose(&wanted(77, 1), 5_000).expect("a choice");
+    assert_eq!(first.reason, Reason::Cached);
+    for draw in 0..20 {
+        let again = pool.choose(&wanted(77, draw), 5_000).expect("a choice");
+        assert_eq!(again.server, first.server);
+    }
+}
+
+#[test]
+fn a_busy_server_loses_its_prompt_starts_to_others() {
+    let mut pool = pool((0..4).map(|n| server(&format!("s{n}"), 1.0, true)).collect());
+    for n in 0..4 {
+        pool.report(&format!("s{n}"), busy(9), 0);
+    }
+    let home = pool.choose(&wanted(77, 1), 5_000).expect("a choice").server;
+    pool.report(&home, busy(31), 5_000);
+    let other = pool.choose(&wanted(77, 1), 5_001).expect("a choice").server;
+    assert_ne!(other, home);
+}
+
+#[test]
+fn a_request_with_many_tokens_to_lose_goes_to_a_server_that_is_not_reclaimed() {
+    let mut pool = pool(vec![server("cheap", 1.0, true), server("kept", 3.0, false)]);
+    let long = Wanted { prompt_tokens: 2_000, answer_tokens: 8_000, ..wanted(1, 1) };
+    assert_eq!(pool.choose(&long, 0).expect("a choice").server, "kept");
+    assert_eq!(pool.choose(&wanted(1, 1), 0).expect("a choice").server, "cheap");
+}
+
+#[test]
+fn many_entries_with_one_old_picture_do_not_pile_on_one_server() {
+    let servers = || (0..4).map(|n| server(&format!("s{n}"), 1.0, true)).collect::<Vec<_>>();
+    let mut pools: Vec<Pool> = (0..8).map(|_| pool(servers())).collect();
+    let mut load = [0_u32; 4];
+    for (entry, pool) in pools.iter_mut().enumerate() {
+        pool.set_entries(8);
+        for round in 0..12 {
+            let draw = (entry as u64 * 12 + round + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let choice = pool.choose(&wanted(draw, draw), 10_000 * round).expect("a choice");
+            pool.sent(&choice.server, draw, 100);
+            load[choice.server[1..].parse::<usize>().expect("a number")] += 1;
+        }
+    }
+    assert!(load.iter().all(|requests| *requests <= 48), "{load:?}");
+}
+
+proptest! {
+    #[test]
+    fn a_leaving_shunned_or_avoided_server_is_never_chosen(
+        leaving in 0_usize..4, failed in 0_usize..4, avoided in 0_usize..4, draw: u64,
+    ) {
+        let mut pool = pool((0..4).map(|n| server(&format!("s{n}"), 1.0, n % 2 == 0)).collect());
+        pool.leaving(&format!("s{leaving}"));
+        pool.ended(&format!("s{failed}"), true, 100);
+        let avoid = [Name::from(format!("s{avoided}"))];
+        let asked = Wanted { avoid: &avoid, ..wanted(draw | 1, draw) };
+        if let Some(choice) = pool.choose(&asked, 101) {
+            for other in [leaving, failed, avoided] {
+                prop_assert_ne!(choice.server.as_str(), format!("s{other}"));
+            }
+        }
+    }
+}
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -83,16 +83,16 @@
         choice
     }
 
+    /// Sets the policy of the configuration in force.
+    pub fn set_policy(&self, policy: &conf::Policy) {
+        self.pool().set_policy(policy.into());
+    }
+
     /// Notes a request sent to a server, and that it reads a prompt with this start.
     pub fn sent(&self, server: &str, prefix: u64, prompt_tokens: u64) {
         self.pool().sent(server, prefix, prompt_tokens);
     }
 
-    /// Notes the time to a first token, in milliseconds.
-    pub fn first_token(&self, choice: &Choice, measured_ms: f64) {
-        self.pool().first_token(&choice.server, choice.predicted_ms, measured_ms);
-    }
-
     /// Notes the end of a request at a server.
     pub fn ended(&self, server: &str, failed: bool) {
         let now = self.clock.now();
@@ -233,7 +233,6 @@
         mine: 0,
         sent_since: 0,
         prompt_since: 0,
-        correction: 1.0,
         failures: 0,
         shunned_until: 0,
     }
