Limit, admit and retry by budget; overload recovers without help

Cause: nothing bounded retries or refused what cannot be on time. With impatient callers, six times the usual load for 15 s left the system collapsed for good (a metastable state): every attempt reads its prompt again and is given up before its first token.

route gains Limits (token buckets whose share of an organisation's rate follows the demand that entries tell each other: Limits::tell gives the row, Limits::hear takes it; without rows each entry has an equal part), RetryBudgets (a share of each organisation's own requests, never past the deadline; answers cut by an announced reclaim go on regardless) and Admission (by predicted first token and finish, higher priorities wait longer, Retry-After from the backlog). exec asks for them before a new record is made, so that a refused request was never accepted.

--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to backend servers and takes the answer in.
 
+use crate::admit::wanted;
 use crate::record::{Record, Role};
 use crate::requests::Requests;
 use backend::Tag;
@@ -8,14 +9,6 @@
 use kernel::prelude::*;
 use ledger::OwnerEvent;
 use opentelemetry::KeyValue;
-use rand::RngExt;
-use route::Wanted;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-/// Bytes of a prompt that make about one token.
-const BYTES_PER_TOKEN: u64 = 4;
-/// Bytes at the start of a body that tell one conversation from another.
-const PREFIX_BYTES: usize = 1024;
 
 /// How one attempt at one server ended.
 enum Attempt {
@@ -40,10 +33,7 @@
 
     async fn dispatch(&self, record: &Arc<Record>, attempt: u32) -> OwnerEvent {
         let service = match self.to.configuration.current() {
-            Ok(current) => {
-                self.to.servers.set_policy(&current.config.policy);
-                current.config.service(&record.terms.service).cloned()
-            }
+            Ok(current) => current.config.service(&record.terms.service).cloned(),
             Err(_) => None,
         };
         let Some(service) = service else { return not_sent(Code::UnknownService, false) };
@@ -64,22 +54,8 @@
         service: &Service,
         attempt: u32,
     ) -> OwnerEvent {
-        let serves = match service.kind {
-            ServiceKind::Model => service.model.clone(),
-            ServiceKind::Plain => record.terms.service.clone(),
-        };
-        let prompt_tokens = record.terms.body.len() as u64 / BYTES_PER_TOKEN;
-        let wanted = Wanted {
-            serves: &serves,
-            prefix: prefix(record, service),
-            prefix_tokens: prompt_tokens,
-            prompt_tokens,
-            answer_tokens: service.max_tokens,
-            first_token_ms: service.first_token.as_millis() as f64,
-            between_tokens_ms: service.between_tokens.as_millis() as f64,
-            avoid: &[],
-            draw: rand::rng().random(),
-        };
+        let left_ms = record.left(self.clock.now()).as_millis() as u64;
+        let wanted = wanted(&record.terms, service, left_ms);
         let Some(choice) = self.to.servers.choose(&record.terms.key, &wanted) else {
             return not_sent(Code::NoServer, false);
         };
@@ -92,13 +68,14 @@
         if !may_send {
             return OwnerEvent::Broke { code: Code::Internal, again: false };
         }
-        self.to.servers.sent(&choice.server, wanted.prefix, prompt_tokens);
+        self.to.servers.sent(&choice.server, wanted.prefix, wanted.prompt_tokens);
         let outcome = match service.kind {
             ServiceKind::Model => self.generate(record, service, &choice, &tag).await,
             ServiceKind::Plain => self.call_plain(record, &choice, &tag).await,
         };
         self.to.servers.ended(&choice.server, !matches!(outcome, Attempt::Answered));
-        let again = attempt < self.settings.attempts;
+        let again =
+            !matches!(outcome, Attempt::Answered) && self.may_repeat(record, &choice, attempt);
         match outcome {
             Attempt::Answered => OwnerEvent::Answered,
             Attempt::NotSent(failure) => {
@@ -114,6 +91,14 @@
         }
     }
 
+    /// Decides whether a failed attempt is followed by another one; after a reclaim it always is.
+    fn may_repeat(&self, record: &Record, choice: &route::Choice, attempt: u32) -> bool {
+        let left = record.left(self.clock.now());
+        let reclaimed = self.to.servers.is_leaving(&choice.server);
+        attempt < self.settings.attempts
+            && (reclaimed || self.to.servers.may_retry(&record.terms.key.organisation, left))
+    }
+
     async fn generate(
         &self,
         record: &Arc<Record>,
@@ -191,17 +176,6 @@
     }
 }
 
-/// Hashes what the prompts of one conversation share: organisation, model and first bytes.
-fn prefix(record: &Record, service: &Service) -> u64 {
-    if service.kind == ServiceKind::Plain {
-        return 0;
-    }
-    let body = &record.terms.body;
-    let start = &body[..body.len().min(PREFIX_BYTES)];
-    let seed = xxh3_64(format!("{}/{}", record.terms.key.organisation, service.model).as_bytes());
-    xxh3_64_with_seed(start, seed)
-}
-
 fn not_sent(code: Code, again: bool) -> OwnerEvent {
     OwnerEvent::NotSent { code, again }
 }
--- a/crates/exec/src/lib.rs
+++ b/crates/exec/src/lib.rs
@@ -4,6 +4,7 @@
 //! that drives it; a request that arrives elsewhere is passed to its home. Callers read the answer
 //! of a request through [`Requests::read`], wherever it is.
 
+mod admit;
 mod claim;
 mod dispatch;
 mod drive;
--- a/crates/exec/src/submit.rs
+++ b/crates/exec/src/submit.rs
@@ -107,6 +107,7 @@
         if self.leaving.load(Ordering::SeqCst) {
             return Err(Failure::new(Code::Leaving, self.me().to_string()).rejected());
         }
+        self.admit(terms)?;
         let role = Role::Owner(Owner::offer(terms.repeatable));
         let witness = (witness != self.me()).then(|| witness.clone());
         let record = Record::new(terms.clone(), self.clock.now(), role, witness);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -21,7 +21,7 @@
 pub use picker::{Picker, PolicyName};
 pub use plot::plot;
 pub use report::{Row, table};
-pub use run::{Scenario, run};
+pub use run::{Protection, Scenario, run};
 pub use settings::{
     Burst, EngineSettings, Fault, FaultKind, Faults, Organisation, RequestKind, ServerGroup,
     Workload,
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,7 +2,9 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::Result;
-use load::{Faults, PolicyName, Row, Scenario, Total, Workload, arrivals, plot, run, table};
+use load::{
+    Faults, PolicyName, Protection, Row, Scenario, Total, Workload, arrivals, plot, run, table,
+};
 use route::Policy;
 use std::path::{Path, PathBuf};
 
@@ -93,7 +95,9 @@
     let one = |(name, policy): &(String, PolicyName)| {
         let mut total = Total::default();
         for (seed, arrivals) in &drawn {
-            let scenario = Scenario { workload, faults, arrivals, policy, seed: *seed };
+            let today = matches!(policy, PolicyName::Today(_));
+            let protection = if today { Protection::default() } else { Protection::NONE };
+            let scenario = Scenario { workload, faults, arrivals, policy, protection, seed: *seed };
             total.add(workload, arrivals, run(&scenario));
         }
         Row {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -8,7 +8,7 @@
 use kernel::Name;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use route::{Report, Server, Wanted};
+use route::{Admission, Report, Retry, RetryBudgets, Server, Verdict, Wanted};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
@@ -17,11 +17,35 @@
 const ATTEMPTS: u32 = 4;
 /// Time after which a failed attempt is repeated, in microseconds.
 const RETRY_US: u64 = 5_000;
+/// Time after which a caller that was refused without a time to wait asks again.
+const CALLER_US: u64 = 1_000_000;
+/// Milliseconds that an answer takes at least.
+const LEAST_ANSWER_MS: u64 = 20;
 /// Time after which the VM list shows a change, in microseconds.
 const LIST_US: u64 = 1_000_000;
 /// Time after which every entry knows of a notice, in microseconds.
 const NOTICE_US: u64 = 50_000;
 
+/// What protects entries and servers from overload.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Protection {
+    /// Share of its own requests that an organisation may send again; `None` for no bound.
+    pub retry_share: Option<f64>,
+    /// Whether requests that would be late are refused.
+    pub admission: bool,
+}
+
+impl Protection {
+    /// No protection.
+    pub const NONE: Self = Self { retry_share: None, admission: false };
+}
+
+impl Default for Protection {
+    fn default() -> Self {
+        Self { retry_share: Some(0.1), admission: true }
+    }
+}
+
 /// What is run.
 #[derive(Clone, Copy, Debug)]
 pub struct Scenario<'a> {
@@ -33,6 +57,8 @@
     pub arrivals: &'a [Arrival],
     /// Policy.
     pub policy: &'a PolicyName,
+    /// Protection against overload.
+    pub protection: Protection,
     /// Seed of the draws.
     pub seed: u64,
 }
@@ -53,6 +79,7 @@
     Arrive(usize),
     Retry(usize),
     Deadline(usize),
+    Stall { request: usize, attempt: u32 },
     Step { server: usize, run: u32 },
     Poll(usize),
     Deliver { entry: usize, batch: usize },
@@ -70,6 +97,7 @@
     up: bool,
     stepping: bool,
     engine: Engine,
+    announced: bool,
     held: Held,
     name: Name,
 }
@@ -78,6 +106,7 @@
 #[derive(Clone, Debug, Default)]
 struct Live {
     attempt: u32,
+    asked: u32,
     server: Option<(usize, Name)>,
     tokens: u64,
     last_us: u64,
@@ -94,6 +123,8 @@
     places: Vec<Place>,
     by_name: BTreeMap<Name, usize>,
     pickers: Vec<Picker>,
+    budgets: Vec<RetryBudgets>,
+    organisations: Vec<Name>,
     reports: Vec<Vec<(Name, Report)>>,
     live: Vec<Live>,
     lag: f64,
@@ -114,17 +145,22 @@
                     up: true,
                     stepping: false,
                     engine: Engine::new(settings.engine),
+                    announced: false,
                     held: Held::default(),
                     name: Name::from(format!("{}-{number}", settings.name)),
                 })
             })
             .collect();
         let names = places.iter().enumerate().map(|(index, place)| (place.name.clone(), index));
+        let organisations = workload.organisations.iter().map(|one| Name::from(one.name.as_str()));
+        let share = scenario.protection.retry_share.unwrap_or_default();
         let picker = |_| Picker::new(scenario.policy.clone(), workload.entries);
         Self {
             by_name: names.collect(),
             places,
             pickers: (0..workload.entries).map(picker).collect(),
+            budgets: vec![RetryBudgets::new(share); workload.entries],
+            organisations: organisations.collect(),
             reports: Vec::new(),
             live: vec![Live::default(); scenario.arrivals.len()],
             now: 0,
@@ -164,6 +200,7 @@
             Event::Arrive(request) => self.arrive(request),
             Event::Retry(request) => self.dispatch(request),
             Event::Deadline(request) => self.give_up(request),
+            Event::Stall { request, attempt } => self.stalled(request, attempt),
             Event::Step { server, run } => self.end_step(server, run),
             Event::Poll(entry) => self.poll(entry),
             Event::Deliver { entry, batch } => self.deliver(entry, batch),
@@ -202,12 +239,17 @@
             answer_tokens: kind.answer_tokens,
             first_token_ms: kind.first_token_ms - since_ms,
             between_tokens_ms: kind.between_tokens_ms,
+            left_ms: kind.deadline_ms - since_ms,
+            priority: kind.priority,
             avoid: &[],
             draw: self.rng.random(),
         };
         let now_ms = self.now / 1000;
+        if let Some(after_us) = self.refuses(request, &wanted) {
+            return self.refuse(request, after_us);
+        }
         let Some(name) = self.pickers[arrival.entry].choose(&wanted, now_ms) else {
-            return self.refuse(request);
+            return self.refuse(request, CALLER_US);
         };
         self.pickers[arrival.entry].pool.sent(&name, wanted.prefix, read);
         self.live[request].attempt += 1;
@@ -221,9 +263,42 @@
             answer_tokens: arrival.answer_tokens - so_far,
             priority: kind.priority,
         };
+        if let Some(stall_ms) = self.scenario.workload.stall_ms {
+            let attempt = job.attempt;
+            self.at(self.now + (stall_ms * 1000.0) as u64, Event::Stall { request, attempt });
+        }
         self.send(request, &name, job);
     }
 
+    /// Decides whether a first attempt is refused; returns when to come back, in microseconds.
+    fn refuses(&mut self, request: usize, wanted: &Wanted<'_>) -> Option<u64> {
+        if self.live[request].attempt > 0 {
+            return None;
+        }
+        let arrival = &self.scenario.arrivals[request];
+        self.budgets[arrival.entry].request(&self.organisations[arrival.organisation]);
+        if !self.scenario.protection.admission {
+            return None;
+        }
+        let choice = self.pickers[arrival.entry].pool.choose(wanted, self.now / 1000)?;
+        match Admission::default().decide(wanted, &choice) {
+            Verdict::Admit => None,
+            Verdict::Refuse(after_ms) => Some(after_ms * 1000),
+        }
+    }
+
+    /// Ends an attempt that has brought no token for long.
+    fn stalled(&mut self, request: usize, attempt: u32) {
+        let live = &self.live[request];
+        if live.over || live.attempt != attempt || live.tokens > 0 {
+            return;
+        }
+        let Some((server, name)) = self.live[request].server.take() else { return };
+        self.places[server].engine.cancel(request);
+        self.ended(request, &name, true);
+        self.again(request);
+    }
+
     fn send(&mut self, request: usize, name: &Name, job: Job) {
         let server = self.by_name.get(name).copied().filter(|server| self.places[*server].up);
         self.live[request].server = server.map(|server| (server, name.clone()));
@@ -243,15 +318,37 @@
 
     /// Sends a request once more, if it may be.
     fn again(&mut self, request: usize) {
-        if self.live[request].attempt >= ATTEMPTS {
-            return self.refuse(request);
+        if self.live[request].attempt >= ATTEMPTS || !self.has_budget(request) {
+            return self.refuse(request, CALLER_US);
         }
         self.at(self.now + RETRY_US, Event::Retry(request));
     }
 
-    fn refuse(&mut self, request: usize) {
-        self.live[request].over = true;
+    fn has_budget(&mut self, request: usize) -> bool {
+        if self.scenario.protection.retry_share.is_none() {
+            return true;
+        }
+        let arrival = &self.scenario.arrivals[request];
+        let since_ms = (self.now - arrival.at_us) / 1000;
+        let left_ms = (self.kind(request).deadline_ms as u64).saturating_sub(since_ms);
+        let organisation = &self.organisations[arrival.organisation];
+        let budgets = &mut self.budgets[arrival.entry];
+        budgets.retry(organisation, left_ms, LEAST_ANSWER_MS) == Retry::Now
+    }
+
+    /// Refuses a request; its caller may ask again after a while.
+    fn refuse(&mut self, request: usize, after_us: u64) {
         self.outcome.refused += 1;
+        if self.live[request].asked >= self.scenario.workload.caller_retries
+            || !self.kind(request).repeatable
+        {
+            self.live[request].over = true;
+            return;
+        }
+        let live = &mut self.live[request];
+        live.asked += 1;
+        live.attempt = 0;
+        self.at(self.now + after_us, Event::Retry(request));
     }
 
     fn give_up(&mut self, request: usize) {
@@ -418,6 +515,7 @@
         if self.deaf || self.places[server].run != run {
             return;
         }
+        self.places[server].announced = true;
         let name = self.places[server].name.clone();
         for picker in &mut self.pickers {
             picker.pool.leaving(&name);
@@ -436,10 +534,15 @@
         place.held.end(now_s);
         let name = place.name.clone();
         let lost = place.engine.kill();
+        let announced = std::mem::take(&mut place.announced);
         for (request, _) in lost {
             self.live[request].server = None;
             self.ended(request, &name, true);
-            if self.kind(request).repeatable { self.again(request) } else { self.refuse(request) }
+            match (self.kind(request).repeatable, announced) {
+                (true, true) => self.at(self.now + RETRY_US, Event::Retry(request)),
+                (true, false) => self.again(request),
+                (false, _) => self.refuse(request, CALLER_US),
+            }
         }
         self.at(self.now + LIST_US, Event::List);
     }
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -104,6 +104,10 @@
     pub report_every_ms: f64,
     /// Age of a load report when it arrives, in milliseconds.
     pub report_lag_ms: f64,
+    /// Time without a token after which an entry gives an attempt up, in milliseconds.
+    pub stall_ms: Option<f64>,
+    /// Times that a caller asks again after it was refused.
+    pub caller_retries: u32,
     /// Mean time that a session lasts, in seconds.
     pub session_s: f64,
     /// Servers.
@@ -171,6 +175,8 @@
             entries: run.get("entries")?,
             report_every_ms: run.get("report_every_ms")?,
             report_lag_ms: run.get("report_lag_ms")?,
+            stall_ms: None,
+            caller_retries: 0,
             session_s: run.get("session_s")?,
             groups: Vec::new(),
             organisations: Vec::new(),
--- a/crates/load/tests/comparison.rs
+++ b/crates/load/tests/comparison.rs
@@ -1,6 +1,6 @@
 //! What a comparison promises.
 
-use load::{Faults, Outcome, PolicyName, Scenario, Workload, arrivals, bound, run};
+use load::{Faults, Outcome, PolicyName, Protection, Scenario, Workload, arrivals, bound, run};
 use std::path::Path;
 
 fn workload(name: &str) -> Workload {
@@ -11,7 +11,14 @@
 fn run_one(workload: &Workload, policy: &PolicyName, seed: u64) -> Outcome {
     let arrivals = arrivals(workload, seed);
     let faults = Faults::default();
-    run(&Scenario { workload, faults: &faults, arrivals: &arrivals, policy, seed })
+    run(&Scenario {
+        workload,
+        faults: &faults,
+        arrivals: &arrivals,
+        policy,
+        protection: Protection::NONE,
+        seed,
+    })
 }
 
 #[test]
--- /dev/null
+++ b/crates/route/src/admission.rs
@@ -0,0 +1,63 @@
+//! Whether a request is taken on, by when it would be answered.
+
+use crate::choice::{Choice, Wanted};
+use conf::Priority;
+use kernel::Millis;
+
+/// Least and largest time after which a refused caller may come back, in milliseconds.
+const RETRY_AFTER_MS: (f64, f64) = (1_000.0, 30_000.0);
+
+/// Whether a request is taken on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is.
+    Admit,
+    /// It would be late; the caller may come back after this time, in milliseconds.
+    Refuse(Millis),
+}
+
+/// Settings of admission.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admission {
+    /// Times of the target for the first token that a request of low priority may wait.
+    pub low: f64,
+    /// The same for normal priority.
+    pub normal: f64,
+    /// The same for high priority.
+    pub high: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self { low: 1.0, normal: 2.0, high: 4.0 }
+    }
+}
+
+impl Admission {
+    /// Decides by the prediction for the chosen server.
+    ///
+    /// A request is refused when its answer would come after the deadline, or when its first token
+    /// would come later than its priority allows. The higher the priority, the longer it may wait,
+    /// so that the lower ones are refused first.
+    pub fn decide(&self, wanted: &Wanted<'_>, choice: &Choice) -> Verdict {
+        let times = match wanted.priority {
+            Priority::Low => self.low,
+            Priority::Normal => self.normal,
+            Priority::High => self.high,
+        };
+        let latest_ms = times * wanted.first_token_ms;
+        let whole_ms = choice.predicted_ms
+            + choice.between_tokens_ms * wanted.answer_tokens.saturating_sub(1) as f64;
+        if choice.predicted_ms <= latest_ms && whole_ms <= wanted.left_ms {
+            return Verdict::Admit;
+        }
+        Verdict::Refuse(retry_after(choice.predicted_ms - wanted.first_token_ms, wanted.draw))
+    }
+}
+
+/// Returns when the backlog has gone, spread over once that time.
+fn retry_after(backlog_ms: f64, draw: u64) -> Millis {
+    let (least, largest) = RETRY_AFTER_MS;
+    let spread = 1.0 + (draw % 1_000) as f64 / 1_000.0;
+    (backlog_ms.clamp(least, largest) * spread) as Millis
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::pool::{Pool, Server};
 use crate::predict::Prediction;
+use conf::Priority;
 use kernel::{Millis, Name};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -23,6 +24,10 @@
     pub first_token_ms: f64,
     /// Target for the time between two tokens, in milliseconds.
     pub between_tokens_ms: f64,
+    /// Milliseconds to the deadline.
+    pub left_ms: f64,
+    /// Priority.
+    pub priority: Priority,
     /// Servers that failed this request already.
     pub avoid: &'a [Name],
     /// A random number that breaks ties.
@@ -51,6 +56,8 @@
     pub address: SocketAddr,
     /// Predicted milliseconds to the first token.
     pub predicted_ms: f64,
+    /// Predicted milliseconds between two tokens.
+    pub between_tokens_ms: f64,
     /// Price of an hour of the server.
     pub price_per_hour: f64,
     /// Whether the start of the prompt is thought to be cached there.
@@ -107,6 +114,7 @@
             server: chosen.server.name.clone(),
             address: chosen.server.address,
             predicted_ms: chosen.prediction.first_token_ms,
+            between_tokens_ms: chosen.prediction.between_tokens_ms,
             price_per_hour: chosen.server.price_per_hour,
             cached: chosen.cached,
             candidates: candidates.len(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,13 +1,19 @@
-//! Pure choice of a backend server.
+//! Pure decisions about requests: choice of a server, limits, retries and admission.
 
+mod admission;
+mod budget;
 mod choice;
 mod demand;
+mod limit;
 mod policy;
 mod pool;
 mod predict;
 mod prefixes;
 
+pub use admission::{Admission, Verdict};
+pub use budget::{Retry, RetryBudgets};
 pub use choice::{Choice, Reason, Wanted};
+pub use limit::{Limit, Limits, Offered, Within};
 pub use policy::Policy;
 pub use pool::{Pool, Report, Server};
 pub use predict::Prediction;
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -1,7 +1,9 @@
 //! Choice of a server.
 
+use conf::Priority;
 use kernel::Name;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use route::{Policy, Pool, Reason, Report, Server, Wanted};
 use std::net::SocketAddr;
 
@@ -34,6 +36,8 @@
         answer_tokens: 100,
         first_token_ms: 350.0,
         between_tokens_ms: 40.0,
+        left_ms: 30_000.0,
+        priority: Priority::Normal,
         avoid: &[],
         draw,
     }
@@ -122,7 +126,14 @@
     assert!(load.iter().all(|requests| *requests <= 48), "{load:?}");
 }
 
+fn fixed() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(6);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
+    #![proptest_config(fixed())]
+
     #[test]
     fn a_leaving_shunned_or_avoided_server_is_never_chosen(
         leaving in 0_usize..4, failed in 0_usize..4, avoided in 0_usize..4, draw: u64,
--- /dev/null
+++ b/crates/route/tests/limit.rs
@@ -0,0 +1,99 @@
+//! Limits of organisations over all entries.
+
+use kernel::Name;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use route::{Limit, Limits, Within};
+
+const LIMIT: Limit = Limit { per_s: 50.0, burst: 20.0 };
+
+/// Sends requests for a while, `weights` of them to each entry, and counts those within the limit.
+fn admitted(weights: &[u32], per_s: f64, seconds: u64, gossip: bool) -> u64 {
+    let mut entries: Vec<Limits> = weights.iter().map(|_| Limits::default()).collect();
+    let sum: u32 = weights.iter().sum();
+    let organisation = Name::from("hooghly");
+    let mut due = vec![0.0; weights.len()];
+    let mut admitted = 0;
+    for now in 0..seconds * 1000 {
+        if gossip && now % 1000 == 0 {
+            exchange(&mut entries, now);
+        }
+        for (entry, limits) in entries.iter_mut().enumerate() {
+            due[entry] += per_s / 1000.0 * f64::from(weights[entry]) / f64::from(sum);
+            while due[entry] >= 1.0 {
+                due[entry] -= 1.0;
+                let within = limits.take(&organisation, LIMIT, weights.len() as u32, now);
+                admitted += u64::from(within == Within::Yes);
+            }
+        }
+    }
+    admitted
+}
+
+fn exchange(entries: &mut [Limits], now: u64) {
+    let rows: Vec<_> = entries.iter_mut().map(|limits| limits.tell(now)).collect();
+    for (entry, limits) in entries.iter_mut().enumerate() {
+        for (other, row) in rows.iter().enumerate().filter(|(other, _)| *other != entry) {
+            limits.hear(&Name::from(format!("entry-{other}")), row.clone(), now);
+        }
+    }
+}
+
+#[test]
+fn an_organisation_at_one_entry_gets_most_of_its_limit() {
+    let admitted = admitted(&[1, 0, 0, 0, 0, 0, 0, 0], 100.0, 60, true);
+    assert!(admitted as f64 >= 0.8 * LIMIT.per_s * 60.0, "{admitted}");
+}
+
+#[test]
+fn an_organisation_below_its_limit_is_not_refused() {
+    let admitted = admitted(&[3, 1, 2, 1, 1, 1, 1, 2], 25.0, 60, true);
+    assert!(admitted >= 1_490, "{admitted} of 1500");
+}
+
+#[test]
+fn one_organisation_over_its_limit_takes_nothing_from_another() {
+    let mut limits = Limits::default();
+    let (large, small) = (Name::from("large"), Name::from("small"));
+    for now in 0..10_000 {
+        limits.take(&large, LIMIT, 1, now);
+        if now % 100 == 0 {
+            assert_eq!(limits.take(&small, LIMIT, 1, now), Within::Yes);
+        }
+    }
+}
+
+#[test]
+fn a_refusal_says_when_the_next_request_is_within_the_limit() {
+    let mut limits = Limits::default();
+    let organisation = Name::from("nadia");
+    let after = loop {
+        if let Within::No(after) = limits.take(&organisation, LIMIT, 1, 0) {
+            break after;
+        }
+    };
+    assert_eq!(limits.take(&organisation, LIMIT, 1, after), Within::Yes);
+}
+
+fn fixed() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(6);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..fixed() })]
+
+    #[test]
+    fn all_entries_together_keep_to_the_limit(
+        weights in proptest::collection::vec(0_u32..10, 2..9),
+        per_s in 10.0_f64..400.0,
+        gossip: bool,
+    ) {
+        prop_assume!(weights.iter().sum::<u32>() > 0);
+        let seconds = 30;
+        let admitted = admitted(&weights, per_s, seconds, gossip);
+        // Each entry may hold one request of its own in a burst.
+        let most = LIMIT.per_s * seconds as f64 + LIMIT.burst + weights.len() as f64;
+        prop_assert!(admitted as f64 <= most, "{admitted} admitted of at most {most}");
+    }
+}
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -6,10 +6,16 @@
 use kernel::prelude::*;
 use platform::{Cloud, Vm, VmList, VmRole, VmState};
 use rand::RngExt;
-use route::{Choice, Pool, Report, Server, Wanted};
+use route::{
+    Admission, Choice, Limit, Limits, Pool, Report, Retry, RetryBudgets, Server, Verdict, Wanted,
+    Within,
+};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+/// Milliseconds that an answer takes at least.
+const LEAST_ANSWER_MS: u64 = 20;
+
 /// Times of the pollers.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -34,6 +40,8 @@
 /// The backend servers as this entry sees them.
 pub struct Servers {
     pool: Mutex<Pool>,
+    limits: Mutex<Limits>,
+    budgets: Mutex<RetryBudgets>,
     engine: Engine,
     list: Arc<dyn VmList>,
     cloud: Arc<dyn Cloud>,
@@ -60,15 +68,28 @@
         let settings = Settings::default();
         let pool = Mutex::new(Pool::new(route::Policy::default()));
         let reclaimed = watch::channel(None).0;
-        Arc::new(Self { pool, engine, list, cloud, cluster, clock, log, settings, reclaimed })
+        let (limits, budgets) = (Mutex::default(), Mutex::default());
+        Arc::new(Self {
+            pool,
+            limits,
+            budgets,
+            engine,
+            list,
+            cloud,
+            cluster,
+            clock,
+            log,
+            settings,
+            reclaimed,
+        })
     }
 
     /// Chooses a server and logs the choice.
     pub fn choose(&self, key: &Key, wanted: &Wanted<'_>) -> Option<Choice> {
-        let entries = self.cluster.members().iter().filter(|member| takes_new(member)).count();
+        let entries = self.entries();
         let choice = {
             let mut pool = self.pool();
-            pool.set_entries(entries as u32);
+            pool.set_entries(entries);
             pool.choose(wanted, self.clock.now())
         };
         match &choice {
@@ -86,6 +107,60 @@
     /// Sets the policy of the configuration in force.
     pub fn set_policy(&self, policy: &conf::Policy) {
         self.pool().set_policy(policy.into());
+        lock(&self.budgets).set_share(policy.retry_share);
+    }
+
+    /// Counts a new request of an organisation against its limit.
+    ///
+    /// # Errors
+    /// [`Code::OverLimit`], with the time after which to come back.
+    pub fn within_limit(
+        &self,
+        organisation: &Name,
+        to: &conf::Organisation,
+    ) -> Result<(), Failure> {
+        lock(&self.budgets).request(organisation);
+        let limit = Limit { per_s: to.requests_per_s, burst: to.burst as f64 };
+        let (entries, now) = (self.entries(), self.clock.now());
+        match lock(&self.limits).take(organisation, limit, entries, now) {
+            Within::Yes => Ok(()),
+            Within::No(after) => Err(self.refuse(Code::OverLimit, organisation, after)),
+        }
+    }
+
+    /// Checks that a new request can be answered in time.
+    ///
+    /// # Errors
+    /// [`Code::TooLate`], with the time after which to come back.
+    pub fn admit(&self, wanted: &Wanted<'_>) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let Some(choice) = self.pool().choose(wanted, now) else { return Ok(()) };
+        match Admission::default().decide(wanted, &choice) {
+            Verdict::Admit => Ok(()),
+            Verdict::Refuse(after) => Err(self.refuse(Code::TooLate, wanted.serves, after)),
+        }
+    }
+
+    /// Decides whether an organisation's request may be sent again, with this time left.
+    pub fn may_retry(&self, organisation: &Name, left: Duration) -> bool {
+        let left_ms = left.as_millis() as u64;
+        let retry = lock(&self.budgets).retry(organisation, left_ms, LEAST_ANSWER_MS);
+        if retry != Retry::Now {
+            warn!(self.log, "not sent again"; "organisation" => organisation.as_str(),
+                "reason" => format!("{retry:?}"));
+        }
+        retry == Retry::Now
+    }
+
+    fn refuse(&self, code: Code, context: &str, after_ms: Millis) -> Failure {
+        info!(self.log, "refused"; "code" => code.number(), "for" => context,
+            "retry_after_ms" => after_ms);
+        Failure::new(code, context).retry_after(Duration::from_millis(after_ms)).rejected()
+    }
+
+    /// Counts the entries that take new requests.
+    fn entries(&self) -> u32 {
+        self.cluster.members().iter().filter(|member| takes_new(member)).count() as u32
     }
 
     /// Notes a request sent to a server, and that it reads a prompt with this start.
@@ -210,10 +285,14 @@
     }
 
     fn pool(&self) -> MutexGuard<'_, Pool> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pool)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn takes_new(member: &member::Member) -> bool {
     member.state == member::MemberState::Alive
 }
