--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -19,7 +19,8 @@
     }
     let mut rows = Vec::new();
     for workload in paths(&matches, "workload") {
-        let workload = Workload::read(workload)?;
+        let mut workload = Workload::read(workload)?;
+        workload.scale(matches.get_one("scale").copied().unwrap_or(1));
         for faults in paths(&matches, "faults") {
             let faults = Faults::read(faults)?;
             let some = compare(&workload, &faults, &policies, seeds);
@@ -45,6 +46,12 @@
         .arg(Arg::new("variant").long("variant").action(ArgAction::Append).help(
             "Settings of today's policy to compare as well, such as fill=0.4,count_others=false",
         ))
+        .arg(
+            Arg::new("scale")
+                .long("scale")
+                .value_parser(value_parser!(usize))
+                .help("Factor on entries, servers, sessions and arrivals"),
+        )
         .arg(
             Arg::new("seeds")
                 .long("seeds")
--- a/crates/load/src/settings.rs
+++ b/crates/load/src/settings.rs
@@ -196,6 +196,22 @@
     }
 }
 
+impl Workload {
+    /// Multiplies entries, servers, sessions and arrivals.
+    pub fn scale(&mut self, by: usize) {
+        self.entries *= by;
+        for group in &mut self.groups {
+            group.count *= by;
+        }
+        for organisation in &mut self.organisations {
+            organisation.sessions *= by as u64;
+        }
+        for kind in &mut self.kinds {
+            kind.per_s *= by as f64;
+        }
+    }
+}
+
 impl Faults {
     /// Reads a schedule of faults.
     ///
--- a/crates/route/src/predict.rs
+++ b/crates/route/src/predict.rs
@@ -28,7 +28,8 @@
         let unread = report.waiting_prompt_tokens as f64 + since + own as f64;
         let reading = 1000.0 * unread / report.prompt_tokens_per_s.max(1.0);
         let over = (busy + 1.0 - f64::from(report.batch)).max(0.0);
-        let leaves_ms = USUAL_ANSWER_TOKENS * report.step_ms / f64::from(report.batch.max(1));
+        let steps = if self.model { USUAL_ANSWER_TOKENS } else { 1.0 };
+        let leaves_ms = steps * report.step_ms / f64::from(report.batch.max(1));
         Prediction {
             first_token_ms: reading + report.step_ms + over * leaves_ms,
             between_tokens_ms: report.step_ms,
