--- /dev/null
+++ b/crates/load/src/bin/choose.rs
@@ -0,0 +1,65 @@
+//! Measures the time of one choice of a server, by the number of servers.
+
+use route::{Policy, Pool, Report, Server, Wanted};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Choices at each size.
+const CHOICES: u64 = 20_000;
+
+fn main() {
+    for servers in [18, 86, 600] {
+        let mut pool = Pool::new(Policy::default());
+        pool.set_entries(8);
+        pool.update((0..servers).map(server).collect());
+        for number in 0..servers {
+            let report = Report { running: 8, ..Report::default() };
+            pool.report(&format!("server-{number}"), report, 0);
+        }
+        let started = Instant::now();
+        for number in 0..CHOICES {
+            if let Some(choice) = pool.choose(&wanted(number), number) {
+                pool.sent(&choice.server, number, 100);
+                pool.ended(&choice.server, false, number);
+            }
+        }
+        let us = started.elapsed().as_secs_f64() * 1e6 / CHOICES as f64;
+        println!("servers={servers} choice_us={us:.2}");
+    }
+}
+
+fn server(number: usize) -> Server {
+    Server {
+        name: format!("server-{number}").into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "north".into(),
+        price_per_hour: 1.0 + (number % 4) as f64 / 10.0,
+        reclaimable: !number.is_multiple_of(5),
+        model: true,
+        serves: vec!["m".into()],
+        leaving: false,
+        report: Report::default(),
+        reported_at: 0,
+        mine: 0,
+        sent_since: 0,
+        prompt_since: 0,
+        failures: 0,
+        shunned_until: 0,
+    }
+}
+
+fn wanted(number: u64) -> Wanted<'static> {
+    Wanted {
+        serves: "m",
+        prefix: number | 1,
+        prefix_tokens: 1_000,
+        prompt_tokens: 1_100,
+        answer_tokens: 100,
+        first_token_ms: 350.0,
+        between_tokens_ms: 40.0,
+        left_ms: 30_000.0,
+        priority: conf::Priority::Normal,
+        avoid: &[],
+        draw: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod bound;
+mod drive;
 mod earliest;
 mod engine;
 mod outcome;
@@ -16,6 +17,7 @@
 
 pub use arrival::{Arrival, arrivals};
 pub use bound::{Bound, bound};
+pub use drive::{DriveSettings, Driven, drive};
 pub use engine::{Engine, Job, Progress};
 pub use outcome::{End, Outcome, Summary, Total};
 pub use picker::{Picker, PolicyName};
