Apply the whole limit until another entry is heard

Cause: the rows of Limits are not carried between entries yet, so every entry took an equal part for good. An organisation whose callers use one of 8 entries would have been refused at an eighth of its limit.

An entry that never heard a row now applies the whole limit by itself; one that lacks only some rows takes an equal part as before.

--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -3,7 +3,9 @@
 //! Each entry holds a share of each organisation's rate. The share follows the demand: entries tell
 //! each other the rate that they are asked for ([`Offered`], one row for each entry, carried by the
 //! messages between entries every few seconds), and an entry's share is its part of the sum. An
-//! entry that hears nothing from the others takes an equal part.
+//! entry that lacks the rows of some others takes an equal part. One that never heard a row applies
+//! the whole limit by itself: it cannot know where the organisation's other requests go, and
+//! refusing what is within the limit is worse.
 
 use kernel::{Millis, Name};
 use std::collections::BTreeMap;
@@ -100,6 +102,9 @@
 
     /// Returns this entry's part of a limit; the parts of all entries add up to at most one.
     fn share(&self, organisation: &Name, limit: Limit, entries: u32, now: Millis) -> f64 {
+        if self.others.is_empty() {
+            return 1.0;
+        }
         let entries = f64::from(entries.max(1));
         let valid = |(_, at): &&(Offered, Millis)| now.saturating_sub(*at) <= VALID_MS;
         let heard: Vec<_> = self.others.values().filter(valid).collect();
