Give the shell the hook for rows of limits

Servers::tell_offered returns the row for a message to every other entry, Servers::hear_offered takes one in.

--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -7,8 +7,8 @@
 use platform::{Cloud, Vm, VmList, VmRole, VmState};
 use rand::RngExt;
 use route::{
-    Admission, Choice, Limit, Limits, Pool, Report, Retry, RetryBudgets, Server, Verdict, Wanted,
-    Within,
+    Admission, Choice, Limit, Limits, Offered, Pool, Report, Retry, RetryBudgets, Server, Verdict,
+    Wanted, Within,
 };
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Returns the rates that this entry is asked for, for a message to every other entry.
+    pub fn tell_offered(&self) -> Offered {
+        lock(&self.limits).tell(self.clock.now())
+    }
+
+    /// Takes in the rates that another entry is asked for.
+    pub fn hear_offered(&self, entry: &Name, offered: Offered) {
+        lock(&self.limits).hear(entry, offered, self.clock.now());
+    }
+
     /// Checks that a new request can be answered in time.
     ///
     /// # Errors
