Take the single thread for callers back

Cause: 1,024 callers that connect at once keep one or two threads so busy that probes are answered late and the other entry takes this one for dead.

A VM of one core has one thread anyway, so only larger VMs would notice, and they would lose their cores.

The largest item of the entry is not mended: the message to the witness, and the wake-ups, for each token.

--- a/crates/fennelfold/src/main.rs
+++ b/crates/fennelfold/src/main.rs
@@ -6,17 +6,9 @@
 use kernel::Failure;
 use std::process::ExitCode;
 
-/// Threads that serve callers; messages between entries have one of their own.
-///
-/// More threads wake each other for every token, which costs more than they add.
-const WORKER_THREADS: usize = 1;
-
 fn main() -> ExitCode {
     let matches = cmd::command().get_matches();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKER_THREADS)
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime.block_on(cmd::run(&matches)),
         Err(e) => Err(e.into()),
