--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to backend servers and takes the answer in.
 
+use crate::admit::wanted;
 use crate::record::Record;
 use crate::requests::Requests;
 use backend::Tag;
@@ -8,11 +9,6 @@
 use kernel::prelude::*;
 use ledger::{Chunk, Input, OwnerEvent};
 use opentelemetry::KeyValue;
-use rand::RngExt;
-use route::Wanted;
-
-/// Bytes of a prompt that make about one token.
-const BYTES_PER_TOKEN: u64 = 4;
 
 /// How one attempt at one server ended.
 enum Attempt {
@@ -50,18 +46,8 @@
         service: &Service,
         attempt: u32,
     ) -> OwnerEvent {
-        let serves = match service.kind {
-            ServiceKind::Model => service.model.clone(),
-            ServiceKind::Plain => record.terms.service.clone(),
-        };
-        let prompt_tokens = record.terms.body.len() as u64 / BYTES_PER_TOKEN;
-        let wanted = Wanted {
-            serves: &serves,
-            prompt_tokens,
-            first_token_ms: service.first_token.as_millis() as f64,
-            avoid: &[],
-            draw: rand::rng().random(),
-        };
+        let left_ms = record.left(self.clock.now()).as_millis() as u64;
+        let wanted = wanted(&record.terms, service, left_ms);
         let Some(choice) = self.to.servers.choose(&record.terms.key, &wanted) else {
             return not_sent(Code::NoServer, false);
         };
@@ -71,13 +57,14 @@
         if !may_send {
             return OwnerEvent::Broke { code: Code::Internal, again: false };
         }
-        self.to.servers.sent(&choice.server, prompt_tokens);
+        self.to.servers.sent(&choice.server, wanted.prefix, wanted.prompt_tokens);
         let outcome = match service.kind {
             ServiceKind::Model => self.generate(record, service, &choice, &tag).await,
             ServiceKind::Plain => self.call_plain(record, &choice, &tag).await,
         };
         self.to.servers.ended(&choice.server, !matches!(outcome, Attempt::Answered));
-        let again = attempt < self.settings.attempts;
+        let again =
+            !matches!(outcome, Attempt::Answered) && self.may_repeat(record, &choice, attempt);
         match outcome {
             Attempt::Answered => OwnerEvent::Answered,
             Attempt::NotSent(failure) => {
@@ -93,6 +80,14 @@
         }
     }
 
+    /// Decides whether a failed attempt is followed by another one; after a reclaim it always is.
+    fn may_repeat(&self, record: &Record, choice: &route::Choice, attempt: u32) -> bool {
+        let left = record.left(self.clock.now());
+        let reclaimed = self.to.servers.is_leaving(&choice.server);
+        attempt < self.settings.attempts
+            && (reclaimed || self.to.servers.may_retry(&record.terms.key.organisation, left))
+    }
+
     async fn generate(
         self: &Arc<Self>,
         record: &Arc<Record>,
--- a/crates/exec/src/lib.rs
+++ b/crates/exec/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Requests`] is the service. Its [`ledger::Book`] decides; everything here is input and output.
 //! Callers read the answer of a request through [`Requests::read`], wherever it is.
 
+mod admit;
 mod claim;
 mod dispatch;
 mod home;
--- a/crates/exec/src/peers.rs
+++ b/crates/exec/src/peers.rs
@@ -18,6 +18,11 @@
     }
 
     async fn on_message(self: &Arc<Self>, message: Message) -> Reply {
+        if let Message::Submit { terms, .. } = &message
+            && let Err(failure) = self.admit_new(terms)
+        {
+            return Reply::Failure(failure);
+        }
         match self.ask(|ticket| Input::Message { ticket, message }).await {
             Response::Located(_) => Reply::Done,
             Response::Over(round) => Reply::Record(MessageReply::Over(round)),
--- a/crates/exec/src/submit.rs
+++ b/crates/exec/src/submit.rs
@@ -16,6 +16,7 @@
             let home = self.find_home(&terms).await?;
             terms.key.id = Name::from(format!("{home}{}", terms.key.id));
         }
+        self.admit_new(&terms)?;
         let key = terms.key.clone();
         let response = self.ask(|ticket| Input::Submit { ticket, terms }).await;
         located(response).map(|holder| (key, holder))
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -153,7 +153,7 @@
                 let url = format!("http://{http}/v1/operator/status");
                 let status = self.client.get::<Value>(&url).await.unwrap_or_default();
                 let known = |list: &str| status[list].as_array().map_or(0, Vec::len);
-                if known("entries") == count && known("servers") == 1 {
+                if status["ready"] == "yes" && known("entries") == count && known("servers") == 1 {
                     let list = self.client.get::<Value>(&format!("http://{http}/v1/entries")).await;
                     let list = list.expect("the list of entries");
                     let name = format!("entry-{i}");
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,5 +1,9 @@
 //! The backend servers as one entry sees them.
 
+use crate::choice::Class;
+use crate::demand::Demand;
+use crate::policy::Policy;
+use crate::prefixes::Prefixes;
 use kernel::{Millis, Name};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -73,6 +77,10 @@
 /// The backend servers by name.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    pub(crate) policy: Policy,
+    pub(crate) entries: u32,
+    pub(crate) demand: BTreeMap<(Class, Name), Demand>,
+    pub(crate) prefixes: Prefixes,
     servers: BTreeMap<Name, Server>,
 }
 
@@ -82,6 +90,21 @@
 const SHUN_DOUBLINGS: u32 = 5;
 
 impl Pool {
+    /// Creates a pool without any server.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, entries: 1, ..Self::default() }
+    }
+
+    /// Sets the policy.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Sets how many entries send requests to the servers.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries;
+    }
+
     /// Takes the VM list in: new servers appear, missing ones go, a leaving one never comes back.
     pub fn update(&mut self, listed: Vec<Server>) {
         let mut old = std::mem::take(&mut self.servers);
@@ -115,15 +138,23 @@
         }
     }
 
-    /// Notes a request sent to a server.
-    pub fn sent(&mut self, name: &str, prompt_tokens: u64) {
+    /// Notes a request sent to a server, and that it reads a prompt with this start.
+    pub fn sent(&mut self, name: &str, prefix: u64, prompt_tokens: u64) {
         if let Some(server) = self.servers.get_mut(name) {
+            if prefix != 0 {
+                self.prefixes.put(prefix, &server.name);
+            }
             server.mine += 1;
             server.sent_since += 1;
             server.prompt_since += prompt_tokens;
         }
     }
 
+    /// Takes in that a start of a prompt is no longer cached.
+    pub fn evicted(&mut self, prefix: u64) {
+        self.prefixes.remove(prefix);
+    }
+
     /// Notes the end of a request at a server.
     pub fn ended(&mut self, name: &str, failed: bool, now: Millis) {
         let Some(server) = self.servers.get_mut(name) else { return };
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -6,10 +6,16 @@
 use kernel::prelude::*;
 use platform::{Cloud, Vm, VmList, VmRole, VmState};
 use rand::RngExt;
-use route::{Choice, Pool, Report, Server, Wanted};
+use route::{
+    Admission, Choice, Limit, Limits, Offered, Pool, Report, Retry, RetryBudgets, Server, Verdict,
+    Wanted, Within,
+};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+/// Milliseconds that an answer takes at least.
+const LEAST_ANSWER_MS: u64 = 20;
+
 /// Times of the pollers.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -34,6 +40,8 @@
 /// The backend servers as this entry sees them.
 pub struct Servers {
     pool: Mutex<Pool>,
+    limits: Mutex<Limits>,
+    budgets: Mutex<RetryBudgets>,
     engine: Engine,
     list: Arc<dyn VmList>,
     cloud: Arc<dyn Cloud>,
@@ -58,16 +66,36 @@
         log: Logger,
     ) -> Arc<Self> {
         let settings = Settings::default();
-        let (pool, reclaimed) = (Mutex::default(), watch::channel(None).0);
-        Arc::new(Self { pool, engine, list, cloud, cluster, clock, log, settings, reclaimed })
+        let pool = Mutex::new(Pool::new(route::Policy::default()));
+        let reclaimed = watch::channel(None).0;
+        let (limits, budgets) = (Mutex::default(), Mutex::default());
+        Arc::new(Self {
+            pool,
+            limits,
+            budgets,
+            engine,
+            list,
+            cloud,
+            cluster,
+            clock,
+            log,
+            settings,
+            reclaimed,
+        })
     }
 
     /// Chooses a server and logs the choice.
     pub fn choose(&self, key: &Key, wanted: &Wanted<'_>) -> Option<Choice> {
-        let choice = self.pool().choose(wanted, self.clock.now());
+        let entries = self.entries();
+        let choice = {
+            let mut pool = self.pool();
+            pool.set_entries(entries);
+            pool.choose(wanted, self.clock.now())
+        };
         match &choice {
             Some(choice) => info!(self.log, "routed"; "key" => key.to_string(),
                 "server" => choice.server.as_str(), "predicted_ms" => choice.predicted_ms,
+                "price_per_hour" => choice.price_per_hour, "cached" => choice.cached,
                 "candidates" => choice.candidates, "reason" => format!("{:?}", choice.reason)),
             None => {
                 warn!(self.log, "not routed"; "key" => key.to_string(), "serves" => wanted.serves)
@@ -76,9 +104,78 @@
         choice
     }
 
-    /// Notes a request sent to a server.
-    pub fn sent(&self, server: &str, prompt_tokens: u64) {
-        self.pool().sent(server, prompt_tokens);
+    /// Sets the policy of the configuration in force.
+    pub fn set_policy(&self, policy: &conf::Policy) {
+        self.pool().set_policy(policy.into());
+        lock(&self.budgets).set_share(policy.retry_share);
+    }
+
+    /// Counts a new request of an organisation against its limit.
+    ///
+    /// # Errors
+    /// [`Code::OverLimit`], with the time after which to come back.
+    pub fn within_limit(
+        &self,
+        organisation: &Name,
+        to: &conf::Organisation,
+    ) -> Result<(), Failure> {
+        lock(&self.budgets).request(organisation);
+        let limit = Limit { per_s: to.requests_per_s, burst: to.burst as f64 };
+        let (entries, now) = (self.entries(), self.clock.now());
+        match lock(&self.limits).take(organisation, limit, entries, now) {
+            Within::Yes => Ok(()),
+            Within::No(after) => Err(self.refuse(Code::OverLimit, organisation, after)),
+        }
+    }
+
+    /// Returns the rates that this entry is asked for, for a message to every other entry.
+    pub fn tell_offered(&self) -> Offered {
+        lock(&self.limits).tell(self.clock.now())
+    }
+
+    /// Takes in the rates that another entry is asked for.
+    pub fn hear_offered(&self, entry: &Name, offered: Offered) {
+        lock(&self.limits).hear(entry, offered, self.clock.now());
+    }
+
+    /// Checks that a new request can be answered in time.
+    ///
+    /// # Errors
+    /// [`Code::TooLate`], with the time after which to come back.
+    pub fn admit(&self, wanted: &Wanted<'_>) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let Some(choice) = self.pool().choose(wanted, now) else { return Ok(()) };
+        match Admission::default().decide(wanted, &choice) {
+            Verdict::Admit => Ok(()),
+            Verdict::Refuse(after) => Err(self.refuse(Code::TooLate, wanted.serves, after)),
+        }
+    }
+
+    /// Decides whether an organisation's request may be sent again, with this time left.
+    pub fn may_retry(&self, organisation: &Name, left: Duration) -> bool {
+        let left_ms = left.as_millis() as u64;
+        let retry = lock(&self.budgets).retry(organisation, left_ms, LEAST_ANSWER_MS);
+        if retry != Retry::Now {
+            warn!(self.log, "not sent again"; "organisation" => organisation.as_str(),
+                "reason" => format!("{retry:?}"));
+        }
+        retry == Retry::Now
+    }
+
+    fn refuse(&self, code: Code, context: &str, after_ms: Millis) -> Failure {
+        info!(self.log, "refused"; "code" => code.number(), "for" => context,
+            "retry_after_ms" => after_ms);
+        Failure::new(code, context).retry_after(Duration::from_millis(after_ms)).rejected()
+    }
+
+    /// Counts the entries that take new requests.
+    fn entries(&self) -> u32 {
+        self.cluster.members().iter().filter(|member| takes_new(member)).count() as u32
+    }
+
+    /// Notes a request sent to a server, and that it reads a prompt with this start.
+    pub fn sent(&self, server: &str, prefix: u64, prompt_tokens: u64) {
+        self.pool().sent(server, prefix, prompt_tokens);
     }
 
     /// Notes the end of a request at a server.
@@ -198,10 +295,18 @@
     }
 
     fn pool(&self) -> MutexGuard<'_, Pool> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pool)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn takes_new(member: &member::Member) -> bool {
+    member.state == member::MemberState::Alive
+}
+
 fn server(vm: Vm, leaving: &[Name]) -> Server {
     Server {
         leaving: vm.state == VmState::Leaving || leaving.contains(&vm.name),
