--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,12 +1,20 @@
-//! Membership between entries, run over the peer transport.
+//! Membership between entries: the shell that runs the machine over the peer transport.
 
+mod start;
+
+pub use start::next_incarnation;
+
+use kernel::Metrics;
 use kernel::prelude::*;
-use member::{Change, Gossip, Member, MemberState, Table};
+use member::{Action, Change, Event, Machine, Member, MemberState, Message, Table};
+use opentelemetry::metrics::Counter;
 use peer::{Peers, Reply, Request};
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::{broadcast, oneshot, watch};
+use tokio::task::JoinSet;
 
 /// Changes that a slow listener may lag behind.
 const CHANGES: usize = 1024;
@@ -14,15 +22,40 @@
 /// The entries that this one knows, and the way to reach them.
 pub struct Cluster {
     me: Member,
-    table: Mutex<Table>,
+    machine: Mutex<Machine>,
+    answers: Mutex<HashMap<u64, oneshot::Sender<Message>>>,
+    tickets: AtomicU64,
     peers: Peers,
-    settings: conf::Membership,
+    tick: Duration,
     clock: Clock,
     log: Logger,
     changes: broadcast::Sender<Change>,
-    generation: watch::Sender<u64>,
     heard: watch::Sender<(u64, Option<NodeId>)>,
     leaving_servers: watch::Sender<Vec<Name>>,
+    superseded: watch::Sender<bool>,
+    counts: Counts,
+}
+
+/// Counters of the membership protocol.
+struct Counts {
+    exchanges: Counter<u64>,
+    failures: Counter<u64>,
+    asked: Counter<u64>,
+    deaths: Counter<u64>,
+}
+
+impl Counts {
+    fn new(metrics: &Metrics) -> Self {
+        Self {
+            exchanges: metrics
+                .counter("membership_exchanges", "Membership exchanges started by this entry"),
+            failures: metrics
+                .counter("membership_failures", "Membership exchanges without an answer in time"),
+            asked: metrics
+                .counter("membership_asked", "Membership messages received from other entries"),
+            deaths: metrics.counter("membership_deaths", "Entries that were declared dead here"),
+        }
+    }
 }
 
 impl Cluster {
@@ -34,24 +67,32 @@
         me: Member,
         settings: conf::Membership,
         peers: Peers,
+        metrics: &Metrics,
         clock: Clock,
         log: Logger,
     ) -> Arc<Self> {
-        let times = member::Settings {
-            suspect_for: settings.suspect_for.as_millis() as Millis,
+        let protocol = member::Settings {
+            probe_every: millis(settings.probe_every),
+            probe_timeout: millis(settings.probe_timeout),
+            suspect_for: millis(settings.suspect_for),
+            pause: 3 * millis(settings.probe_every),
+            seeds: settings.seeds.into_iter().filter(|seed| *seed != me.peer).collect(),
             ..member::Settings::default()
         };
         Arc::new(Self {
-            table: Mutex::new(Table::new(me.clone(), times)),
+            machine: Mutex::new(Machine::new(me.clone(), protocol)),
+            answers: Mutex::default(),
+            tickets: AtomicU64::new(0),
             me,
             peers,
-            settings,
+            tick: settings.probe_every,
             clock,
             log,
             changes: broadcast::channel(CHANGES).0,
-            generation: watch::channel(0).0,
             heard: watch::channel((0, None)).0,
             leaving_servers: watch::channel(Vec::new()).0,
+            superseded: watch::channel(false).0,
+            counts: Counts::new(metrics),
         })
     }
 
@@ -62,29 +103,39 @@
 
     /// Returns this entry as others see it.
     pub fn me_as_member(&self) -> Member {
-        self.table().me().clone()
+        self.read(|table| table.me().clone())
     }
 
     /// Lists every entry that is remembered, this one too.
     pub fn members(&self) -> Vec<Member> {
-        self.table().all().cloned().collect()
+        self.read(|table| table.all().cloned().collect())
     }
 
     /// Tells whether the run of an entry is over, as far as is known.
     pub fn is_gone(&self, node: &NodeId) -> bool {
-        self.table().is_gone(node)
+        self.read(|table| table.is_gone(node))
     }
 
-    /// Draws a witness for this entry: an entry that stays, in another data centre if there is one.
+    /// Draws a witness for this entry among those that stay: in another data centre of this region,
+    /// else in another data centre, else anywhere.
     pub fn pick_witness(&self, avoid: &[NodeId]) -> Option<NodeId> {
-        let table = self.table();
         let stays =
             |member: &&Member| member.state == MemberState::Alive && !avoid.contains(&member.node);
-        let rng = &mut rand::rng();
-        let elsewhere = |member: &&Member| member.data_centre != self.me.data_centre;
-        let far = table.others().filter(stays).filter(elsewhere).choose(rng);
-        let any = far.or_else(|| table.others().filter(stays).choose(rng));
-        any.map(|member| member.node.clone())
+        let candidates: Vec<Member> =
+            self.read(|table| table.others().filter(stays).cloned().collect());
+        let best = candidates.iter().map(|member| self.distance(member)).min()?;
+        let fits = candidates.iter().filter(|member| self.distance(member) == best);
+        fits.choose(&mut rand::rng()).map(|member| member.node.clone())
+    }
+
+    fn distance(&self, member: &Member) -> Distance {
+        if member.data_centre == self.me.data_centre {
+            Distance::SameDataCentre
+        } else if member.region == self.me.region {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        }
     }
 
     /// Subscribes to changes of membership.
@@ -102,32 +153,24 @@
         self.leaving_servers.subscribe()
     }
 
+    /// Tells whether a later run of this entry's name exists, so that this one must stop.
+    pub fn superseded(&self) -> watch::Receiver<bool> {
+        self.superseded.subscribe()
+    }
+
     /// Says which generation is in force here, and passes it on at once.
     pub fn set_generation(self: &Arc<Self>, generation: u64) {
-        let rose = self.generation.send_if_modified(|known| {
-            let rose = generation > *known;
-            *known = generation.max(*known);
-            rose
-        });
-        if rose {
-            self.spread_now();
-        }
+        drop(self.step(Event::Generation(generation)));
     }
 
     /// Tells the others that a backend server is leaving.
     pub fn announce_leaving_server(self: &Arc<Self>, server: &Name) {
-        if self.add_leaving(std::slice::from_ref(server)) {
-            self.spread_now();
-        }
+        drop(self.step(Event::ServerLeaving(server.clone())));
     }
 
-    /// Tells the others that this entry is leaving.
+    /// Tells the others that this entry is leaving; returns once the first of them were told.
     pub async fn leave(self: &Arc<Self>) {
-        self.table().leave();
-        let others: Vec<Member> = self.table().others().cloned().collect();
-        for member in others {
-            self.exchange(member.peer, member.node).await;
-        }
+        self.step(Event::Leave).join_all().await;
     }
 
     /// Sends a request to a run of an entry.
@@ -140,127 +183,137 @@
         req: Request,
         limit: Option<Duration>,
     ) -> Result<Reply, Failure> {
-        let address = self.table().get(&node.name).map(|member| member.peer);
+        let address = self.read(|table| table.get(&node.name).map(|member| member.peer));
         let unknown = || Failure::new(Code::PeerUnreachable, format!("{node} is unknown"));
         self.peers.call(address.ok_or_else(unknown)?, node, req, limit).await
     }
 
-    /// Answers the gossip of another entry.
-    pub fn on_gossip(self: &Arc<Self>, gossip: Gossip) -> Gossip {
-        self.take_in(gossip);
-        self.gossip()
+    /// Answers a message of another entry.
+    pub async fn on_gossip(self: &Arc<Self>, message: Message) -> Option<Message> {
+        self.counts.asked.add(1, &[]);
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.answers).insert(ticket, tx);
+        drop(self.step(Event::Asked { ticket, message }));
+        let answer = rx.await.ok();
+        lock(&self.answers).remove(&ticket);
+        answer
     }
 
     /// Probes other entries until the stop.
     pub async fn run(self: Arc<Self>, mut stop: kernel::Stop) {
-        let mut round: Vec<Member> = Vec::new();
         loop {
             tokio::select! {
-                () = tokio::time::sleep(self.settings.probe_every) => {}
+                () = tokio::time::sleep(self.tick) => {}
                 () = stop.wait() => return,
             }
-            self.tick();
-            if round.is_empty() {
-                round = self.table().others().cloned().collect();
-                round.shuffle(&mut rand::rng());
-                self.join_by_seed().await;
-            }
-            if let Some(member) = round.pop() {
-                self.exchange(member.peer, member.node).await;
-            }
+            drop(self.step(Event::Tick));
         }
     }
 
-    /// Joins by one seed, so that groups which lost each other find together again.
-    async fn join_by_seed(self: &Arc<Self>) {
-        let known: HashSet<SocketAddr> = self.table().others().map(|member| member.peer).collect();
-        let strangers = |seed: &&SocketAddr| **seed != self.me.peer && !known.contains(*seed);
-        let seed = self.settings.seeds.iter().filter(strangers).choose(&mut rand::rng());
-        if let Some(seed) = seed {
-            self.exchange(*seed, NodeId::default()).await;
+    /// Takes an event to the machine and carries its actions out; the tasks returned are its
+    /// exchanges, which go on when the handle is dropped.
+    fn step(self: &Arc<Self>, event: Event) -> Exchanges {
+        let actions = lock(&self.machine).step(event, self.clock.now(), rand::random());
+        let mut exchanges = Exchanges::default();
+        for action in actions {
+            self.carry_out(action, &mut exchanges);
         }
+        exchanges
     }
 
-    /// Exchanges news with one entry; an empty name addresses whoever answers there.
-    async fn exchange(self: &Arc<Self>, address: SocketAddr, to: NodeId) {
-        let req = Request::Gossip(self.gossip());
-        let reply = self.peers.call(address, &to, req, Some(self.settings.probe_timeout)).await;
-        let now = self.clock.now();
-        match reply {
-            Ok(Reply::Gossip(gossip)) => {
-                let heard = self.table().heard(&gossip.from, now);
-                self.publish(heard.into_iter().collect());
-                self.take_in(gossip);
+    fn carry_out(self: &Arc<Self>, action: Action, exchanges: &mut Exchanges) {
+        match action {
+            Action::Exchange { exchange, address, to, message, limit } => {
+                let limit = Duration::from_millis(limit);
+                exchanges.spawn(self.clone().exchange(exchange, address, to, message, limit));
             }
-            _ if to.name.is_empty() => {}
-            _ => {
-                let silent = self.table().silent(&to, now);
-                self.publish(silent.into_iter().collect());
+            Action::Answer { ticket, message } => {
+                if let Some(tx) = lock(&self.answers).remove(&ticket) {
+                    // The asker may have given up.
+                    let _ = tx.send(message);
+                }
+            }
+            Action::Publish(change) => self.publish(change),
+            Action::Heard { generation, from } => {
+                self.heard.send_replace((generation, Some(from)));
+            }
+            Action::LeavingServers(servers) => {
+                self.leaving_servers.send_replace(servers);
+            }
+            Action::Superseded(incarnation) => {
+                error!(self.log, "superseded by a later run"; "incarnation" => incarnation);
+                self.superseded.send_replace(true);
             }
         }
     }
 
-    /// Exchanges news with a few entries at once, outside of the usual round.
-    fn spread_now(self: &Arc<Self>) {
-        let others: Vec<Member> = self.table().others().cloned().collect();
-        for member in others.into_iter().sample(&mut rand::rng(), SPREAD) {
-            let cluster = self.clone();
-            tokio::spawn(async move { cluster.exchange(member.peer, member.node).await });
+    async fn exchange(
+        self: Arc<Self>,
+        exchange: u64,
+        address: SocketAddr,
+        to: NodeId,
+        message: Message,
+        limit: Duration,
+    ) {
+        self.counts.exchanges.add(1, &[]);
+        let reply = self.peers.call(address, &to, Request::Gossip(message), Some(limit)).await;
+        let event = match reply {
+            Ok(Reply::Gossip(message)) => Event::Answered { exchange, message },
+            _ => Event::Failed { exchange },
+        };
+        if matches!(event, Event::Failed { .. }) {
+            self.counts.failures.add(1, &[]);
         }
+        drop(self.step(event));
     }
 
-    fn tick(&self) {
-        let now = self.clock.now();
-        let changes = self.table().tick(now);
-        self.publish(changes);
-    }
-
-    fn gossip(&self) -> Gossip {
-        Gossip {
-            from: self.me.node.clone(),
-            members: self.members(),
-            generation: *self.generation.borrow(),
-            leaving_servers: self.leaving_servers.borrow().clone(),
+    fn publish(&self, change: Change) {
+        info!(self.log, "membership"; "change" => format!("{change:?}"));
+        if matches!(change, Change::Died(_)) {
+            self.counts.deaths.add(1, &[]);
         }
+        // Nobody may be listening.
+        let _ = self.changes.send(change);
     }
 
-    fn take_in(self: &Arc<Self>, gossip: Gossip) {
-        let changes = self.table().merge(gossip.members, self.clock.now());
-        self.publish(changes);
-        self.heard.send_if_modified(|heard| {
-            let newer = gossip.generation > heard.0;
-            if newer {
-                *heard = (gossip.generation, Some(gossip.from.clone()));
-            }
-            newer
-        });
-        if self.add_leaving(&gossip.leaving_servers) {
-            self.spread_now();
-        }
+    fn read<T>(&self, f: impl FnOnce(&Table) -> T) -> T {
+        f(lock(&self.machine).table())
     }
+}
 
-    fn add_leaving(&self, servers: &[Name]) -> bool {
-        self.leaving_servers.send_if_modified(|known| {
-            let news: Vec<Name> =
-                servers.iter().filter(|server| !known.contains(server)).cloned().collect();
-            let any = !news.is_empty();
-            known.extend(news);
-            any
-        })
+/// How far a witness is from this entry; the least one is preferred.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Distance {
+    SameRegion,
+    OtherRegion,
+    SameDataCentre,
+}
+
+/// The exchanges that one step started.
+#[derive(Default)]
+struct Exchanges(JoinSet<()>);
+
+impl Exchanges {
+    fn spawn(&mut self, exchange: impl Future<Output = ()> + Send + 'static) {
+        self.0.spawn(exchange);
     }
 
-    fn publish(&self, changes: Vec<Change>) {
-        for change in changes {
-            info!(self.log, "membership"; "change" => format!("{change:?}"));
-            // Nobody may be listening.
-            let _ = self.changes.send(change);
-        }
+    async fn join_all(mut self) {
+        while self.0.join_next().await.is_some() {}
     }
+}
 
-    fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+impl Drop for Exchanges {
+    fn drop(&mut self) {
+        self.0.detach_all();
     }
 }
 
-/// Entries that hear urgent news at once from each entry that learns them.
-const SPREAD: usize = 3;
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn millis(time: Duration) -> Millis {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/fennelfold/src/wiring.rs
+++ b/crates/fennelfold/src/wiring.rs
@@ -38,7 +38,10 @@
     fn handle(&self, req: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
         Box::pin(async move {
             match req {
-                Request::Gossip(gossip) => Reply::Gossip(self.cluster.on_gossip(gossip)),
+                Request::Gossip(message) => match self.cluster.on_gossip(message).await {
+                    Some(answer) => Reply::Gossip(answer),
+                    None => Reply::Failure(Failure::new(Code::PeerUnreachable, "superseded")),
+                },
                 Request::Configuration => match self.configuration.current() {
                     Ok(current) => Reply::Configuration {
                         head: serde_json::to_string(&current.head).unwrap_or_default().into(),
@@ -60,6 +63,8 @@
 enum Cause {
     /// The operator sent SIGTERM or SIGINT.
     Signal,
+    /// A later run of this entry's name exists.
+    Superseded,
     /// The VM is reclaimed after this time.
     Reclaim(Duration),
 }
@@ -75,7 +80,7 @@
     let in_use = |e: std::io::Error| Failure::new(Code::PortInUse, format!("{}: {e}", node.peer));
     let peer_listener = peer_listener.map_err(in_use)?;
 
-    let kernel = build(&node, &log)?;
+    let kernel = build(&node, &log).await?;
     let cluster: Arc<Cluster> = kernel.find(Cluster::NAME)?;
     let configuration: Arc<Configuration> = kernel.find(Configuration::NAME)?;
     let requests: Arc<Requests> = kernel.find(Requests::NAME)?;
@@ -85,7 +90,8 @@
         configuration: configuration.clone(),
         requests: requests.clone(),
     };
-    Peers::serve(peer_listener, Arc::new(handler), kernel.stop_signal())?;
+    let traffic: Arc<peer::Traffic> = kernel.find(peer::Traffic::NAME)?;
+    Peers::serve(peer_listener, Arc::new(handler), (*traffic).clone(), kernel.stop_signal())?;
 
     let mut tasks = JoinSet::new();
     let stop = || kernel.stop_signal();
@@ -99,7 +105,7 @@
     info!(log, "started"; "node" => cluster.me().to_string(), "http" => node.http.to_string(),
         "services" => format!("{:?}", kernel.names()));
 
-    let cause = wait_for_cause(&servers, stop()).await;
+    let cause = wait_for_cause(&servers, &cluster, stop()).await;
     shut_down(&cause, &cluster, &requests, &log).await;
     kernel.stop();
     while tasks.join_next().await.is_some() {}
@@ -108,7 +114,7 @@
 }
 
 /// Adds every service to the kernel.
-fn build(node: &Node, log: &Logger) -> Result<Arc<Kernel>, Failure> {
+async fn build(node: &Node, log: &Logger) -> Result<Arc<Kernel>, Failure> {
     let kernel = Kernel::new();
     let clock = Clock::start();
     let metrics = Arc::new(Metrics::new()?);
@@ -118,16 +124,23 @@
     let list: Arc<dyn VmList> = Arc::new(HttpVmList::new(node.platform.vm_list, timeout));
     let cloud: Arc<dyn Cloud> = Arc::new(HttpCloud::new(node.platform.cloud, NOTICE_WAIT));
     let engine = Engine::new(timeout);
-    let peers = Peers::start(PeerSettings::default())?;
+    let traffic = peer::Traffic::new(&metrics);
+    let peers = Peers::start(PeerSettings::default(), traffic.clone())?;
+    let seeds: Vec<_> =
+        node.membership.seeds.iter().filter(|seed| **seed != node.peer).copied().collect();
+    let incarnation = cluster::next_incarnation(&peers, &node.name, &seeds, incarnation()).await;
 
     let me = Member {
-        node: NodeId::new(node.name.clone(), incarnation()),
+        node: NodeId::new(node.name.clone(), incarnation),
         http: node.http,
         peer: node.peer,
+        region: node.region.clone(),
         data_centre: node.data_centre.clone(),
         state: MemberState::Alive,
+        refutation: 0,
     };
-    let cluster = Cluster::new(me, node.membership.clone(), peers, clock, named(Cluster::NAME));
+    let log_of_cluster = named(Cluster::NAME);
+    let cluster = Cluster::new(me, node.membership.clone(), peers, &metrics, clock, log_of_cluster);
     let configuration = Configuration::new(kv.clone(), cluster.clone(), named(Configuration::NAME));
     let servers =
         Servers::new(engine.clone(), list, cloud, cluster.clone(), clock, named(Servers::NAME));
@@ -141,6 +154,7 @@
     };
     let requests = Requests::new(to, Settings::default(), &metrics, clock, named(Requests::NAME));
     kernel.add("metrics", metrics);
+    kernel.add(peer::Traffic::NAME, Arc::new(traffic));
     kernel.add(Cluster::NAME, cluster);
     kernel.add(Configuration::NAME, configuration);
     kernel.add(Servers::NAME, servers);
@@ -153,7 +167,8 @@
     (Clock::unix_ms() << INCARNATION_RANDOM_BITS) | drawn
 }
 
-async fn wait_for_cause(servers: &Servers, mut stop: Stop) -> Cause {
+async fn wait_for_cause(servers: &Servers, cluster: &Cluster, mut stop: Stop) -> Cause {
+    let mut superseded = cluster.superseded();
     let mut reclaimed = servers.reclaimed();
     let notice = async {
         match reclaimed.wait_for(Option::is_some).await {
@@ -164,6 +179,7 @@
     tokio::select! {
         left = notice => Cause::Reclaim(left),
         () = terminated() => Cause::Signal,
+        Ok(_) = superseded.wait_for(|superseded| *superseded) => Cause::Superseded,
         () = stop.wait() => Cause::Signal,
     }
 }
@@ -182,8 +198,9 @@
     requests.refuse_new();
     cluster.leave().await;
     match cause {
-        Cause::Signal => {
-            info!(log, "leaving"; "cause" => "signal");
+        Cause::Signal | Cause::Superseded => {
+            let superseded = matches!(cause, Cause::Superseded);
+            info!(log, "leaving"; "cause" => if superseded { "superseded" } else { "signal" });
             let _ = tokio::time::timeout(DRAIN_LIMIT, requests.wait_until_idle()).await;
         }
         Cause::Reclaim(left) => {
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -1,9 +1,9 @@
-//! What entries tell each other about each other.
+//! What entries tell each other.
 
-use kernel::{Name, NodeId};
+use kernel::{Millis, Name, NodeId};
 use std::net::SocketAddr;
 
-/// What is believed of an entry. The order is that of precedence within one incarnation.
+/// What is believed of an entry. The order is that of precedence within one refutation number.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum MemberState {
     /// It answers.
@@ -12,7 +12,7 @@
     Suspect,
     /// It said that it is leaving and takes nothing new.
     Leaving,
-    /// Its run is over.
+    /// It did not refute a suspicion in time.
     Dead,
 }
 
@@ -25,21 +25,72 @@
     pub http: SocketAddr,
     /// Address for other entries.
     pub peer: SocketAddr,
+    /// Region that the data centre belongs to.
+    pub region: Name,
     /// Data centre it stands in.
     pub data_centre: Name,
     /// What is believed of it.
     pub state: MemberState,
+    /// Number that only the entry itself raises, to refute what others believe of this run.
+    pub refutation: u32,
 }
 
-/// One message: the sender, news about members, and what it has in force.
+impl Member {
+    /// Returns what decides between two reports; the greater one wins.
+    pub(crate) fn precedence(&self) -> (u64, u32, MemberState) {
+        (self.node.incarnation, self.refutation, self.state)
+    }
+}
+
+/// One piece of news, as it travels on probes and their answers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum News {
+    /// What is believed of an entry.
+    Member {
+        /// The entry.
+        member: Member,
+        /// Milliseconds since it was declared dead; zero for any other state.
+        age: Millis,
+    },
+    /// A backend server is leaving.
+    ServerLeaving {
+        /// Name of the server.
+        server: Name,
+        /// Milliseconds since this was first said.
+        age: Millis,
+    },
+}
+
+/// What a message asks or answers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Body {
+    /// Asks for an answer.
+    Probe,
+    /// Asks for the way in; the news of the answer hold the answering entry and a few others.
+    Join,
+    /// Asks to probe another entry and to report whether it answered.
+    ProbeFor(NodeId),
+    /// Hands rows over that the receiver may lack.
+    Push,
+    /// Asks for the rows that differ.
+    Digest(Vec<u32>),
+    /// Answers a digest: the buckets that differ; the news hold rows of them.
+    Differences(Vec<u8>),
+    /// Answers anything else.
+    Ack,
+    /// The entry that was to be probed did not answer.
+    Nack,
+}
+
+/// A message between two entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Gossip {
+pub struct Message {
     /// Sender.
     pub from: NodeId,
-    /// News about members.
-    pub members: Vec<Member>,
-    /// Generation of the configuration in force at the sender.
+    /// Highest generation of the configuration in force at the sender.
     pub generation: u64,
-    /// Backend servers that the sender knows to be leaving.
-    pub leaving_servers: Vec<Name>,
+    /// What it asks or answers.
+    pub body: Body,
+    /// News on members and backend servers, bounded in number.
+    pub news: Vec<News>,
 }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -4,21 +4,6 @@
 use kernel::{Millis, Name, NodeId};
 use std::collections::BTreeMap;
 
-/// Times of the failure detector.
-#[derive(Clone, Copy, Debug)]
-pub struct Settings {
-    /// Time a suspected entry has to refute, in milliseconds.
-    pub suspect_for: Millis,
-    /// Time a dead or departed entry is remembered, in milliseconds.
-    pub remember_dead: Millis,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self { suspect_for: 800, remember_dead: 600_000 }
-    }
-}
-
 /// What changed in the table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -26,18 +11,47 @@
     Joined(NodeId),
     /// An entry is suspected.
     Suspected(NodeId),
-    /// An entry refuted a suspicion.
+    /// An entry refuted a suspicion, or came back after it was believed dead.
     Refuted(NodeId),
     /// An entry is leaving.
     Leaving(NodeId),
-    /// The run of an entry is over.
+    /// An entry is believed dead.
     Died(NodeId),
 }
 
+impl Change {
+    /// Returns the run that changed.
+    pub fn node(&self) -> &NodeId {
+        match self {
+            Self::Joined(node)
+            | Self::Suspected(node)
+            | Self::Refuted(node)
+            | Self::Leaving(node)
+            | Self::Died(node) => node,
+        }
+    }
+}
+
+/// What became of a report.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Merged {
+    /// Nothing new.
+    Known,
+    /// The table changed.
+    Changed(Change),
+    /// The report denies that this run is in order, which it has refuted.
+    Refuted,
+    /// A later run of this entry's name exists.
+    Superseded(u64),
+}
+
 #[derive(Clone, Debug)]
 struct Row {
     member: Member,
-    since: Millis,
+    /// Time of death on this process's clock; negative when it died before this process started.
+    died_at: i64,
+    /// Time at which it counts as dead unless it refutes.
+    deadline: Option<Millis>,
 }
 
 /// The members that one entry knows.
@@ -45,15 +59,14 @@
 pub struct Table {
     me: Name,
     rows: BTreeMap<Name, Row>,
-    settings: Settings,
 }
 
 impl Table {
     /// Creates a table that knows only its own entry.
-    pub fn new(me: Member, settings: Settings) -> Self {
+    pub(crate) fn new(me: Member) -> Self {
         let name = me.node.name.clone();
-        let rows = BTreeMap::from([(name.clone(), Row { member: me, since: 0 })]);
-        Self { me: name, rows, settings }
+        let row = Row { member: me, died_at: 0, deadline: None };
+        Self { me: name.clone(), rows: BTreeMap::from([(name, row)]) }
     }
 
     /// Returns this entry.
@@ -71,12 +84,17 @@
         self.rows.values().map(|row| &row.member)
     }
 
-    /// Lists the other entries that may answer.
+    /// Lists the other entries that are not believed dead.
     pub fn others(&self) -> impl Iterator<Item = &Member> {
         self.all().filter(|member| member.node.name != self.me && member.state != MemberState::Dead)
     }
 
-    /// Tells whether the run is believed to be over.
+    /// Lists the entries that are believed dead.
+    pub(crate) fn dead(&self) -> impl Iterator<Item = &Member> {
+        self.all().filter(|member| member.state == MemberState::Dead)
+    }
+
+    /// Tells whether the run is believed dead or was replaced by a later one.
     pub fn is_gone(&self, node: &NodeId) -> bool {
         match self.get(&node.name) {
             Some(member) if member.node.incarnation == node.incarnation => {
@@ -87,88 +105,146 @@
         }
     }
 
+    /// Counts the entries that are not believed dead, this one too.
+    pub(crate) fn live(&self) -> usize {
+        self.others().count() + 1
+    }
+
+    /// Returns the milliseconds since an entry was declared dead.
+    pub(crate) fn age(&self, name: &str, now: Millis) -> Millis {
+        let dead = self.rows.get(name).filter(|row| row.member.state == MemberState::Dead);
+        dead.map_or(0, |row| (now as i64 - row.died_at).max(0) as Millis)
+    }
+
     /// Says that this entry is leaving.
-    pub fn leave(&mut self) {
+    pub(crate) fn leave(&mut self) {
         if let Some(row) = self.rows.get_mut(&self.me) {
             row.member.state = MemberState::Leaving;
         }
     }
 
-    /// Takes news in and returns what changed.
-    pub fn merge(&mut self, news: Vec<Member>, now: Millis) -> Vec<Change> {
-        news.into_iter().filter_map(|member| self.merge_one(member, now)).collect()
+    /// Takes a report in; `patience` is the time a suspected entry has to refute.
+    pub(crate) fn merge(
+        &mut self,
+        report: Member,
+        age: Millis,
+        now: Millis,
+        patience: Millis,
+    ) -> Merged {
+        if report.node.name == self.me {
+            return self.merge_me(&report);
+        }
+        let Some(row) = self.rows.get(&report.node.name) else {
+            return self.insert(report, age, now, patience);
+        };
+        let known = &row.member;
+        if report.precedence() <= known.precedence() {
+            return Merged::Known;
+        }
+        let same_run = report.node.incarnation == known.node.incarnation;
+        if same_run && report.state == MemberState::Dead && known.state != MemberState::Dead {
+            return self.suspect_by_report(&report, now, patience);
+        }
+        let change = describe(&report, !same_run);
+        self.put(report, age, now, patience);
+        Merged::Changed(change)
     }
 
-    /// Notes that an entry answered.
-    pub fn heard(&mut self, node: &NodeId, now: Millis) -> Option<Change> {
-        let row = self.rows.get_mut(&node.name)?;
-        if row.member.node.incarnation != node.incarnation
-            || row.member.state != MemberState::Suspect
-        {
-            return None;
+    /// Notes that an entry answered neither directly nor through others.
+    pub(crate) fn silent(
+        &mut self,
+        node: &NodeId,
+        now: Millis,
+        patience: Millis,
+    ) -> Option<Change> {
+        let row = self.rows.get_mut(&node.name).filter(|row| row.member.node == *node)?;
+        match row.member.state {
+            MemberState::Alive => {
+                row.member.state = MemberState::Suspect;
+                row.deadline = Some(now + patience);
+                Some(Change::Suspected(node.clone()))
+            }
+            MemberState::Leaving => {
+                row.deadline = row.deadline.or(Some(now + patience));
+                None
+            }
+            MemberState::Suspect | MemberState::Dead => None,
         }
-        row.member.state = MemberState::Alive;
-        row.since = now;
-        Some(Change::Refuted(node.clone()))
     }
 
-    /// Notes that an entry did not answer.
-    pub fn silent(&mut self, node: &NodeId, now: Millis) -> Option<Change> {
-        let row = self.rows.get_mut(&node.name)?;
-        if row.member.node != *node || row.member.state != MemberState::Alive {
-            return None;
+    /// Notes that a leaving entry answered.
+    pub(crate) fn answered(&mut self, node: &NodeId) {
+        let row = self.rows.get_mut(&node.name).filter(|row| row.member.node == *node);
+        if let Some(row) = row.filter(|row| row.member.state == MemberState::Leaving) {
+            row.deadline = None;
         }
-        row.member.state = MemberState::Suspect;
-        row.since = now;
-        Some(Change::Suspected(node.clone()))
     }
 
-    /// Lets suspicions that nobody refuted become deaths, and forgets the long dead.
-    pub fn tick(&mut self, now: Millis) -> Vec<Change> {
-        let Settings { suspect_for, remember_dead } = self.settings;
-        self.rows.retain(|_, row| {
-            row.member.state != MemberState::Dead || now < row.since + remember_dead
-        });
-        let overdue = |row: &&mut Row| {
-            row.member.state == MemberState::Suspect && now >= row.since + suspect_for
-        };
+    /// Lets suspicions that nobody refuted become deaths.
+    pub(crate) fn expire(&mut self, now: Millis) -> Vec<Change> {
+        let overdue = |row: &&mut Row| row.deadline.is_some_and(|deadline| now >= deadline);
         let mut changes = Vec::new();
         for row in self.rows.values_mut().filter(overdue) {
             row.member.state = MemberState::Dead;
-            row.since = now;
+            row.deadline = None;
+            row.died_at = now as i64;
             changes.push(Change::Died(row.member.node.clone()));
         }
         changes
     }
 
-    fn merge_one(&mut self, news: Member, now: Millis) -> Option<Change> {
-        if news.node.name == self.me {
-            return self.refute(&news);
+    /// Forgets the long dead.
+    pub(crate) fn forget(&mut self, now: Millis, remember: Millis) {
+        self.rows.retain(|_, row| {
+            row.member.state != MemberState::Dead || now as i64 - row.died_at < remember as i64
+        });
+    }
+
+    /// Gives all suspected entries more time, after this process was paused.
+    pub(crate) fn extend(&mut self, by: Millis) {
+        for deadline in self.rows.values_mut().filter_map(|row| row.deadline.as_mut()) {
+            *deadline += by;
         }
-        let Some(row) = self.rows.get_mut(&news.node.name) else {
-            let joined =
-                (news.state != MemberState::Dead).then(|| Change::Joined(news.node.clone()));
-            self.rows.insert(news.node.name.clone(), Row { member: news, since: now });
-            return joined;
-        };
-        let (old, new) = (row.member.node.incarnation, news.node.incarnation);
-        let newer = new > old || (new == old && news.state > row.member.state);
-        if !newer {
-            return None;
+    }
+
+    fn insert(&mut self, report: Member, age: Millis, now: Millis, patience: Millis) -> Merged {
+        let is_dead = report.state == MemberState::Dead;
+        let change = describe(&report, true);
+        self.put(report, age, now, patience);
+        if is_dead { Merged::Known } else { Merged::Changed(change) }
+    }
+
+    fn put(&mut self, member: Member, age: Millis, now: Millis, patience: Millis) {
+        let deadline = (member.state == MemberState::Suspect).then(|| now + patience);
+        let died_at = now as i64 - age as i64;
+        self.rows.insert(member.node.name.clone(), Row { member, died_at, deadline });
+    }
+
+    /// A death that others report is a suspicion here: the entry may have refuted it already.
+    fn suspect_by_report(&mut self, report: &Member, now: Millis, patience: Millis) -> Merged {
+        let Some(row) = self.rows.get_mut(&report.node.name) else { return Merged::Known };
+        let first = row.deadline.is_none();
+        row.deadline = row.deadline.or(Some(now + patience));
+        row.member.refutation = report.refutation;
+        if row.member.state == MemberState::Alive {
+            row.member.state = MemberState::Suspect;
         }
-        let change = describe(&news, new > old);
-        *row = Row { member: news, since: now };
-        Some(change)
+        if !first || row.member.state == MemberState::Leaving {
+            return Merged::Known;
+        }
+        Merged::Changed(Change::Suspected(report.node.clone()))
     }
 
-    /// Answers a false report of this run's death or a claim to this entry's name.
-    fn refute(&mut self, news: &Member) -> Option<Change> {
-        let row = self.rows.get_mut(&self.me)?;
-        let mine = row.member.node.incarnation;
-        if news.node.incarnation == mine && news.state > row.member.state {
-            return Some(Change::Suspected(news.node.clone()));
+    fn merge_me(&mut self, report: &Member) -> Merged {
+        let Some(row) = self.rows.get_mut(&self.me) else { return Merged::Known };
+        if report.node.incarnation > row.member.node.incarnation {
+            return Merged::Superseded(report.node.incarnation);
+        }
+        if report.precedence() <= row.member.precedence() {
+            return Merged::Known;
         }
-        None
+        row.member.refutation = report.refutation + 1;
+        Merged::Refuted
     }
 }
 
--- a/crates/peer/src/codec/mod.rs
+++ b/crates/peer/src/codec/mod.rs
@@ -1,5 +1,6 @@
 //! Between plain types and the generated Cap'n Proto types.
 
+mod gossip;
 mod parts;
 mod reply;
 mod request;
@@ -7,9 +8,44 @@
 pub(crate) use reply::{read_reply, write_reply};
 pub(crate) use request::{read_request, write_request};
 
-use kernel::{Code, Failure};
+use crate::message::{Reply, Request};
+use kernel::{Code, Failure, NodeId};
 
 /// Turns a malformed message into a failure.
 pub(crate) fn malformed(e: impl std::fmt::Display) -> Failure {
     Failure::new(Code::PeerUnreachable, format!("malformed message: {e}"))
 }
+
+/// Encodes a request as it travels inside one capnp-rpc call.
+pub fn encode_request(to: &NodeId, req: &Request) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    write_request(message.init_root(), to, req);
+    capnp::serialize::write_message_to_words(&message)
+}
+
+/// Decodes a request.
+///
+/// # Errors
+/// When the bytes are malformed.
+pub fn decode_request(bytes: &[u8]) -> Result<(NodeId, Request), Failure> {
+    let options = capnp::message::ReaderOptions::default();
+    let message = capnp::serialize::read_message(bytes, options).map_err(malformed)?;
+    message.get_root().and_then(read_request).map_err(malformed)
+}
+
+/// Encodes a reply as it travels inside one capnp-rpc answer.
+pub fn encode_reply(reply: &Reply) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    write_reply(message.init_root(), reply);
+    capnp::serialize::write_message_to_words(&message)
+}
+
+/// Decodes a reply.
+///
+/// # Errors
+/// When the bytes are malformed.
+pub fn decode_reply(bytes: &[u8]) -> Result<Reply, Failure> {
+    let options = capnp::message::ReaderOptions::default();
+    let message = capnp::serialize::read_message(bytes, options).map_err(malformed)?;
+    message.get_root().and_then(read_reply).map_err(malformed)
+}
--- a/crates/peer/src/codec/parts.rs
+++ b/crates/peer/src/codec/parts.rs
@@ -3,7 +3,6 @@
 use capnp::{struct_list, text};
 use kernel::{Code, Key, Name, NodeId};
 use ledger::{Chunk, Ending, Right, Terms};
-use member::{Gossip, Member, MemberState};
 use wire::peer_capnp as w;
 
 type Read<T> = capnp::Result<T>;
@@ -108,58 +107,3 @@
         w::Right::Claimed => Right::Claimed,
     }
 }
-
-pub(super) fn write_gossip(mut b: w::gossip::Builder<'_>, gossip: &Gossip) {
-    write_node(b.reborrow().init_from(), &gossip.from);
-    b.set_generation(gossip.generation);
-    let mut members = b.reborrow().init_members(gossip.members.len() as u32);
-    for (i, member) in (0..).zip(&gossip.members) {
-        write_member(members.reborrow().get(i), member);
-    }
-    let mut leaving = b.init_leaving_servers(gossip.leaving_servers.len() as u32);
-    for (i, server) in (0..).zip(&gossip.leaving_servers) {
-        leaving.set(i, server.as_str());
-    }
-}
-
-pub(super) fn read_gossip(r: w::gossip::Reader<'_>) -> Read<Gossip> {
-    let members = r.get_members()?.iter().map(read_member).collect::<Read<_>>()?;
-    let leaving = r.get_leaving_servers()?;
-    Ok(Gossip {
-        from: read_node(r.get_from()?)?,
-        members,
-        generation: r.get_generation(),
-        leaving_servers: leaving.iter().map(|server| name(server?)).collect::<Read<_>>()?,
-    })
-}
-
-fn write_member(mut b: w::member::Builder<'_>, member: &Member) {
-    write_node(b.reborrow().init_node(), &member.node);
-    b.set_http(member.http.to_string());
-    b.set_peer(member.peer.to_string());
-    b.set_data_centre(member.data_centre.as_str());
-    b.set_state(match member.state {
-        MemberState::Alive => w::MemberState::Alive,
-        MemberState::Suspect => w::MemberState::Suspect,
-        MemberState::Leaving => w::MemberState::Leaving,
-        MemberState::Dead => w::MemberState::Dead,
-    });
-}
-
-fn read_member(r: w::member::Reader<'_>) -> Read<Member> {
-    let address = |text: text::Reader<'_>| {
-        text.to_str()?.parse().map_err(|e| capnp::Error::failed(format!("address: {e}")))
-    };
-    Ok(Member {
-        node: read_node(r.get_node()?)?,
-        http: address(r.get_http()?)?,
-        peer: address(r.get_peer()?)?,
-        data_centre: name(r.get_data_centre()?)?,
-        state: match r.get_state()? {
-            w::MemberState::Alive => MemberState::Alive,
-            w::MemberState::Suspect => MemberState::Suspect,
-            w::MemberState::Leaving => MemberState::Leaving,
-            w::MemberState::Dead => MemberState::Dead,
-        },
-    })
-}
--- a/crates/peer/src/codec/reply.rs
+++ b/crates/peer/src/codec/reply.rs
@@ -1,5 +1,6 @@
 //! Replies.
 
+use super::gossip::{read_gossip, write_gossip};
 use super::parts::*;
 use crate::message::{ReadReply, Reply};
 use kernel::{Failure, Outcome};
--- a/crates/peer/src/codec/request.rs
+++ b/crates/peer/src/codec/request.rs
@@ -1,5 +1,6 @@
 //! Requests.
 
+use super::gossip::{read_gossip, write_gossip};
 use super::parts::*;
 use crate::message::{Request, Submit};
 use kernel::NodeId;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,8 +4,12 @@
 //! channels and can be used from any task.
 
 mod codec;
+mod connections;
 mod message;
+mod traffic;
 mod transport;
 
+pub use codec::{decode_reply, decode_request, encode_reply, encode_request};
 pub use message::{Handler, ReadReply, Reply, Request, Submit};
+pub use traffic::Traffic;
 pub use transport::{PeerSettings, Peers};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,7 @@
 use arcstr::ArcStr;
 use kernel::{Failure, Key, NodeId};
 use ledger::{AskReply, Chunk, Ending, HoldReply, Right, Terms, VoidReply};
-use member::Gossip;
+use member::Message;
 use std::future::Future;
 use std::pin::Pin;
 
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub enum Request {
     /// Membership news.
-    Gossip(Gossip),
+    Gossip(Message),
     /// Hold a copy of a record.
     Hold {
         /// The record.
@@ -100,7 +100,7 @@
     /// It failed.
     Failure(Failure),
     /// To [`Request::Gossip`].
-    Gossip(Gossip),
+    Gossip(Message),
     /// To [`Request::Hold`].
     Hold(HoldReply),
     /// To [`Request::Ask`].
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -1,14 +1,15 @@
 //! The thread that runs capnp-rpc, and the handle to it.
 
 use crate::codec::{malformed, read_reply, read_request, write_reply, write_request};
+use crate::connections::Connections;
 use crate::message::{Handler, Reply, Request};
-use capnp::capability::{FromClientHook, Promise};
+use crate::traffic::{Counted, Traffic};
+use capnp::capability::Promise;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use kernel::prelude::*;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -24,11 +25,17 @@
     pub connect: Duration,
     /// Time for an answer, when the caller of [`Peers::call`] gives none.
     pub answer: Duration,
+    /// Time after which an unused connection is closed.
+    pub idle: Duration,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self { connect: Duration::from_millis(250), answer: Duration::from_millis(500) }
+        Self {
+            connect: Duration::from_millis(250),
+            answer: Duration::from_millis(500),
+            idle: Duration::from_secs(5),
+        }
     }
 }
 
@@ -52,12 +59,12 @@
     ///
     /// # Errors
     /// [`Code::Internal`] when the thread cannot be started.
-    pub fn start(settings: PeerSettings) -> Result<Self, Failure> {
+    pub fn start(settings: PeerSettings, traffic: Traffic) -> Result<Self, Failure> {
         let (tx, rx) = mpsc::channel(QUEUE);
         let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(internal)?;
-        let body = move || LocalSet::new().block_on(&runtime, run_jobs(rx, settings));
+        let body = move || LocalSet::new().block_on(&runtime, run_jobs(rx, settings, traffic));
         std::thread::Builder::new().name("peers".into()).spawn(body).map_err(internal)?;
         Ok(Self { tx, settings })
     }
@@ -92,6 +99,7 @@
     pub fn serve(
         listener: std::net::TcpListener,
         handler: Arc<dyn Handler>,
+        traffic: Traffic,
         mut stop: kernel::Stop,
     ) -> Result<(), Failure> {
         let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
@@ -102,7 +110,7 @@
         let body = move || {
             let serving = async move {
                 tokio::select! {
-                    () = accept(listener, handler, main) => {}
+                    () = accept(listener, handler, traffic, main) => {}
                     () = stop.wait() => {}
                 }
             };
@@ -113,17 +121,22 @@
     }
 }
 
-/// Connections of this thread by address; a broken one is dropped and made again on demand.
-type Connections = Rc<RefCell<HashMap<SocketAddr, peer::Client>>>;
-
-async fn run_jobs(mut rx: mpsc::Receiver<Job>, settings: PeerSettings) {
-    let connections = Connections::default();
-    while let Some(job) = rx.recv().await {
+async fn run_jobs(mut rx: mpsc::Receiver<Job>, settings: PeerSettings, traffic: Traffic) {
+    let connections = Connections::new(settings, traffic);
+    let mut sweep = tokio::time::interval(settings.idle / 2);
+    loop {
+        let job = tokio::select! {
+            job = rx.recv() => job,
+            _ = sweep.tick() => {
+                connections.close_idle();
+                continue;
+            }
+        };
+        let Some(job) = job else { return };
         let connections = connections.clone();
         spawn_local(async move {
             let limit = job.limit;
-            let work = run_job(&connections, &job, settings);
-            let result = tokio::time::timeout(limit, work).await;
+            let result = tokio::time::timeout(limit, run_job(&connections, &job)).await;
             let late = || Failure::new(Code::PeerUnreachable, format!("{} is late", job.to));
             let result = result.unwrap_or_else(|_| Err(late()));
             // The caller may have stopped waiting.
@@ -132,17 +145,9 @@
     }
 }
 
-async fn run_job(
-    connections: &Connections,
-    job: &Job,
-    settings: PeerSettings,
-) -> Result<Reply, Failure> {
-    let known = connections.borrow().get(&job.address).cloned();
-    let client = match known {
-        Some(client) => client,
-        None => connect(connections, job.address, settings).await?,
-    };
-    let mut call = client.call_request();
+async fn run_job(connections: &Connections, job: &Job) -> Result<Reply, Failure> {
+    let connection = connections.get(job.address).await?;
+    let mut call = connection.client().call_request();
     write_request(call.get().init_request(), &job.to, &job.req);
     let result = match call.send().promise.await {
         Ok(answer) => {
@@ -151,45 +156,13 @@
         Err(e) => Err(Failure::new(Code::PeerUnreachable, format!("{}: {e}", job.address))),
     };
     if result.is_err() {
-        forget(connections, job.address, &client);
+        connections.forget(&connection);
     }
     result
 }
 
-fn forget(connections: &Connections, address: SocketAddr, client: &peer::Client) {
-    let mut connections = connections.borrow_mut();
-    let same = |known: &peer::Client| {
-        known.as_client_hook().get_ptr() == client.as_client_hook().get_ptr()
-    };
-    if connections.get(&address).is_some_and(same) {
-        connections.remove(&address);
-    }
-}
-
-async fn connect(
-    connections: &Connections,
-    address: SocketAddr,
-    settings: PeerSettings,
-) -> Result<peer::Client, Failure> {
-    let unreachable = |e: String| Failure::new(Code::PeerUnreachable, format!("{address}: {e}"));
-    let stream = tokio::time::timeout(settings.connect, TcpStream::connect(address)).await;
-    let stream =
-        stream.map_err(|e| unreachable(e.to_string()))?.map_err(|e| unreachable(e.to_string()))?;
-    let _ = stream.set_nodelay(true);
-    let network = network(stream, rpc_twoparty_capnp::Side::Client);
-    let mut system = RpcSystem::new(network, None);
-    let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    connections.borrow_mut().insert(address, client.clone());
-    let (connections, gone) = (connections.clone(), client.clone());
-    spawn_local(async move {
-        let _ = system.await;
-        forget(&connections, address, &gone);
-    });
-    Ok(client)
-}
-
-fn network(
-    stream: TcpStream,
+pub(crate) fn network(
+    stream: Counted,
     side: rpc_twoparty_capnp::Side,
 ) -> Box<twoparty::VatNetwork<impl futures::AsyncRead + Unpin>> {
     let (reader, writer) = tokio::io::split(stream);
@@ -204,6 +177,7 @@
 async fn accept(
     listener: std::net::TcpListener,
     handler: Arc<dyn Handler>,
+    traffic: Traffic,
     main: tokio::runtime::Handle,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -215,6 +189,7 @@
         let _ = stream.set_nodelay(true);
         let server = Server { handler: handler.clone(), main: main.clone() };
         let client: peer::Client = capnp_rpc::new_client(server);
+        let stream = traffic.count(stream);
         let network = network(stream, rpc_twoparty_capnp::Side::Server);
         spawn_local(RpcSystem::new(network, Some(client.client)));
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -49,11 +49,17 @@
 }
 
 struct Member {
-  node @0 :Node;
-  http @1 :Text;
-  peer @2 :Text;
-  dataCentre @3 :Text;
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  refutation @2 :UInt32;
+  ageS @3 :UInt32;            # seconds since it was declared dead
   state @4 :MemberState;
+  peerPort @5 :UInt16;
+  httpPort @6 :UInt16;
+  peerIp @7 :Text;
+  httpIp @8 :Text;            # absent when it is that for other entries
+  region @9 :Text;
+  dataCentre @10 :Text;
 }
 
 enum MemberState {
@@ -63,11 +69,26 @@
   dead @3;
 }
 
+struct LeavingServer {
+  name @0 :Text;
+  ageMs @1 :UInt64;           # since this was first said
+}
+
 struct Gossip {
   from @0 :Node;
-  members @1 :List(Member);
-  generation @2 :UInt64;      # of the configuration in force at the sender
-  leavingServers @3 :List(Text);
+  generation @1 :UInt64;      # of the configuration in force at the sender
+  members @2 :List(Member);
+  leavingServers @3 :List(LeavingServer);
+  body :union {
+    probe @4 :Void;
+    join @5 :Void;
+    probeFor @6 :Node;
+    push @7 :Void;
+    digest @8 :List(UInt32);
+    differences @9 :Data;     # one bit for each bucket of the digest
+    ack @10 :Void;
+    nack @11 :Void;
+  }
 }
 
 struct Request {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2149,46 +2149,74 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_node(self) -> ::capnp::Result<crate::peer_capnp::node::Reader<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_node(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_http(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_refutation(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_age_s(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_state(self) -> ::core::result::Result<crate::peer_capnp::MemberState,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn get_peer_port(self) -> u16 {
+            self.reader.get_data_field::<u16>(9)
+        }
+        #[inline]
+        pub fn get_http_port(self) -> u16 {
+            self.reader.get_data_field::<u16>(10)
+        }
+        #[inline]
+        pub fn get_peer_ip(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_http(&self) -> bool {
+        pub fn has_peer_ip(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_peer(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_http_ip(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_peer(&self) -> bool {
+        pub fn has_http_ip(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_region(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_data_centre(&self) -> bool {
+        pub fn has_region(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_state(self) -> ::core::result::Result<crate::peer_capnp::MemberState,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2239,76 +2267,132 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_node(self) -> ::capnp::Result<crate::peer_capnp::node::Builder<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_node(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_node(self, ) -> crate::peer_capnp::node::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_node(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_http(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_refutation(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_refutation(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_age_s(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_age_s(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_state(self) -> ::core::result::Result<crate::peer_capnp::MemberState,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn set_state(&mut self, value: crate::peer_capnp::MemberState)  {
+            self.builder.set_data_field::<u16>(8, value as u16);
+        }
+        #[inline]
+        pub fn get_peer_port(self) -> u16 {
+            self.builder.get_data_field::<u16>(9)
+        }
+        #[inline]
+        pub fn set_peer_port(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(9, value);
+        }
+        #[inline]
+        pub fn get_http_port(self) -> u16 {
+            self.builder.get_data_field::<u16>(10)
+        }
+        #[inline]
+        pub fn set_http_port(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(10, value);
+        }
+        #[inline]
+        pub fn get_peer_ip(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_http(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_peer_ip(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
         }
         #[inline]
-        pub fn init_http(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_peer_ip(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_http(&self) -> bool {
+        pub fn has_peer_ip(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_peer(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_http_ip(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_peer(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_http_ip(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
         }
         #[inline]
-        pub fn init_peer(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_http_ip(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(2).init_text(size)
         }
         #[inline]
-        pub fn has_peer(&self) -> bool {
+        pub fn has_http_ip(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_region(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_region(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
         }
         #[inline]
-        pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_region(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(3).init_text(size)
         }
         #[inline]
-        pub fn has_data_centre(&self) -> bool {
+        pub fn has_region(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_state(self) -> ::core::result::Result<crate::peer_capnp::MemberState,::capnp::NotInSchema> {
-            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_state(&mut self, value: crate::peer_capnp::MemberState)  {
-            self.builder.set_data_field::<u16>(0, value as u16);
+        pub fn set_data_centre(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
         }
     }
 
@@ -2319,95 +2403,135 @@
         }
     }
     impl Pipeline  {
-        pub fn get_node(&self) -> crate::peer_capnp::node::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(11, 96, 17, 198, 20, 112, 184, 158),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 116, 116, 112, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 97, 116, 97, 67, 101, 110, 116),
-            ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 116, 97, 116, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 83, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
@@ -2418,14 +2542,71 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 80, 111, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 116, 116, 112, 80, 111, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 73, 112, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 116, 116, 112, 73, 112, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 103, 105, 111, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 97, 116, 97, 67, 101, 110, 116),
+            ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::MemberState as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2439,9 +2620,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,10,8,6,1,0,7,5,2,9,4];
         pub(crate) const TYPE_ID: u64 = 0x9eb8_7014_c611_600b;
     }
 }
@@ -2522,7 +2703,7 @@
 pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
 }
 
-pub mod gossip {
+pub mod leaving_server {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2584,38 +2765,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::node::Reader<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_from(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_members(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_generation(self) -> u64 {
+        pub fn get_age_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
-        #[inline]
-        pub fn get_leaving_servers(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_leaving_servers(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2666,61 +2831,29 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::node::Builder<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_from(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_from(self, ) -> crate::peer_capnp::node::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_from(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_members(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_generation(self) -> u64 {
+        pub fn get_age_ms(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_generation(&mut self, value: u64)  {
+        pub fn set_age_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
-        #[inline]
-        pub fn get_leaving_servers(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_leaving_servers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_leaving_servers(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_leaving_servers(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2730,79 +2863,50 @@
         }
     }
     impl Pipeline  {
-        pub fn get_from(&self) -> crate::peer_capnp::node::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(163, 219, 10, 192, 214, 133, 39, 218),
+            ::capnp::word(51, 224, 108, 189, 179, 174, 179, 248),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
-            ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 101, 97, 118, 105),
+            ::capnp::word(110, 103, 83, 101, 114, 118, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 122, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(11, 96, 17, 198, 20, 112, 184, 158),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2810,26 +2914,11 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 83),
-            ::capnp::word(101, 114, 118, 101, 114, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2843,10 +2932,850 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,3,1];
-        pub(crate) const TYPE_ID: u64 = 0xda27_85d6_c00a_dba3;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xf8b3_aeb3_bd6c_e033;
+    }
+}
+
+pub mod gossip {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::node::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_generation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_members(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_leaving_servers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::leaving_server::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_leaving_servers(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_body(self) -> crate::peer_capnp::gossip::body::Reader<'a> {
+            self.reader.into()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::peer_capnp::node::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_from(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_from(self, ) -> crate::peer_capnp::node::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_generation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_generation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_members(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_leaving_servers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::leaving_server::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_leaving_servers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::leaving_server::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_leaving_servers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::leaving_server::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_leaving_servers(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_body(self) -> crate::peer_capnp::gossip::body::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_body(mut self, ) -> crate::peer_capnp::gossip::body::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 0);
+            self.builder.reborrow().get_pointer_field(3).clear();
+            self.builder.into()
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_from(&self) -> crate::peer_capnp::node::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_body(&self) -> crate::peer_capnp::gossip::body::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(163, 219, 10, 192, 214, 133, 39, 218),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(117, 144, 78, 44, 107, 168, 241, 211),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
+            ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 84, 68, 171, 73, 23, 43, 155),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 96, 17, 198, 20, 112, 184, 158),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 83),
+            ::capnp::word(101, 114, 118, 101, 114, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(51, 224, 108, 189, 179, 174, 179, 248),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::leaving_server::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::peer_capnp::gossip::body::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xda27_85d6_c00a_dba3;
+    }
+
+    pub mod body {
+        pub use self::Which::{Probe,Join,ProbeFor,Push,Digest,Differences,Ack,Nack};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn has_probe_for(&self) -> bool {
+                if self.reader.get_data_field::<u16>(4) != 2 { return false; }
+                !self.reader.get_pointer_field(3).is_null()
+            }
+            #[inline]
+            pub fn has_digest(&self) -> bool {
+                if self.reader.get_data_field::<u16>(4) != 4 { return false; }
+                !self.reader.get_pointer_field(3).is_null()
+            }
+            #[inline]
+            pub fn has_differences(&self) -> bool {
+                if self.reader.get_data_field::<u16>(4) != 5 { return false; }
+                !self.reader.get_pointer_field(3).is_null()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Probe(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Join(
+                            ()
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(ProbeFor(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    3 => {
+                        ::core::result::Result::Ok(Push(
+                            ()
+                        ))
+                    }
+                    4 => {
+                        ::core::result::Result::Ok(Digest(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    5 => {
+                        ::core::result::Result::Ok(Differences(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    6 => {
+                        ::core::result::Result::Ok(Ack(
+                            ()
+                        ))
+                    }
+                    7 => {
+                        ::core::result::Result::Ok(Nack(
+                            ()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_probe(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 0);
+            }
+            #[inline]
+            pub fn set_join(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 1);
+            }
+            #[inline]
+            pub fn set_probe_for(&mut self, value: crate::peer_capnp::node::Reader<'_>) -> ::capnp::Result<()> {
+                self.builder.set_data_field::<u16>(4, 2);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_probe_for(self, ) -> crate::peer_capnp::node::Builder<'a> {
+                self.builder.set_data_field::<u16>(4, 2);
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+            }
+            #[inline]
+            pub fn has_probe_for(&self) -> bool {
+                if self.builder.get_data_field::<u16>(4) != 2 { return false; }
+                !self.builder.is_pointer_field_null(3)
+            }
+            #[inline]
+            pub fn set_push(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 3);
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+                self.builder.set_data_field::<u16>(4, 4);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_digest(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+                self.builder.set_data_field::<u16>(4, 4);
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            }
+            #[inline]
+            pub fn has_digest(&self) -> bool {
+                if self.builder.get_data_field::<u16>(4) != 4 { return false; }
+                !self.builder.is_pointer_field_null(3)
+            }
+            #[inline]
+            pub fn set_differences(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.set_data_field::<u16>(4, 5);
+                self.builder.reborrow().get_pointer_field(3).set_data(value);
+            }
+            #[inline]
+            pub fn init_differences(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.set_data_field::<u16>(4, 5);
+                self.builder.get_pointer_field(3).init_data(size)
+            }
+            #[inline]
+            pub fn has_differences(&self) -> bool {
+                if self.builder.get_data_field::<u16>(4) != 5 { return false; }
+                !self.builder.is_pointer_field_null(3)
+            }
+            #[inline]
+            pub fn set_ack(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 6);
+            }
+            #[inline]
+            pub fn set_nack(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 7);
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Probe(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Join(
+                            ()
+                        ))
+                    }
+                    2 => {
+                        ::core::result::Result::Ok(ProbeFor(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    3 => {
+                        ::core::result::Result::Ok(Push(
+                            ()
+                        ))
+                    }
+                    4 => {
+                        ::core::result::Result::Ok(Digest(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    5 => {
+                        ::core::result::Result::Ok(Differences(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+                        ))
+                    }
+                    6 => {
+                        ::core::result::Result::Ok(Ack(
+                            ()
+                        ))
+                    }
+                    7 => {
+                        ::core::result::Result::Ok(Nack(
+                            ()
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(40, 84, 68, 171, 73, 23, 43, 155),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(163, 219, 10, 192, 214, 133, 39, 218),
+                ::capnp::word(4, 0, 7, 0, 1, 0, 8, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 199, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
+                ::capnp::word(112, 46, 98, 111, 100, 121, 0, 0),
+                ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 253, 255, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(225, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 251, 255, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 250, 255, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 1, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(106, 111, 105, 110, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 114, 111, 98, 101, 70, 111, 114),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 212, 231, 217, 32, 76, 164, 207),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 117, 115, 104, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 102, 102, 101, 114, 101, 110),
+                ::capnp::word(99, 101, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 99, 107, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 97, 99, 107, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::peer_capnp::node::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    6 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,4,1,7,0,2,3];
+            pub(crate) const TYPE_ID: u64 = 0x9b2b_1749_ab44_5428;
+        }
+        pub enum Which<A0,A1,A2> {
+            Probe(()),
+            Join(()),
+            ProbeFor(A0),
+            Push(()),
+            Digest(A1),
+            Differences(A2),
+            Ack(()),
+            Nack(()),
+        }
+        pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::node::Reader<'a>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u32>>,::capnp::Result<::capnp::data::Reader<'a>>>;
+        pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::node::Builder<'a>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u32>>,::capnp::Result<::capnp::data::Builder<'a>>>;
     }
 }
 
