--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -114,12 +114,14 @@
     join_pause: Millis,
     next_join: Millis,
     next_sync: Millis,
+    /// Time to the next comparison; doubles while nothing differs.
+    sync_pause: Millis,
     next_reconnect: Millis,
     next_urgent: Millis,
     last_step: Millis,
 }
 
-/// Longest time between two attempts to join.
+/// Longest time between two attempts to join while no other entry is known.
 const JOIN_PAUSE_MS: Millis = 2000;
 
 impl Machine {
@@ -145,6 +147,7 @@
             join_pause: settings.probe_every,
             next_join: 0,
             next_sync: 0,
+            sync_pause: settings.sync_again,
             next_reconnect: settings.reconnect_every,
             next_urgent: 0,
             last_step: 0,
@@ -199,8 +202,9 @@
     }
 
     fn tick(&mut self, cx: &mut Step) {
+        // Whoever heard of the suspicion has a deadline of its own.
         for change in self.table.expire(cx.now) {
-            self.note(cx, change, true);
+            self.note(cx, change, false);
         }
         self.table.forget(cx.now, self.settings.remember_dead);
         if self.servers.forget(cx.now, self.settings.remember_leaving) {
@@ -249,26 +253,27 @@
         None
     }
 
-    /// Asks a seed for the way in, until another entry is known.
+    /// Asks a seed that is not known for the way in; groups that formed around different seeds
+    /// find together so.
     fn join(&mut self, cx: &mut Step) {
-        if self.live > 1 || cx.now < self.next_join {
+        if cx.now < self.next_join {
             return;
         }
+        let limit = if self.live > 1 { self.settings.reconnect_every } else { JOIN_PAUSE_MS };
         self.next_join = cx.now + cx.jitter(self.join_pause);
-        self.join_pause = (self.join_pause * 2).min(JOIN_PAUSE_MS);
+        self.join_pause = (self.join_pause * 2).min(limit);
         let seed = cx.draw.pick(self.strange_seeds());
         self.ask_stranger(cx, seed);
     }
 
-    /// Tries a dead entry or an unknown seed, so that groups which lost each other find together.
+    /// Tries a dead entry, so that groups which lost each other find together.
     fn reconnect(&mut self, cx: &mut Step) {
         if cx.now < self.next_reconnect {
             return;
         }
         self.next_reconnect = cx.now + cx.jitter(self.settings.reconnect_every);
-        let mut addresses = self.strange_seeds();
-        addresses.extend(self.table.dead().map(|member| member.peer));
-        let address = cx.draw.pick(addresses);
+        let dead = self.table.dead().map(|member| member.peer).collect();
+        let address = cx.draw.pick(dead);
         self.ask_stranger(cx, address);
     }
 
@@ -289,12 +294,19 @@
             return;
         }
         let Some(partner) = cx.draw.pick(self.live_others()) else { return };
-        self.next_sync = cx.now + cx.jitter(self.settings.sync_every);
+        self.next_sync = cx.now + cx.jitter(self.sync_pause);
+        self.sync_pause = (self.sync_pause * 2).min(self.settings.sync_every);
         let limit = self.settings.probe_timeout * 4;
         let body = Body::Digest(self.digest().0);
         self.exchange(cx, Purpose::Sync, partner.peer, partner.node, body, limit);
     }
 
+    /// Compares again soon, because more differed than one message holds.
+    fn sync_soon(&mut self, cx: &mut Step) {
+        self.sync_pause = self.settings.sync_again;
+        self.next_sync = self.next_sync.min(cx.now + cx.jitter(self.sync_pause));
+    }
+
     fn asked(&mut self, cx: &mut Step, ticket: u64, message: Message) {
         let from = message.from.clone();
         let body = message.body.clone();
@@ -359,8 +371,10 @@
         if mask.iter().all(|byte| *byte == 0) {
             return;
         }
-        self.next_sync = cx.now + cx.jitter(self.settings.sync_again);
         let rows = self.differing(cx, mask, had);
+        if had.len() >= self.settings.sync_rows || rows.len() >= self.settings.sync_rows {
+            self.sync_soon(cx);
+        }
         let Some(address) = self.table.get(&to.name).map(|member| member.peer) else { return };
         if !rows.is_empty() && self.pending.len() < self.settings.open_exchanges {
             let message = self.message(Body::Push, rows, 0);
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -73,15 +73,19 @@
 impl Settings {
     /// Returns the time a suspected entry has to refute in a group of this size.
     pub(crate) fn suspicion(&self, members: usize) -> Millis {
-        self.suspect_for * u64::from(doublings(members).max(3)) / 3
+        self.suspect_for * u64::from(doublings(members).max(MIN_DOUBLINGS))
+            / u64::from(MIN_DOUBLINGS)
     }
 
     /// Returns the times that one piece of news is sent in a group of this size.
     pub(crate) fn sends(&self, members: usize) -> u32 {
-        self.sends_per_doubling * doublings(members)
+        self.sends_per_doubling * doublings(members).max(MIN_DOUBLINGS)
     }
 }
 
+/// Doublings to a group of eight; a smaller group is treated like one of eight.
+const MIN_DOUBLINGS: u32 = 3;
+
 /// Returns the doublings from one member to this number, rounded up.
 fn doublings(members: usize) -> u32 {
     members.max(2).next_power_of_two().trailing_zeros()
--- a/crates/scale/src/net.rs
+++ b/crates/scale/src/net.rs
@@ -106,6 +106,8 @@
     tickets: HashMap<u64, Ticket>,
     faults: Vec<Fault>,
     history: Vec<(Millis, usize, Change)>,
+    heard: Vec<u64>,
+    longest: usize,
     superseded: Vec<(usize, u64)>,
     violations: Vec<Violation>,
 }
@@ -126,6 +128,8 @@
             tickets: HashMap::new(),
             faults: Vec::new(),
             history: Vec::new(),
+            heard: vec![0; shape.entries],
+            longest: 0,
             superseded: Vec::new(),
             violations: Vec::new(),
             shape,
@@ -135,12 +139,12 @@
     /// Creates a network whose entries all run and know each other.
     pub fn settled(shape: Shape) -> Self {
         let mut net = Self::new(shape);
+        (0..net.len()).for_each(|i| net.start(i));
         let members: Vec<Member> = net.entries.iter().map(|e| e.member.clone()).collect();
         let news = members.iter().map(|m| News::Member { member: m.clone(), age: 0 }).collect();
         let from = NodeId::default();
         let all = Message { from, generation: 0, body: member::Body::Push, news };
-        for i in 0..net.entries.len() {
-            net.start(i);
+        for i in 0..net.len() {
             let event = Event::Asked { ticket: u64::MAX, message: all.clone() };
             drop(net.step(i, event));
         }
@@ -173,6 +177,11 @@
         self.entries[i].machine.as_ref().map(Machine::leaving_servers).unwrap_or_default()
     }
 
+    /// Counts the topics that an entry still has to pass on.
+    pub fn queued(&self, i: usize) -> usize {
+        self.entries[i].machine.as_ref().map_or(0, Machine::queued)
+    }
+
     /// Returns the present or last run of an entry.
     pub fn node(&self, i: usize) -> &NodeId {
         &self.entries[i].member.node
@@ -213,6 +222,11 @@
         &self.superseded
     }
 
+    /// Returns the most news that one message held.
+    pub fn longest_message(&self) -> usize {
+        self.longest
+    }
+
     /// Lists the promises broken on the way.
     pub fn violations(&self) -> &[Violation] {
         &self.violations
@@ -281,10 +295,16 @@
     }
 
     /// Puts a generation in force at an entry.
-    pub fn generation(&mut self, i: usize, generation: u64) {
+    pub fn set_generation(&mut self, i: usize, generation: u64) {
+        self.heard[i] = generation;
         self.step_and_act(i, Event::Generation(generation));
     }
 
+    /// Returns the generation in force at an entry.
+    pub fn generation(&self, i: usize) -> u64 {
+        self.heard[i]
+    }
+
     /// Runs for a time, in milliseconds.
     pub fn run(&mut self, time: Millis) {
         let end = self.now + time;
@@ -410,10 +430,17 @@
             }
             Action::Publish(change) => self.history.push((self.now, i, change)),
             Action::Superseded(incarnation) => self.superseded.push((i, incarnation)),
-            Action::Heard { .. } | Action::LeavingServers(_) => {}
+            Action::Heard { generation, .. } => self.hear(i, generation),
+            Action::LeavingServers(_) => {}
         }
     }
 
+    /// Puts a generation in force at once, as an entry does that can read it from the sender.
+    fn hear(&mut self, i: usize, generation: u64) {
+        self.heard[i] = generation;
+        self.step_and_act(i, Event::Generation(generation));
+    }
+
     /// Nobody may turn to a run that it knows to be over.
     fn check_target(&mut self, i: usize, to: &NodeId) {
         let gone = self.table(i).is_some_and(|table| table.is_gone(to));
@@ -431,6 +458,7 @@
         node: Option<&NodeId>,
     ) -> Message {
         let message = self.strip(message);
+        self.longest = self.longest.max(message.news.len());
         if !self.shape.encoded {
             return message;
         }
