member: rows on backend servers take a third of the room of rows on members

Cause: 86 servers of a data centre leaving at once did not fit into eight rows a message in time. Ruled out: more rows on members a message, which would raise what a wave costs.

--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -3,7 +3,7 @@
 use crate::digest::{self, Digest};
 use crate::draw::Draw;
 use crate::gossip::{Body, Member, MemberState, Message, News};
-use crate::queue::{Queue, Topic};
+use crate::queue::{MEMBER_ROOM, Queue, Topic};
 use crate::servers::LeavingServers;
 use crate::settings::Settings;
 use crate::table::{Change, Merged, Table};
@@ -586,7 +586,7 @@
     fn message(&mut self, body: Body, mut news: Vec<News>, now: Millis) -> Message {
         let room = self.settings.news_per_message.saturating_sub(news.len());
         let sends = self.settings.sends(self.live);
-        for topic in self.queue.take(room, sends) {
+        for topic in self.queue.take(room * MEMBER_ROOM, sends) {
             news.extend(self.news(topic, now));
         }
         let from = self.table.me().node.clone();
--- a/crates/member/src/queue.rs
+++ b/crates/member/src/queue.rs
@@ -10,6 +10,20 @@
     Server(Name),
 }
 
+/// Room that a row on a member takes in a message.
+pub(crate) const MEMBER_ROOM: usize = 3;
+/// Room that a row on a backend server takes in a message.
+const SERVER_ROOM: usize = 1;
+
+impl Topic {
+    fn room(&self) -> usize {
+        match self {
+            Self::Member(_) => MEMBER_ROOM,
+            Self::Server(_) => SERVER_ROOM,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Sending {
     sent: u32,
@@ -30,22 +44,32 @@
         self.topics.insert(topic, Sending { sent: 0, number: self.last });
     }
 
-    /// Takes the topics for one message: least often sent first, then newest first.
-    pub(crate) fn take(&mut self, count: usize, sends: u32) -> Vec<Topic> {
-        let mut order: Vec<(Sending, Topic)> =
-            self.topics.iter().map(|(topic, sending)| (*sending, topic.clone())).collect();
-        order.sort_by_key(|(sending, _)| (sending.sent, u64::MAX - sending.number));
-        order.truncate(count);
-        for (_, topic) in &order {
-            let sending = self.topics.get_mut(topic).map(|sending| {
-                sending.sent += 1;
-                sending.sent
-            });
-            if sending.is_some_and(|sent| sent >= sends) {
-                self.topics.remove(topic);
+    /// Takes the topics that fit into the room: least often sent first, then newest first.
+    pub(crate) fn take(&mut self, mut room: usize, sends: u32) -> Vec<Topic> {
+        let mut order: Vec<(u32, u64, &Topic)> =
+            self.topics.iter().map(|(topic, s)| (s.sent, u64::MAX - s.number, topic)).collect();
+        order.sort_unstable();
+        let mut taken = Vec::new();
+        for (_, _, topic) in order {
+            if topic.room() > room {
+                break;
             }
+            room -= topic.room();
+            taken.push(topic.clone());
+        }
+        for topic in &taken {
+            self.count(topic, sends);
+        }
+        taken
+    }
+
+    /// Counts one sending, and drops the topic after the last one.
+    fn count(&mut self, topic: &Topic, sends: u32) {
+        let Some(sending) = self.topics.get_mut(topic) else { return };
+        sending.sent += 1;
+        if sending.sent >= sends {
+            self.topics.remove(topic);
         }
-        order.into_iter().map(|(_, topic)| topic).collect()
     }
 
     /// Notes that another entry knows the topic already, which counts as having sent it.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -23,7 +23,7 @@
     pub remember_dead: Millis,
     /// Time the news that a backend server is leaving is remembered, in milliseconds.
     pub remember_leaving: Millis,
-    /// News in one message, at most.
+    /// Rows on members in one message, at most; three rows on backend servers take the room of one.
     pub news_per_message: usize,
     /// Times one piece of news is sent, for each doubling of the group.
     pub sends_per_doubling: u32,
