member: two last calls, comparison soon after urgent news, bounded last calls

Ruled out: a longer suspicion (every death would take longer), more sends (costs the quiet time). A page of a comparison has 64 rows instead of 32.

--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -85,7 +85,8 @@
 #[derive(Clone, Debug)]
 enum Purpose {
     Probe(NodeId),
-    LastCall(NodeId),
+    /// With the calls left after this one.
+    LastCall(NodeId, u32),
     Indirect(NodeId),
     Relay(u64),
     Spread,
@@ -124,6 +125,8 @@
 
 /// Longest time between two attempts to join while no other entry is known.
 const JOIN_PAUSE_MS: Millis = 2000;
+/// Probes that a suspected entry must leave without an answer before it counts as dead.
+const LAST_CALLS: u32 = 2;
 
 impl Machine {
     /// Creates an entry that knows only itself.
@@ -217,14 +220,20 @@
     /// Probes each entry that did not refute in time once more, before it counts as dead: the
     /// refutation may only have missed this entry.
     fn call_suspects(&mut self, cx: &mut Step) {
-        let limit = self.settings.probe_timeout;
-        let retry = cx.now + self.patience();
-        for member in self.table.overdue(cx.now, retry) {
-            let purpose = Purpose::LastCall(member.node.clone());
-            self.exchange(cx, purpose, member.peer, member.node, Body::Probe, limit);
+        let open = self.pending.values().filter(|p| matches!(p, Purpose::LastCall(..))).count();
+        let room = self.settings.open_last_calls.saturating_sub(open);
+        let retry = cx.now + self.patience() + 2 * self.settings.last_call;
+        for member in self.table.overdue(cx.now, retry, room) {
+            self.last_call(cx, member, LAST_CALLS - 1);
         }
     }
 
+    fn last_call(&mut self, cx: &mut Step, member: Member, left: u32) {
+        let purpose = Purpose::LastCall(member.node.clone(), left);
+        let limit = self.settings.last_call;
+        self.exchange(cx, purpose, member.peer, member.node, Body::Probe, limit);
+    }
+
     fn probe_next(&mut self, cx: &mut Step) {
         self.probes += 1;
         let far_first = self.probes.is_multiple_of(self.settings.far_probe_every);
@@ -310,7 +319,7 @@
         self.exchange(cx, Purpose::Sync, partner.peer, partner.node, body, limit);
     }
 
-    /// Compares again soon, because more differed than one message holds.
+    /// Compares again soon, because more may differ.
     fn sync_soon(&mut self, cx: &mut Step) {
         self.sync_pause = self.settings.sync_again;
         self.next_sync = self.next_sync.min(cx.now + cx.jitter(self.sync_pause));
@@ -384,7 +393,7 @@
             (Purpose::Relay(ticket), _) => {
                 self.answer(cx, ticket, &NodeId::default(), Body::Ack, Vec::new());
             }
-            (Purpose::Probe(target) | Purpose::LastCall(target), _) => {
+            (Purpose::Probe(target) | Purpose::LastCall(target, _), _) => {
                 self.table.answered(&target);
             }
             (Purpose::Sync, Body::Differences(mask)) => self.push(cx, &from, &mask, &had),
@@ -412,7 +421,7 @@
     fn failed(&mut self, cx: &mut Step, exchange: u64) {
         match self.pending.remove(&exchange) {
             Some(Purpose::Probe(target)) => self.probe_indirectly(cx, &target),
-            Some(Purpose::LastCall(target)) => self.die(cx, &target),
+            Some(Purpose::LastCall(target, left)) => self.unanswered(cx, &target, left),
             Some(Purpose::Indirect(target)) => self.no_report(cx, &target),
             Some(Purpose::Relay(ticket)) => {
                 self.answer(cx, ticket, &NodeId::default(), Body::Nack, Vec::new());
@@ -448,6 +457,14 @@
         }
     }
 
+    fn unanswered(&mut self, cx: &mut Step, target: &NodeId, left: u32) {
+        let member = self.table.get(&target.name).filter(|member| member.node == *target);
+        match (left, member.cloned()) {
+            (0, _) | (_, None) => self.die(cx, target),
+            (left, Some(member)) => self.last_call(cx, member, left - 1),
+        }
+    }
+
     /// Whoever heard of the suspicion has a deadline of its own, so a death is not passed on.
     fn die(&mut self, cx: &mut Step, target: &NodeId) {
         if let Some(change) = self.table.die(target, cx.now) {
@@ -478,6 +495,7 @@
         if self.servers.add(server, age, cx.now, self.settings.remember_leaving) {
             self.queue.push(Topic::Server(server.clone()));
             self.urgent = true;
+            self.sync_soon(cx);
             cx.actions.push(Action::LeavingServers(self.leaving_servers()));
         }
     }
@@ -520,8 +538,11 @@
         match self.table.merge(member, age, cx.now, patience) {
             Merged::Known => self.queue.heard(&Topic::Member(name)),
             Merged::Changed(change) => {
-                let pass_on = !compared || !matches!(change, Change::Joined(_));
-                self.note(cx, change, pass_on);
+                let joined = matches!(change, Change::Joined(_));
+                self.note(cx, change, !(compared && joined));
+                if compared && joined {
+                    self.sync_soon(cx);
+                }
             }
             Merged::Refuted => {
                 self.queue.push(Topic::Member(name));
@@ -539,7 +560,10 @@
             self.queue.push(Topic::Member(change.node().name.clone()));
         }
         self.live = self.table.live();
-        self.urgent |= matches!(change, Change::Leaving(_));
+        if matches!(change, Change::Leaving(_)) {
+            self.urgent = true;
+            self.sync_soon(cx);
+        }
         cx.actions.push(Action::Publish(change));
     }
 
--- a/crates/member/src/queue.rs
+++ b/crates/member/src/queue.rs
@@ -26,7 +26,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Sending {
-    sent: u32,
+    /// Two for each sending, one for each time that another entry knew it already.
+    weight: u32,
     number: u64,
 }
 
@@ -41,13 +42,13 @@
     /// Passes a topic on from now, counting from zero.
     pub(crate) fn push(&mut self, topic: Topic) {
         self.last += 1;
-        self.topics.insert(topic, Sending { sent: 0, number: self.last });
+        self.topics.insert(topic, Sending { weight: 0, number: self.last });
     }
 
     /// Takes the topics that fit into the room: least often sent first, then newest first.
     pub(crate) fn take(&mut self, mut room: usize, sends: u32) -> Vec<Topic> {
         let mut order: Vec<(u32, u64, &Topic)> =
-            self.topics.iter().map(|(topic, s)| (s.sent, u64::MAX - s.number, topic)).collect();
+            self.topics.iter().map(|(topic, s)| (s.weight, u64::MAX - s.number, topic)).collect();
         order.sort_unstable();
         let mut taken = Vec::new();
         for (_, _, topic) in order {
@@ -66,16 +67,16 @@
     /// Counts one sending, and drops the topic after the last one.
     fn count(&mut self, topic: &Topic, sends: u32) {
         let Some(sending) = self.topics.get_mut(topic) else { return };
-        sending.sent += 1;
-        if sending.sent >= sends {
+        sending.weight += 2;
+        if sending.weight >= 2 * sends {
             self.topics.remove(topic);
         }
     }
 
-    /// Notes that another entry knows the topic already, which counts as having sent it.
+    /// Notes that another entry knows the topic already, which counts as half a sending.
     pub(crate) fn heard(&mut self, topic: &Topic) {
         if let Some(sending) = self.topics.get_mut(topic) {
-            sending.sent += 1;
+            sending.weight += 1;
         }
     }
 
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -19,6 +19,9 @@
     /// Time a suspected entry has to refute in a group of eight, in milliseconds; grows with the
     /// logarithm of the group.
     pub suspect_for: Millis,
+    /// Time a suspected entry has to answer the last probe before it counts as dead, in
+    /// milliseconds.
+    pub last_call: Millis,
     /// Time a dead entry is remembered, in milliseconds.
     pub remember_dead: Millis,
     /// Time the news that a backend server is leaving is remembered, in milliseconds.
@@ -41,6 +44,8 @@
     pub urgent_fanout: usize,
     /// Exchanges that may be open at once.
     pub open_exchanges: usize,
+    /// Last probes of suspected entries that may be open at once.
+    pub open_last_calls: usize,
     /// Gap between two ticks after which this process takes itself for paused, in milliseconds.
     pub pause: Millis,
 }
@@ -54,17 +59,19 @@
             indirect_probes: 3,
             far_probe_every: 8,
             suspect_for: 800,
+            last_call: 800,
             remember_dead: 2 * 3_600_000,
             remember_leaving: 3_600_000,
             news_per_message: 8,
             sends_per_doubling: 2,
             sync_every: 10_000,
             sync_again: 1000,
-            sync_rows: 32,
+            sync_rows: 64,
             reconnect_every: 10_000,
             urgent_every: 100,
             urgent_fanout: 2,
-            open_exchanges: 64,
+            open_exchanges: 128,
+            open_last_calls: 64,
             pause: 600,
         }
     }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -185,16 +185,15 @@
         }
     }
 
-    /// Lists the entries that did not refute a suspicion in time, and gives them until `retry`.
-    pub(crate) fn overdue(&mut self, now: Millis, retry: Millis) -> Vec<Member> {
-        let mut overdue = Vec::new();
-        for row in self.rows.values_mut() {
-            if row.deadline.is_some_and(|deadline| now >= deadline) {
-                row.deadline = Some(retry);
-                overdue.push(row.member.clone());
-            }
-        }
-        overdue
+    /// Lists the entries that did not refute a suspicion in time, and gives at most `limit` of them
+    /// until `retry`.
+    pub(crate) fn overdue(&mut self, now: Millis, retry: Millis, limit: usize) -> Vec<Member> {
+        let is_overdue = |row: &&mut Row| row.deadline.is_some_and(|deadline| now >= deadline);
+        let overdue = self.rows.values_mut().filter(is_overdue).take(limit).map(|row| {
+            row.deadline = Some(retry);
+            row.member.clone()
+        });
+        overdue.collect()
     }
 
     /// Declares a suspected run dead.
