--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -465,10 +465,10 @@
         }
     }
 
-    /// Whoever heard of the suspicion has a deadline of its own, so a death is not passed on.
+    /// Declares an entry dead and passes it on; to whoever did not hear of the suspicion, it is one.
     fn die(&mut self, cx: &mut Step, target: &NodeId) {
         if let Some(change) = self.table.die(target, cx.now) {
-            self.note(cx, change, false);
+            self.note(cx, change, true);
         }
     }
 
