--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -347,11 +347,11 @@
         self.answer(cx, ticket, &from, body, rows);
     }
 
-    /// Returns what is known better than a message says; so a suspicion that was refuted already
+    /// Returns what refutes the accusations of a message; so a suspicion that was refuted already
     /// ends where it is still held.
     fn corrections(&self, message: &Message, now: Millis) -> Vec<News> {
         let better = |news: &News| match news {
-            News::Member { member, .. } if self.table.knows_better(member) => {
+            News::Member { member, .. } if self.table.is_refuted(member) => {
                 self.news(Topic::Member(member.node.name.clone()), now)
             }
             _ => None,
@@ -407,7 +407,8 @@
             return;
         }
         let rows = self.differing(cx, mask, had);
-        if had.len() >= self.settings.sync_rows || rows.len() >= self.settings.sync_rows {
+        let page = self.page(mask);
+        if had.len() >= page || rows.len() >= page {
             self.sync_soon(cx);
         }
         let Some(address) = self.table.get(&to.name).map(|member| member.peer) else { return };
@@ -534,13 +535,14 @@
             return;
         }
         let name = member.node.name.clone();
+        let stranger = self.table.get(&name).is_none();
         let patience = self.patience();
         match self.table.merge(member, age, cx.now, patience) {
             Merged::Known => self.queue.heard(&Topic::Member(name)),
             Merged::Changed(change) => {
                 let joined = matches!(change, Change::Joined(_));
                 self.note(cx, change, !(compared && joined));
-                if compared && joined {
+                if compared && joined && stranger {
                     self.sync_soon(cx);
                 }
             }
@@ -589,10 +591,18 @@
         let members = members.map(|name| Topic::Member(name.clone()));
         let servers = self.servers.names().filter(wanted);
         let servers = servers.map(|name| Topic::Server(name.clone()));
-        let topics = cx.draw.sample(members.chain(servers).collect(), self.settings.sync_rows);
+        let rows = self.page(mask);
+        let topics = cx.draw.sample(members.chain(servers).collect(), rows);
         topics.into_iter().filter_map(|topic| self.news(topic, cx.now)).collect()
     }
 
+    /// Returns the rows for one message of a comparison: fewer when most is the same already.
+    fn page(&self, mask: &[u8]) -> usize {
+        let differing = mask.iter().map(|byte| byte.count_ones() as usize).sum::<usize>();
+        let mostly_same = differing * 2 <= digest::BUCKETS;
+        if mostly_same { self.settings.sync_rows / 2 } else { self.settings.sync_rows }
+    }
+
     fn news(&self, topic: Topic, now: Millis) -> Option<News> {
         match topic {
             Topic::Member(name) => {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -105,9 +105,13 @@
         }
     }
 
-    /// Tells whether a later report on the same entry is known.
-    pub(crate) fn knows_better(&self, report: &Member) -> bool {
-        self.get(&report.node.name).is_some_and(|known| known.precedence() > report.precedence())
+    /// Tells whether a report accuses an entry that has refuted it, or that runs anew.
+    pub(crate) fn is_refuted(&self, report: &Member) -> bool {
+        let accuses = matches!(report.state, MemberState::Suspect | MemberState::Dead);
+        let live =
+            |known: &&Member| !matches!(known.state, MemberState::Suspect | MemberState::Dead);
+        let known = self.get(&report.node.name).filter(live);
+        accuses && known.is_some_and(|known| known.precedence() > report.precedence())
     }
 
     /// Counts the entries that are not believed dead, this one too.
