member: comparisons and last calls carry no queued news; six rows in a message

Cause of the cost of a wave: 31.5 messages a second, each full of queued news; comparisons and last calls carried them too, the latter to entries that are dead. A push also gave the dead an age of zero, which would have kept them remembered; it takes the time now.

--- a/crates/member/src/machine.rs
+++ b/crates/member/src/machine.rs
@@ -230,8 +230,16 @@
 
     fn last_call(&mut self, cx: &mut Step, member: Member, left: u32) {
         let purpose = Purpose::LastCall(member.node.clone(), left);
+        if self.pending.len() >= self.settings.open_exchanges {
+            return;
+        }
+        // Queued news would most likely be lost on an entry that does not answer.
+        let me = News::Member { member: self.table.me().clone(), age: 0 };
+        let news = std::iter::once(me).chain(self.doubt(&member.node, cx.now)).collect();
+        let from = self.table.me().node.clone();
+        let message = Message { from, generation: self.generation, body: Body::Probe, news };
         let limit = self.settings.last_call;
-        self.exchange(cx, purpose, member.peer, member.node, Body::Probe, limit);
+        self.send(cx, purpose, member.peer, member.node, message, limit);
     }
 
     fn probe_next(&mut self, cx: &mut Step) {
@@ -413,7 +421,7 @@
         }
         let Some(address) = self.table.get(&to.name).map(|member| member.peer) else { return };
         if !rows.is_empty() && self.pending.len() < self.settings.open_exchanges {
-            let message = self.message(Body::Push, rows, 0);
+            let message = self.message(Body::Push, rows, cx.now);
             let limit = self.settings.probe_timeout * 4;
             self.send(cx, Purpose::Spread, address, to.clone(), message, limit);
         }
@@ -600,7 +608,7 @@
     fn page(&self, mask: &[u8]) -> usize {
         let differing = mask.iter().map(|byte| byte.count_ones() as usize).sum::<usize>();
         let mostly_same = differing * 2 <= digest::BUCKETS;
-        if mostly_same { self.settings.sync_rows / 2 } else { self.settings.sync_rows }
+        if mostly_same { self.settings.sync_rows / 3 } else { self.settings.sync_rows }
     }
 
     fn news(&self, topic: Topic, now: Millis) -> Option<News> {
@@ -616,9 +624,11 @@
         }
     }
 
-    /// Writes a message with these rows and queued news up to a limit.
+    /// Writes a message with these rows and queued news up to a limit; a comparison has rows enough.
     fn message(&mut self, body: Body, mut news: Vec<News>, now: Millis) -> Message {
-        let room = self.settings.news_per_message.saturating_sub(news.len());
+        let compares = matches!(body, Body::Digest(_) | Body::Differences(_) | Body::Push);
+        let limit = if compares { 0 } else { self.settings.news_per_message };
+        let room = limit.saturating_sub(news.len());
         let sends = self.settings.sends(self.live);
         for topic in self.queue.take(room * MEMBER_ROOM, sends) {
             news.extend(self.news(topic, now));
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -34,7 +34,7 @@
     pub sync_every: Millis,
     /// Time to the next comparison after one that found a difference, in milliseconds.
     pub sync_again: Millis,
-    /// Rows in one message of a comparison, at most.
+    /// Rows in one message of a comparison, at most; a third of it when most is the same already.
     pub sync_rows: usize,
     /// Time between two attempts to reach a dead entry or an unknown seed, in milliseconds.
     pub reconnect_every: Millis,
@@ -62,11 +62,11 @@
             last_call: 800,
             remember_dead: 2 * 3_600_000,
             remember_leaving: 3_600_000,
-            news_per_message: 8,
+            news_per_message: 6,
             sends_per_doubling: 2,
             sync_every: 10_000,
             sync_again: 1000,
-            sync_rows: 64,
+            sync_rows: 96,
             reconnect_every: 10_000,
             urgent_every: 100,
             urgent_fanout: 2,
