--- a/crates/control/tests/configuration/cell.rs
+++ b/crates/control/tests/configuration/cell.rs
@@ -4,10 +4,10 @@
 use cluster::Cluster;
 use conf::Head;
 use control::{Accepted, Configuration, Offer};
-use kernel::Kernel;
 use kernel::prelude::*;
+use kernel::{Kernel, Metrics};
 use member::{Member, MemberState};
-use peer::{PeerSettings, Peers};
+use peer::{PeerSettings, Peers, Traffic};
 use std::sync::OnceLock;
 use tokio::task::JoinHandle;
 
@@ -31,17 +31,21 @@
 /// One entry over a client of the key-value service.
 pub(crate) fn entry(kv: Arc<Client>) -> Arc<Configuration> {
     static PEERS: OnceLock<Peers> = OnceLock::new();
-    let peers =
-        PEERS.get_or_init(|| Peers::start(PeerSettings::default()).expect("a thread")).clone();
+    let metrics = Metrics::new().expect("metrics");
+    let start = || Peers::start(PeerSettings::default(), Traffic::new(&metrics)).expect("a thread");
+    let peers = PEERS.get_or_init(start).clone();
     let log = Logger::root(slog::Discard, o!());
     let me = Member {
         node: NodeId::new("entry", 1),
         http: ([127, 0, 0, 1], 1).into(),
         peer: ([127, 0, 0, 1], 1).into(),
+        region: "coast".into(),
         data_centre: "north".into(),
         state: MemberState::Alive,
+        refutation: 0,
     };
-    let cluster = Cluster::new(me, conf::Membership::default(), peers, Clock::start(), log.clone());
+    let settings = conf::Membership::default();
+    let cluster = Cluster::new(me, settings, peers, &metrics, Clock::start(), log.clone());
     Configuration::new(kv, cluster, log)
 }
 
--- a/crates/control/tests/configuration/entries.rs
+++ b/crates/control/tests/configuration/entries.rs
@@ -3,10 +3,10 @@
 use crate::kv::Client;
 use cluster::Cluster;
 use control::{Configuration, Times};
-use kernel::Kernel;
 use kernel::prelude::*;
+use kernel::{Kernel, Metrics};
 use member::{Member, MemberState};
-use peer::{Handler, PeerSettings, Peers, Reply, Request};
+use peer::{Handler, PeerSettings, Peers, Reply, Request, Traffic};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
@@ -39,20 +39,25 @@
             node: NodeId::new(start.name, 1),
             http: address,
             peer: address,
+            region: "coast".into(),
             data_centre: start.data_centre.into(),
             state: MemberState::Alive,
+            refutation: 0,
         };
         let log = Logger::root(slog::Discard, o!());
         let settings = conf::Membership { seeds: start.seeds, ..conf::Membership::default() };
-        let peers = Peers::start(PeerSettings::default()).expect("a thread");
-        let cluster = Cluster::new(me, settings, peers, Clock::start(), log.clone());
+        let metrics = Metrics::new().expect("metrics");
+        let traffic = Traffic::new(&metrics);
+        let peers = Peers::start(PeerSettings::default(), traffic.clone()).expect("a thread");
+        let cluster = Cluster::new(me, settings, peers, &metrics, Clock::start(), log.clone());
         let times = Times { first: 100, ..Times::default() };
         let configuration = Configuration::with_times(start.kv, cluster.clone(), times, log);
         let kernel = Kernel::new();
         let fails = AtomicUsize::new(start.fails);
         let answers =
             Answers { cluster: cluster.clone(), configuration: configuration.clone(), fails };
-        Peers::serve(listener, Arc::new(answers), kernel.stop_signal()).expect("a thread");
+        let stop = kernel.stop_signal();
+        Peers::serve(listener, Arc::new(answers), traffic, stop).expect("a thread");
         tokio::spawn(cluster.run(kernel.stop_signal()));
         if !start.frozen {
             tokio::spawn(configuration.clone().run(kernel.stop_signal()));
@@ -85,7 +90,10 @@
     fn handle(&self, req: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
         Box::pin(async move {
             match req {
-                Request::Gossip(gossip) => Reply::Gossip(self.cluster.on_gossip(gossip)),
+                Request::Gossip(gossip) => match self.cluster.on_gossip(gossip).await {
+                    Some(answer) => Reply::Gossip(answer),
+                    None => Reply::Done,
+                },
                 _ => self.configuration(),
             }
         })
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,7 +3,6 @@
 use arcstr::ArcStr;
 use kernel::{Failure, Key, NodeId};
 use ledger::{Message, MessageReply, Part};
-use member::Gossip;
 use std::future::Future;
 use std::pin::Pin;
 
@@ -11,7 +10,7 @@
 #[derive(Clone, Debug)]
 pub enum Request {
     /// Membership news.
-    Gossip(Gossip),
+    Gossip(member::Message),
     /// A message about a request.
     Record(Message),
     /// Read the answer from a chunk on; waits a while for the next one.
@@ -37,7 +36,7 @@
     /// It failed.
     Failure(Failure),
     /// To [`Request::Gossip`].
-    Gossip(Gossip),
+    Gossip(member::Message),
     /// To [`Request::Record`].
     Record(MessageReply),
     /// To [`Request::Read`].
