--- a/crates/exec/src/read.rs
+++ b/crates/exec/src/read.rs
@@ -42,6 +42,7 @@
         holder: &mut Holder,
         from: usize,
     ) -> Result<Part, Failure> {
+        let mut silent = false;
         for _ in 0..FOLLOWS {
             let (reply, entry) = match holder {
                 Holder::Here => (self.read_here(key, from, self.settings.read_wait).await?, None),
@@ -50,7 +51,7 @@
                 }
                 Holder::At(entry, _) => {
                     let entry = entry.clone();
-                    match self.read_at(&entry, key, from, holder).await? {
+                    match self.read_at(&entry, key, from, holder, &mut silent).await? {
                         Some(reply) => (reply, Some(entry)),
                         None => continue,
                     }
@@ -112,12 +113,15 @@
     }
 
     /// Reads at another entry; `None` when it is silent and `holder` names the next one.
+    ///
+    /// `any_silent` notes that an entry did not answer, so that it may know the request.
     async fn read_at(
         &self,
         entry: &NodeId,
         key: &Key,
         from: usize,
         holder: &mut Holder,
+        any_silent: &mut bool,
     ) -> Result<Option<Part>, Failure> {
         let Holder::At(_, others) = holder else { return Ok(None) };
         // Whoever is not the owner by the key is its witness, or has the request already.
@@ -132,8 +136,10 @@
             Ok(reply) => Ok(Some(reply)),
             Err(failure) if !is_silent(&failure) => Err(failure),
             Err(failure) => {
+                *any_silent |= failure.code != Code::UnknownKey;
                 let Some(next) = others.pop() else {
-                    return Err(Failure::new(Code::HomeLost, failure.context));
+                    let code = if *any_silent { Code::HomeLost } else { Code::UnknownKey };
+                    return Err(Failure::new(code, failure.context));
                 };
                 info!(self.log, "holder silent"; "key" => key.to_string(),
                     "entry" => entry.to_string(), "next" => next.to_string());
--- a/crates/exec/src/requests.rs
+++ b/crates/exec/src/requests.rs
@@ -16,6 +16,10 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::{Notify, oneshot};
 
+/// Open records for each place of a caller: its own request, those of callers that went away before
+/// they ended, and copies held for other entries.
+const RECORDS_FOR_EACH_PLACE: usize = 8;
+
 /// Times and bounds of the driver.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -244,7 +248,8 @@
             });
         });
         self.with_book(|book| {
-            book.set_bounds(Bounds { open: limits.open, answer: limits.answer });
+            let open = limits.open * RECORDS_FOR_EACH_PLACE;
+            book.set_bounds(Bounds { open, answer: limits.answer });
             for key in &old {
                 book.forget(key);
             }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -124,13 +124,21 @@
 
     /// Lists the servers that can take a request, the cheapest first.
     fn candidates(&self, class: Class, wanted: &Wanted<'_>, now: Millis) -> Vec<Candidate<'_>> {
-        let fits = |server: &&Server| server.is_in(class) && server.can_take(wanted, now);
-        let mut all: Vec<_> =
-            self.all().filter(fits).map(|server| self.candidate(server, wanted)).collect();
+        let mut all = self.candidates_at(class, wanted, now);
+        // A server that failed lately is better than none.
+        if all.is_empty() {
+            all = self.candidates_at(class, wanted, Millis::MAX);
+        }
         all.sort_by(|a, b| a.server.price_per_hour.total_cmp(&b.server.price_per_hour));
         all
     }
 
+    /// Lists the servers that can take a request once their pause is over at this time.
+    fn candidates_at(&self, class: Class, wanted: &Wanted<'_>, at: Millis) -> Vec<Candidate<'_>> {
+        let fits = |server: &&Server| server.is_in(class) && server.can_take(wanted, at);
+        self.all().filter(fits).map(|server| self.candidate(server, wanted)).collect()
+    }
+
     fn candidate<'a>(&'a self, server: &'a Server, wanted: &Wanted<'_>) -> Candidate<'a> {
         let cached = self.prefixes.is_at(wanted.prefix, &server.name);
         let tokens = if cached { wanted.prefix_tokens } else { 0 };
--- a/crates/route/src/predict.rs
+++ b/crates/route/src/predict.rs
@@ -26,7 +26,9 @@
         let since = self.prompt_since as f64 * senders;
         let own = wanted.prompt_tokens.saturating_sub(cached);
         let unread = report.waiting_prompt_tokens as f64 + since + own as f64;
-        let reading = 1000.0 * unread / report.prompt_tokens_per_s.max(1.0);
+        // A plain service reads no prompt.
+        let rate = if self.model { report.prompt_tokens_per_s.max(1.0) } else { f64::INFINITY };
+        let reading = 1000.0 * unread / rate;
         let over = (busy + 1.0 - f64::from(report.batch)).max(0.0);
         let steps = if self.model { USUAL_ANSWER_TOKENS } else { 1.0 };
         let leaves_ms = steps * report.step_ms / f64::from(report.batch.max(1));
