--- a/crates/fennelfold/src/cmd/entry.rs
+++ b/crates/fennelfold/src/cmd/entry.rs
@@ -1,7 +1,6 @@
 //! `entry`: runs the daemon.
 
 use crate::cmd::text;
-use crate::wiring;
 use clap::{Arg, ArgMatches, Command};
 use conf::{Node, Source};
 use eyre::Result;
@@ -25,7 +24,7 @@
     let node = Node::read(&[source]);
     let node =
         node.map_err(|mistakes| Failure::new(Code::SettingsUnreadable, format!("\n{mistakes}")))?;
-    wiring::run_entry(node).await?;
+    crate::entry::run(node).await?;
     Ok(())
 }
 
--- a/crates/fennelfold/src/main.rs
+++ b/crates/fennelfold/src/main.rs
@@ -1,7 +1,7 @@
 //! fennelfold: serves language models and plain services on reclaimable VMs.
 
 mod cmd;
-mod wiring;
+mod entry;
 
 use kernel::Failure;
 use std::process::ExitCode;
