--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -1,6 +1,7 @@
 //! Model engines: chat completions with server-sent events.
 
-use crate::Tag;
+use crate::{Engines, Pieces, Tag};
+use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::Method;
 use kernel::{Code, Failure};
@@ -43,7 +44,7 @@
 }
 
 /// A stream of pieces; it ends with `None` only after the engine's final event.
-pub struct Generation {
+struct Generation {
     reader: Reader,
     tag: String,
     next: u64,
@@ -75,14 +76,11 @@
     pub fn new(answer: Duration) -> Self {
         Self { client: Client::new(ClientSettings { answer, ..ClientSettings::default() }) }
     }
+}
 
-    /// Starts a generation, or goes on after the pieces that are there already.
-    ///
-    /// `body` is the caller's chat completion request; `so_far` are the pieces to go on from.
-    ///
-    /// # Errors
-    /// [`Code::NotDispatched`] when the engine was not reached, [`Code::BackendBroke`] after that.
-    pub async fn generate(
+#[async_trait]
+impl Engines for Engine {
+    async fn generate(
         &self,
         address: SocketAddr,
         tag: &Tag,
@@ -90,7 +88,7 @@
         so_far: &[String],
         left: Duration,
         stall: Duration,
-    ) -> Result<Generation, Failure> {
+    ) -> Result<Box<dyn Pieces>, Failure> {
         let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
         let mut asked: Map<String, Value> = serde_json::from_slice(body).map_err(malformed)?;
         asked.insert("stream".into(), json!(true));
@@ -110,19 +108,15 @@
             return Err(Failure::new(Code::BackendBroke, text));
         }
         let reader = Reader::events(answer.into_body());
-        Ok(Generation { reader, tag, next: so_far.len() as u64, stall, finished: false })
+        let next = so_far.len() as u64;
+        Ok(Box::new(Generation { reader, tag, next, stall, finished: false }))
     }
 
-    /// Reads the load of an engine.
-    ///
-    /// # Errors
-    /// [`Code::BackendBroke`] or [`Code::NotDispatched`] when it does not answer.
-    pub async fn load(&self, address: SocketAddr) -> Result<EngineLoad, Failure> {
+    async fn load(&self, address: SocketAddr) -> Result<EngineLoad, Failure> {
         self.client.get(&format!("http://{address}/v1/load")).await
     }
 
-    /// Cancels a generation whose caller is gone.
-    pub async fn cancel(&self, address: SocketAddr, tag: &Tag) {
+    async fn cancel(&self, address: SocketAddr, tag: &Tag) {
         let url = format!("http://{address}/v1/cancel");
         let body = json!({"request_id": tag.to_string()});
         // The engine stops on its own when the stream closes; this only makes it sooner.
@@ -130,12 +124,9 @@
     }
 }
 
-impl Generation {
-    /// Reads the next piece; `None` after the final event.
-    ///
-    /// # Errors
-    /// [`Code::Incomplete`] when the stream stops, stalls, skips a token, or carries another tag.
-    pub async fn next(&mut self) -> Result<Option<Piece>, Failure> {
+#[async_trait]
+impl Pieces for Generation {
+    async fn next(&mut self) -> Result<Option<Piece>, Failure> {
         while !self.finished {
             let event = tokio::time::timeout(self.stall, self.reader.next()).await;
             let event = event.map_err(|_| incomplete("the stream stalled"))??;
@@ -154,7 +145,9 @@
         }
         Ok(None)
     }
+}
 
+impl Generation {
     fn take(&mut self, event: Event) -> Result<Option<Piece>, Failure> {
         let Some(choice) = event.choices.into_iter().next() else { return Ok(None) };
         self.finished = choice.finish_reason.is_some();
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -8,11 +8,13 @@
 mod engine_http;
 mod orders;
 mod plain;
+mod serving;
 mod tag;
 
 pub use cache::{CacheEvent, CacheSnapshot, Caches, is_gapless};
-pub use engine::{Engine, EngineLoad, Generation, Piece};
+pub use engine::{Engine, EngineLoad, Piece};
 pub use engine_http::HttpEngines;
 pub use orders::{EngineState, Loaded, Order, Orders};
 pub use plain::{Plain, PlainAnswer};
+pub use serving::{Engines, Pieces, PlainServices};
 pub use tag::Tag;
--- a/crates/backend/src/plain.rs
+++ b/crates/backend/src/plain.rs
@@ -1,6 +1,7 @@
 //! Plain services: one call, one answer.
 
-use crate::Tag;
+use crate::{PlainServices, Tag};
+use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::Method;
 use kernel::{Code, Failure};
@@ -38,24 +39,6 @@
         Self { client: Client::new(settings), limit }
     }
 
-    /// Makes one call and reads the whole answer.
-    ///
-    /// # Errors
-    /// [`Code::NotDispatched`] when the server was not reached; [`Code::BackendBroke`] or
-    /// [`Code::Incomplete`] after that.
-    pub async fn call(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        tag: &Tag,
-        body: Bytes,
-        left: Duration,
-    ) -> Result<PlainAnswer, Failure> {
-        let late = |_| Failure::new(Code::BackendBroke, format!("{address}: the deadline passed"));
-        let call = self.call_unbounded(address, path, tag, body);
-        tokio::time::timeout(left, call).await.map_err(late)?
-    }
-
     async fn call_unbounded(
         &self,
         address: SocketAddr,
@@ -78,3 +61,19 @@
         Ok(PlainAnswer { status, content_type, body })
     }
 }
+
+#[async_trait]
+impl PlainServices for Plain {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        tag: &Tag,
+        body: Bytes,
+        left: Duration,
+    ) -> Result<PlainAnswer, Failure> {
+        let late = |_| Failure::new(Code::BackendBroke, format!("{address}: the deadline passed"));
+        let call = self.call_unbounded(address, path, tag, body);
+        tokio::time::timeout(left, call).await.map_err(late)?
+    }
+}
--- a/crates/exec/src/requests.rs
+++ b/crates/exec/src/requests.rs
@@ -1,7 +1,7 @@
 //! The service: the book, and what its decisions need.
 
 use crate::record::{Record, View};
-use backend::{Engine, Plain};
+use backend::{Engines, PlainServices};
 use cluster::Cluster;
 use control::Configuration;
 use kernel::prelude::*;
@@ -59,9 +59,9 @@
     /// Key-value service.
     pub kv: Arc<dyn Kv>,
     /// Model engines.
-    pub engine: Engine,
+    pub engine: Arc<dyn Engines>,
     /// Plain services.
-    pub plain: Plain,
+    pub plain: Arc<dyn PlainServices>,
 }
 
 /// Time that a voided round without a record is remembered at least.
--- a/crates/faults/tests/sockets.rs
+++ b/crates/faults/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! Faults between an entry and its backend servers, on real sockets.
 
-use backend::{Engine, Generation, Plain, Tag};
+use backend::{Engine, Engines, Pieces, Plain, PlainServices, Tag};
 use bytes::Bytes;
 use kernel::{Code, Failure, Key, NodeId};
 use standin::{engine, plain};
@@ -24,7 +24,7 @@
     standin::start(ANY, move |req| engine.clone().handle(req)).await.expect("a port")
 }
 
-async fn generate(address: SocketAddr, number: u32) -> Generation {
+async fn generate(address: SocketAddr, number: u32) -> Box<dyn Pieces> {
     let body = format!(
         r#"{{"model":"m","max_tokens":8,"messages":[{{"role":"user","content":"{number}"}}]}}"#
     );
@@ -34,7 +34,7 @@
 }
 
 /// Reads to the end and returns the text, or the failure that came first.
-async fn read(mut generation: Generation) -> Result<String, Failure> {
+async fn read(mut generation: Box<dyn Pieces>) -> Result<String, Failure> {
     let mut text = String::new();
     while let Some(piece) = generation.next().await? {
         text.push_str(&piece.text);
--- a/crates/fennelfold/src/entry/services.rs
+++ b/crates/fennelfold/src/entry/services.rs
@@ -1,6 +1,6 @@
 //! Builds the services of an entry.
 
-use backend::{Engine, Plain};
+use backend::{Engine, Engines, Plain};
 use cluster::Cluster;
 use conf::Node;
 use control::Configuration;
@@ -32,7 +32,7 @@
     let list: Arc<dyn VmList> = Arc::new(Observed::new(list, &health));
     let cloud = HttpCloud::new(node.platform.cloud, NOTICE_WAIT);
     let cloud: Arc<dyn Cloud> = Arc::new(Observed::new(cloud, &health));
-    let engine = Engine::new(timeout);
+    let engine: Arc<dyn Engines> = Arc::new(Engine::new(timeout));
     let traffic = peer::Traffic::new(&metrics);
     let peers = Peers::start(PeerSettings::default(), traffic.clone())?;
     let seeds: Vec<_> =
@@ -59,7 +59,7 @@
         servers: servers.clone(),
         kv,
         engine,
-        plain: Plain::new(conf::Limits::default().answer),
+        plain: Arc::new(Plain::new(conf::Limits::default().answer)),
     };
     let requests = Requests::new(to, Settings::default(), &metrics, clock, named(Requests::NAME));
     kernel.add("metrics", metrics);
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -1,6 +1,6 @@
 //! Backend servers: the VM list, load reports, and notices that a server is leaving.
 
-use backend::Engine;
+use backend::Engines;
 use cluster::Cluster;
 use kernel::Stop;
 use kernel::prelude::*;
@@ -42,7 +42,7 @@
     pool: Mutex<Pool>,
     limits: Mutex<Limits>,
     budgets: Mutex<RetryBudgets>,
-    engine: Engine,
+    engine: Arc<dyn Engines>,
     list: Arc<dyn VmList>,
     cloud: Arc<dyn Cloud>,
     cluster: Arc<Cluster>,
@@ -58,7 +58,7 @@
 
     /// Creates the service without any server.
     pub fn new(
-        engine: Engine,
+        engine: Arc<dyn Engines>,
         list: Arc<dyn VmList>,
         cloud: Arc<dyn Cloud>,
         cluster: Arc<Cluster>,
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
 
-use backend::{Caches, Engine as Client, HttpEngines, Order, Orders, Tag, is_gapless};
+use backend::{Caches, Engine as Client, Engines, HttpEngines, Order, Orders, Tag, is_gapless};
 use bytes::Bytes;
 use kernel::{Code, Key, NodeId};
 use serde_json::json;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
 
-use backend::{Plain as Client, Tag};
+use backend::{Plain as Client, PlainServices, Tag};
 use kernel::{Code, Failure, Key, NodeId};
 use platform::{
     Cloud, HttpCloud, HttpVmList, HttpWeightStore, Market, Price, StartVm, VmList, VmRole, VmState,
