--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings: INI files, overlays, checks that report every mistake, and generations.
 //!
-//! Two kinds of settings exist. [`Node`] tells one process its name, addresses and platform.
+//! [`Node`] tells one process its name, addresses and platform; [`Relay`] does so for an entry that
+//! relays requests by rules from a store.
 //! [`Config`] is what operators edit: a base file and a small overlay for a site, merged, checked
 //! whole, and then accepted for the whole deployment.
 
@@ -8,6 +9,7 @@
 mod config;
 mod generation;
 mod node;
+mod relay;
 mod source;
 
 pub use check::{Mistake, Mistakes};
@@ -16,4 +18,5 @@
 };
 pub use generation::{Body, Head};
 pub use node::{Membership, Node, Platform};
+pub use relay::{Promises, Relay, Services};
 pub use source::{Merged, Source};
--- a/crates/control/src/accept.rs
+++ b/crates/control/src/accept.rs
@@ -5,7 +5,7 @@
 use crate::keys;
 use conf::{Body, Config, Head, Merged, Source};
 use kernel::prelude::*;
-use platform::{Stored, Swap};
+use infra::{Stored, Swap};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -5,7 +5,7 @@
 use conf::{Body, Config, Head};
 use kernel::Stop;
 use kernel::prelude::*;
-use platform::Kv;
+use infra::Kv;
 use rand::RngExt;
 use std::sync::atomic::AtomicI64;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/control/tests/configuration/kv.rs
+++ b/crates/control/tests/configuration/kv.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use conf::Head;
 use kernel::prelude::*;
-use platform::{Kv, Lease, Stored, Swap};
+use infra::{Kv, Lease, Stored, Swap};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, watch};
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,16 @@
+//! What entries decide together: freshness, shares of limits, usage and membership; pure.
+//!
+//! Times are milliseconds on a clock that also counts while the VM is suspended, so that a belief
+//! is as old as it is.
+
+mod purse;
+mod retry;
+mod roster;
+mod sight;
+mod usage;
+
+pub use purse::{Ask, Purse, Purses, Terms, Transfer};
+pub use retry::{RetryShare, RetryTerms};
+pub use roster::{Entry, Roster};
+pub use sight::{Confirmed, Sight};
+pub use usage::{Counts, Usage, Window, total};
--- /dev/null
+++ b/crates/coord/src/retry.rs
@@ -0,0 +1,78 @@
+//! The share of an entry in the budget for sending requests again.
+
+use kernel::{Millis, Name};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The budget of all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Length of the window, in milliseconds.
+    pub window_ms: Millis,
+    /// Part of the requests of a window that may be sent again.
+    pub ratio: f64,
+    /// Repeats in a window beyond that, of all entries.
+    pub slack: f64,
+}
+
+impl Default for RetryTerms {
+    fn default() -> Self {
+        Self { window_ms: 10_000, ratio: 0.1, slack: 0.0 }
+    }
+}
+
+/// Part of the budget that is used; the rest covers windows that begin between two requests.
+const USED: f64 = 0.8;
+
+#[derive(Clone, Debug, Default)]
+struct Window {
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+/// The requests of each service, and what was sent again.
+#[derive(Clone, Debug)]
+pub struct RetryShare {
+    terms: RetryTerms,
+    entries: usize,
+    services: BTreeMap<Name, Window>,
+}
+
+impl RetryShare {
+    /// Creates the share of an entry.
+    pub fn new(terms: RetryTerms) -> Self {
+        Self { terms, entries: 1, services: BTreeMap::new() }
+    }
+
+    /// Sets the number of entries that share the slack.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn request(&mut self, service: &Name, now: Millis) {
+        self.window(service, now).requests.push_back(now);
+    }
+
+    /// Takes a repeat from the budget; tells whether there was one.
+    pub fn take(&mut self, service: &Name, now: Millis) -> bool {
+        let (ratio, slack) = (self.terms.ratio, self.terms.slack / self.entries as f64);
+        let window = self.window(service, now);
+        let budget = USED * (ratio * window.requests.len() as f64 + slack);
+        let is_left = (window.repeats.len() + 1) as f64 <= budget;
+        if is_left {
+            window.repeats.push_back(now);
+        }
+        is_left
+    }
+
+    fn window(&mut self, service: &Name, now: Millis) -> &mut Window {
+        let from = now.saturating_sub(self.terms.window_ms);
+        let window = self.services.entry(service.clone()).or_default();
+        for times in [&mut window.requests, &mut window.repeats] {
+            while times.front().is_some_and(|at| *at < from) {
+                times.pop_front();
+            }
+        }
+        window
+    }
+}
--- a/crates/exec/src/claim.rs
+++ b/crates/exec/src/claim.rs
@@ -4,7 +4,7 @@
 use kernel::prelude::*;
 use ledger::{Claim, ClaimEvent, ClaimNext, ClaimResult};
 use opentelemetry::KeyValue;
-use platform::{Stored, Swap};
+use infra::{Stored, Swap};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
--- a/crates/exec/src/home.rs
+++ b/crates/exec/src/home.rs
@@ -3,7 +3,7 @@
 use crate::requests::Requests;
 use kernel::prelude::*;
 use ledger::{Home, Terms};
-use platform::{Stored, Swap};
+use infra::{Stored, Swap};
 use serde::{Deserialize, Serialize};
 
 /// The home of a key that a caller made up, as stored in the key-value service.
--- a/crates/exec/src/requests.rs
+++ b/crates/exec/src/requests.rs
@@ -9,7 +9,7 @@
 use ledger::{Book, Bounds, Input, Response, Ticket};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
-use platform::Kv;
+use infra::Kv;
 use servers::Servers;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
--- a/crates/fennelfold/src/cmd/mod.rs
+++ b/crates/fennelfold/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod inspect;
 pub(crate) mod out;
+pub(crate) mod relay;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use clap_complete::Shell;
@@ -21,6 +22,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(entry::command())
+        .subcommand(relay::command())
         .subcommand(config::command())
         .subcommand(inspect::where_command())
         .subcommand(call::command())
--- a/crates/fennelfold/src/entry/services.rs
+++ b/crates/fennelfold/src/entry/services.rs
@@ -9,7 +9,7 @@
 use kernel::prelude::*;
 use member::{Member, MemberState};
 use peer::{PeerSettings, Peers};
-use platform::{Cloud, Etcd, Health, HttpCloud, HttpVmList, Kv, Observed, VmList};
+use infra::{Cloud, Etcd, Health, HttpCloud, HttpVmList, Kv, Observed, VmList};
 use rand::RngExt;
 use servers::Servers;
 
--- a/crates/fennelfold/src/main.rs
+++ b/crates/fennelfold/src/main.rs
@@ -3,15 +3,16 @@
 mod cmd;
 mod entry;
 
+use clap::ArgMatches;
+use eyre::Result;
 use kernel::Failure;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let matches = cmd::command().get_matches();
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(cmd::run(&matches)),
-        Err(e) => Err(e.into()),
+    let result = match matches.subcommand() {
+        Some(("relay", matches)) => cmd::relay::run(matches),
+        _ => run(&matches),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -25,3 +26,8 @@
         }
     }
 }
+
+fn run(matches: &ArgMatches) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(cmd::run(matches))
+}
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use kernel::Outcome;
-use platform::{Vm, VmRole, VmState};
+use infra::{Vm, VmRole, VmState};
 use serde_json::Value;
 use standin::Running;
 use standin::plain::{Faults, Plain};
--- a/crates/fennelfold/tests/it/examples.rs
+++ b/crates/fennelfold/tests/it/examples.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{fennelfold, out};
 use conf::{Config, Merged, Node, Source};
-use platform::{Vm, VmRole};
+use infra::{Vm, VmRole};
 use std::collections::BTreeSet;
 
 const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
--- a/crates/fennelfold/tests/it/support.rs
+++ b/crates/fennelfold/tests/it/support.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Response, body::Incoming};
-use platform::{Vm, VmRole, VmState};
+use infra::{Vm, VmRole, VmState};
 use serde_json::{Value, json};
 use standin::{Running, engine, kv, plain, platform_api};
 use std::future::Future;
--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -11,7 +11,7 @@
 use ledger::Terms;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
-use platform::Health;
+use infra::Health;
 use servers::Servers;
 use std::future::Future;
 use web::{Reply, Request, text};
--- a/crates/platform/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod cloud;
 mod cloud_http;
+mod duty;
 mod etcd;
 mod http;
 mod kv;
@@ -17,7 +18,10 @@
 pub use cloud::{Cloud, Market, Notice, Price, StartVm};
 pub use cloud_http::HttpCloud;
 pub use etcd::Etcd;
-pub use kv::{Kv, Lease, Stored, Swap};
+pub use duty::{Duties, Holder, Ordered, ServerOrder};
+pub use kv::{
+    Change, Commit, Committed, Kv, Lease, Listing, Put, Store, Stored, Swap, Watched,
+};
 pub use observed::{Health, Observed};
 pub use vm_list::{Vm, VmList, VmRole, VmState};
 pub use vms_http::HttpVmList;
--- a/crates/kernel/src/error/code.rs
+++ b/crates/kernel/src/error/code.rs
@@ -74,6 +74,9 @@
     MalformedHeader = 1011, 400, 2, Rejected, 0, "a header is malformed";
     BodyLate = 1012, 408, 2, Rejected, 1, "the body did not arrive in time";
     HeadTooLarge = 1013, 431, 2, Rejected, 0, "the head of the request is too large";
+    UnknownRoute = 1014, 404, 2, Rejected, 0, "no route takes this request";
+    UnknownCredential = 1015, 401, 2, Rejected, 0, "no organisation holds this key";
+    AmbiguousLength = 1016, 400, 2, Rejected, 0, "the request states its length in two ways";
     NoServer = 2001, 503, 3, NotRun, 1, "not run: no backend server can take it";
     OverLimit = 2002, 429, 3, NotRun, 1, "not run: the organisation is over its limit";
     TooLate = 2003, 503, 3, NotRun, 1, "not run: it cannot be on time";
@@ -82,11 +85,14 @@
     NoArbiter = 2006, 503, 3, NotRun, 2, "not run: the key has no home and the key-value service is unreachable";
     NotDispatched = 2007, 503, 3, NotRun, 1, "not run: no backend server received it";
     Overloaded = 2008, 503, 3, NotRun, 1, "not run: this entry is overloaded";
+    RulesStale = 2009, 503, 3, NotRun, 1, "not run: the rules here may be out of date";
+    Expired = 2010, 503, 3, NotRun, 0, "not run: its deadline has passed";
     BackendBroke = 3001, 502, 4, Unknown, 0, "unknown: the backend server broke off after dispatch";
     HomeLost = 3002, 502, 4, Unknown, 0, "unknown: both holders of the request are gone";
     OwnerSilent = 3003, 502, 4, Unknown, 2, "unknown: its owner is silent and may have dispatched it";
     Elsewhere = 3004, 502, 4, Unknown, 1, "unknown: another entry holds the right to dispatch it";
     Incomplete = 3005, 502, 4, Unknown, 1, "unknown: the answer stopped before its final event";
+    DeadlinePassed = 3006, 504, 4, Unknown, 0, "unknown: the deadline passed before the answer";
     ConfigInvalid = 4001, 422, 5, Other, 0, "the configuration has mistakes";
     ConfigConflict = 4002, 409, 6, Other, 0, "another configuration was accepted first";
     ConfigUnsettled = 4003, 504, 7, Other, 2, "the key-value service has not said whether it was accepted";
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,7 +15,7 @@
 pub use metrics::Metrics;
 pub use name::{Key, Name, NodeId};
 pub use registry::{Kernel, Stop};
-pub use time::{Clock, Millis};
+pub use time::{Clock, Millis, boot_ms};
 
 /// Types that nearly every module needs.
 pub mod prelude {
--- a/crates/kernel/src/time.rs
+++ b/crates/kernel/src/time.rs
@@ -29,6 +29,16 @@
     }
 }
 
+/// Reads the milliseconds since the VM booted, those included in which it was suspended.
+///
+/// Leases, shares and confirmations age by this clock: the monotonic one stands still while a VM
+/// is suspended.
+pub fn boot_ms() -> Millis {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    seconds * 1000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000_000
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::start()
--- /dev/null
+++ b/crates/pick/src/choose.rs
@@ -0,0 +1,219 @@
+//! The choice among the servers of a service.
+
+use crate::cache::Cache;
+use crate::picker::Picker;
+use crate::server::Server;
+use kernel::{Millis, Name};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A part of a prompt that other requests may share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// The prompt of a request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Prompt {
+    /// Its parts in order; the last belongs to the request alone.
+    pub parts: Vec<Part>,
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Most tokens of the answer.
+    pub answer_tokens: u64,
+}
+
+impl Prompt {
+    /// Returns the parts that other requests may share.
+    pub fn shared(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+}
+
+/// What a request needs of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// The prompt, for an engine.
+    pub prompt: Option<&'a Prompt>,
+    /// Data centre of this entry.
+    pub data_centre: &'a Name,
+    /// Servers that this request has been sent to.
+    pub tried: &'a [Name],
+    /// A random number that breaks ties.
+    pub draw: u64,
+}
+
+/// The speed of engines, for predictions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Model {
+    /// Prompt tokens read in a millisecond.
+    pub read_per_ms: f64,
+    /// Milliseconds of a step of an empty batch.
+    pub step_ms: f64,
+    /// Milliseconds that each request of the batch adds to a step.
+    pub step_each_ms: f64,
+    /// Steps whose slowing weighs as much as waiting for the first token.
+    pub steps: f64,
+    /// Milliseconds that a server in another data centre has to be better by.
+    pub away_ms: f64,
+    /// Milliseconds of work of a plain service.
+    pub plain_ms: f64,
+}
+
+impl Default for Model {
+    fn default() -> Self {
+        Self {
+            read_per_ms: 50.0,
+            step_ms: 3.2,
+            step_each_ms: 0.1,
+            steps: 60.0,
+            away_ms: 4.0,
+            plain_ms: 20.0,
+        }
+    }
+}
+
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Why {
+    /// It is expected to be the soonest.
+    Soonest,
+    /// It is expected to be the soonest as it has read part of the prompt.
+    Cached,
+    /// Every server is set aside; this one is tried all the same.
+    LastResort,
+}
+
+/// The chosen server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Name of its run.
+    pub id: Name,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Expected time to the answer, or its first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Tokens of the prompt that it has to read.
+    pub unread: u64,
+    /// Requests that all entries have open there.
+    pub open: u32,
+    /// Servers that were considered.
+    pub candidates: usize,
+    /// Why this one.
+    pub why: Why,
+}
+
+/// Tokens of shared parts from which a prompt is kept at the servers that have read them.
+const KEEP_TOKENS: u64 = 500;
+/// Servers that each shared part is kept at.
+const KEEPERS: usize = 2;
+
+struct Candidate<'a> {
+    server: &'a Server,
+    expected_ms: f64,
+    cost_ms: f64,
+    unread: u64,
+    cached: bool,
+}
+
+impl Picker {
+    /// Chooses a server; `None` when no server of the service takes new work.
+    pub fn choose(&self, wanted: &Wanted<'_>, now: Millis) -> Option<Choice> {
+        let untried = |server: &&Server| {
+            server.listed.service == *wanted.service
+                && !server.listed.leaving
+                && !wanted.tried.contains(&server.listed.id)
+        };
+        let all: Vec<&Server> = self.servers().filter(untried).collect();
+        let record = self.service_record(wanted.service, now);
+        let sound = |server: &&&Server| {
+            now >= server.shunned_until && !server.record.at(now).is_faulty(&record)
+        };
+        let sound: Vec<&Server> = all.iter().filter(sound).copied().collect();
+        let (servers, last_resort) = if sound.is_empty() { (&all, true) } else { (&sound, false) };
+        let keepers = keepers(servers, wanted.prompt);
+        let candidates: Vec<Candidate<'_>> =
+            servers.iter().map(|server| self.candidate(server, wanted, &keepers)).collect();
+        let best = soonest(&candidates, wanted.draw)?;
+        let why = match (last_resort, best.cached) {
+            (true, _) => Why::LastResort,
+            (false, true) => Why::Cached,
+            (false, false) => Why::Soonest,
+        };
+        Some(Choice {
+            id: best.server.listed.id.clone(),
+            address: best.server.listed.address,
+            expected_ms: best.expected_ms,
+            unread: best.unread,
+            open: best.server.load().open,
+            candidates: candidates.len(),
+            why,
+        })
+    }
+
+    fn candidate<'a>(
+        &self,
+        server: &'a Server,
+        wanted: &Wanted<'_>,
+        keepers: &[Name],
+    ) -> Candidate<'a> {
+        let model = self.model();
+        let load = server.load();
+        let open = f64::from(load.open);
+        let slots = f64::from(server.listed.slots.max(1));
+        let away = if server.listed.data_centre == *wanted.data_centre { 0.0 } else { model.away_ms };
+        let Some(prompt) = wanted.prompt else {
+            let queue = (open + 1.0) / slots;
+            let expected_ms = model.plain_ms * queue.max(1.0) + model.plain_ms * open / slots;
+            return Candidate {
+                server,
+                expected_ms,
+                cost_ms: expected_ms + away,
+                unread: 0,
+                cached: false,
+            };
+        };
+        let held = held(self.cache(), server, prompt, keepers.contains(&server.listed.id));
+        let unread = prompt.tokens.saturating_sub(held);
+        let step = model.step_ms + model.step_each_ms * (open + 1.0).min(slots);
+        let over = (open + 1.0 - slots).max(0.0);
+        let reading = (load.unread + unread) as f64 / model.read_per_ms;
+        let expected_ms = reading + step + over * step * model.steps / slots;
+        let cost_ms = expected_ms + model.steps * model.step_each_ms * open + away;
+        Candidate { server, expected_ms, cost_ms, unread, cached: held > 0 }
+    }
+}
+
+/// Returns how many tokens of the start of a prompt a server is thought to hold.
+fn held(cache: &Cache, server: &Server, prompt: &Prompt, is_keeper: bool) -> u64 {
+    let held = |part: &&Part| is_keeper || cache.holds(part.id, &server.listed.id);
+    prompt.shared().iter().take_while(held).map(|part| part.tokens).sum()
+}
+
+/// Ranks servers for the shared parts of a prompt, alike at every entry, and returns the first.
+fn keepers(servers: &[&Server], prompt: Option<&Prompt>) -> Vec<Name> {
+    let shared = prompt.map(Prompt::shared).unwrap_or_default();
+    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
+    let Some(last) = shared.last().filter(|_| tokens >= KEEP_TOKENS) else { return Vec::new() };
+    let weight = |server: &&&Server| xxh3_64_with_seed(server.listed.id.as_bytes(), last.id);
+    let mut ranked: Vec<&&Server> = servers.iter().collect();
+    ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
+    ranked.truncate(KEEPERS);
+    ranked.into_iter().map(|server| server.listed.id.clone()).collect()
+}
+
+/// Takes the best candidate; among equals the draw decides, so that entries spread.
+fn soonest<'a, 'b>(candidates: &'b [Candidate<'a>], draw: u64) -> Option<&'b Candidate<'a>> {
+    let tie = |candidate: &Candidate<'_>| {
+        xxh3_64_with_seed(candidate.server.listed.id.as_bytes(), draw)
+    };
+    candidates.iter().min_by(|a, b| {
+        a.cost_ms.total_cmp(&b.cost_ms).then_with(|| tie(a).cmp(&tie(b)))
+    })
+}
--- /dev/null
+++ b/crates/pick/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which backend server takes a request of an operator's route; pure.
+//!
+//! Load is known from the requests that entries have open, which they tell each other: all work
+//! reaches the servers through entries, so that nothing has to be asked of the servers.
+
+mod cache;
+mod choose;
+mod outcome;
+mod picker;
+mod server;
+
+pub use choose::{Choice, Model, Part, Prompt, Why, Wanted};
+pub use outcome::Outcome;
+pub use picker::Picker;
+pub use server::{Listed, Load, Server};
--- /dev/null
+++ b/crates/pick/src/picker.rs
@@ -0,0 +1,128 @@
+//! The backend servers as one entry sees them.
+
+use crate::cache::Cache;
+use crate::choose::{Model, Prompt};
+use crate::outcome::{Outcome, Record};
+use crate::server::{Listed, Load, Server};
+use kernel::{Millis, Name};
+use std::collections::BTreeMap;
+
+/// Time without new work after a server could not be reached, in milliseconds; doubles each time.
+const SHUN_MS: Millis = 300;
+/// Time without new work after a server was full, in milliseconds.
+const FULL_MS: Millis = 60;
+/// Largest number of doublings.
+const SHUN_DOUBLINGS: u32 = 4;
+
+/// The backend servers as one entry sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Picker {
+    model: Model,
+    servers: BTreeMap<Name, Server>,
+    cache: Cache,
+}
+
+impl Picker {
+    /// Creates a picture without servers.
+    pub fn new(model: Model) -> Self {
+        Self { model, ..Self::default() }
+    }
+
+    /// Takes in what a server registered; returns whether it changed anything.
+    ///
+    /// A server that starts again under its name holds nothing of before.
+    pub fn list(&mut self, listed: Listed) -> bool {
+        match self.servers.get_mut(&listed.id) {
+            Some(known) if known.listed == listed => false,
+            Some(known) if known.listed.born_ms == listed.born_ms => {
+                known.listed = listed;
+                true
+            }
+            _ => {
+                self.servers.insert(listed.id.clone(), Server::new(listed));
+                true
+            }
+        }
+    }
+
+    /// Takes in that a server is gone.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.servers.remove(id).is_some()
+    }
+
+    /// Notes a request that is sent to a server.
+    pub fn sent(&mut self, id: &Name, unread: u64, prompt: Option<&Prompt>) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.mine.open += 1;
+        server.mine.unread += unread;
+        for part in prompt.map(Prompt::shared).unwrap_or_default() {
+            self.cache.note(part.id, id);
+        }
+    }
+
+    /// Notes that a server has read the prompt of a request.
+    pub fn read(&mut self, id: &str, unread: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.mine.unread = server.mine.unread.saturating_sub(unread);
+        }
+    }
+
+    /// Notes the end of a request at a server.
+    pub fn ended(&mut self, id: &str, outcome: Outcome, now: Millis) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.mine.open = server.mine.open.saturating_sub(1);
+        if server.mine.open == 0 {
+            server.mine.unread = 0;
+        }
+        match outcome {
+            Outcome::Answered => {
+                server.record.add(false, now);
+                server.shuns = 0;
+            }
+            Outcome::Failed => server.record.add(true, now),
+            Outcome::Unreachable => {
+                server.record.add(true, now);
+                server.shunned_until = now + (SHUN_MS << server.shuns.min(SHUN_DOUBLINGS));
+                server.shuns += 1;
+            }
+            Outcome::Full => server.shunned_until = server.shunned_until.max(now + FULL_MS),
+            Outcome::Unknown => {}
+        }
+    }
+
+    /// Takes in what the other entries have open, by server.
+    pub fn set_others(&mut self, loads: &BTreeMap<Name, Load>) {
+        for (id, server) in &mut self.servers {
+            server.others = loads.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    /// Returns what this entry has open, by server.
+    pub fn mine(&self) -> impl Iterator<Item = (&Name, Load)> {
+        let busy = self.servers.values().filter(|server| server.mine.open > 0);
+        busy.map(|server| (&server.listed.id, server.mine))
+    }
+
+    /// Finds a server.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Lists the servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    pub(crate) fn model(&self) -> &Model {
+        &self.model
+    }
+
+    pub(crate) fn cache(&self) -> &Cache {
+        &self.cache
+    }
+
+    pub(crate) fn service_record(&self, service: &Name, now: Millis) -> Record {
+        let of_service = self.servers.values().filter(|server| server.listed.service == *service);
+        of_service.fold(Record::default().at(now), |sum, server| sum.merge(&server.record.at(now)))
+    }
+}
--- /dev/null
+++ b/crates/pick/src/server.rs
@@ -0,0 +1,77 @@
+//! A backend server as one entry sees it.
+
+use crate::outcome::Record;
+use kernel::{Millis, Name};
+use std::net::SocketAddr;
+
+/// A server as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// Name of this run of the server.
+    pub id: Name,
+    /// When this run began, in milliseconds since 1970; 0 when it is not told.
+    pub born_ms: u64,
+    /// Its service.
+    pub service: Name,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Requests that it serves at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether it can be reclaimed.
+    pub reclaimable: bool,
+    /// Time until it is reclaimed, in milliseconds, when it was told.
+    pub leaves_ms: Option<u64>,
+    /// Time until it works at full speed, in milliseconds.
+    pub cold_ms: u64,
+}
+
+/// Requests that entries have open at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub open: u32,
+    /// Prompt tokens of those that have not answered yet.
+    pub unread: u64,
+}
+
+/// A backend server as one entry sees it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// What it registered.
+    pub listed: Listed,
+    /// What this entry has open there.
+    pub mine: Load,
+    /// What the other entries have open there.
+    pub others: Load,
+    /// How it did lately.
+    pub(crate) record: Record,
+    /// No new work before this time.
+    pub(crate) shunned_until: Millis,
+    /// Shuns in a row.
+    pub(crate) shuns: u32,
+}
+
+impl Server {
+    pub(crate) fn new(listed: Listed) -> Self {
+        Self {
+            listed,
+            mine: Load::default(),
+            others: Load::default(),
+            record: Record::default(),
+            shunned_until: 0,
+            shuns: 0,
+        }
+    }
+
+    /// Returns what all entries have open there.
+    pub fn load(&self) -> Load {
+        Load {
+            open: self.mine.open + self.others.open,
+            unread: self.mine.unread + self.others.unread,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,35 @@
+//! Answers of the entry's own.
+
+use crate::body::{Reply, whole};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use kernel::Failure;
+
+/// Creates the answer that tells a failure.
+pub(crate) fn refuse(failure: &Failure) -> Reply {
+    let code = failure.code;
+    let body = serde_json::json!({
+        "type": format!("urn:fennelfold:result:{}", code.number()),
+        "title": code.text(),
+        "status": code.status(),
+        "code": code.number(),
+    });
+    let mut reply = Response::new(whole(body.to_string()));
+    *reply.status_mut() =
+        StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if let Some(after) = failure.retry_after
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
+/// Creates an answer with a status and nothing else.
+pub(crate) fn bare(status: StatusCode) -> Reply {
+    let mut reply = Response::new(whole(""));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/relay/src/duty.rs
@@ -0,0 +1,355 @@
+//! What one entry does for all: reports usage and orders backend servers.
+
+use crate::hub::Hub;
+use coord::{Counts, Window, total};
+use infra::{Commit, Committed, Duties, Holder as Caller, Lease, Ordered, Put, ServerOrder, Swap};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use place::{Event, Fencing, Found, Holder, Next, Offers, Permit, Place, Spread, SpreadSettings, Times};
+use rules::{Scaling, Service};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Key of the lease of the duties.
+const LEADER: &str = "fennelfold/leader";
+/// Prefix of the counts that entries pass on, by window and entry.
+const COUNTS: &str = "fennelfold/counts/";
+/// Prefix of the counts that were decided, by window.
+const DECIDED: &str = "fennelfold/usage/";
+/// Time after the end of a window by which entries have passed their counts on, in milliseconds.
+const GATHER_MS: u64 = 2_000;
+/// Time after the end of a window at which an entry passes its counts on, in milliseconds.
+const PASS_ON_MS: u64 = 250;
+/// Time between two looks at what is due.
+const EVERY: Duration = Duration::from_millis(500);
+/// Time for which decided windows are kept, so that a successor repeats them exactly, in
+/// milliseconds.
+const KEPT_MS: u64 = 60_000;
+/// Time for which a successor reports windows again, in milliseconds.
+const REPEATED_MS: u64 = 15_000;
+/// Most changes of one commit.
+const MOST_CHANGES: usize = 30;
+
+/// What the holder writes under the key of the lease.
+#[derive(Deserialize, Serialize)]
+struct Mark {
+    entry: Name,
+    incarnation: u64,
+    lease: i64,
+}
+
+/// The lease as the tasks of this entry share it.
+pub(crate) struct Tenure {
+    holder: RefCell<Holder>,
+}
+
+impl Tenure {
+    pub(crate) fn new(lease: Duration) -> Self {
+        let lease = lease.as_millis() as Millis;
+        let times = Times {
+            lease,
+            margin: lease / 6,
+            renew: lease / 4,
+            order: lease / 6,
+            pause: lease / 10,
+        };
+        Self { holder: RefCell::new(Holder::new(times)) }
+    }
+
+    /// Returns the fencing number when this entry may act now.
+    fn number(&self) -> Option<i64> {
+        match self.holder.borrow().permit(Fencing::Ignored, boot_ms()) {
+            Permit::Send(number) => Some(number),
+            Permit::NotHeld | Permit::NotYet(_) => None,
+        }
+    }
+}
+
+/// Holds or seeks the lease.
+pub(crate) async fn hold(hub: Rc<Hub>, tenure: Rc<Tenure>) {
+    let mut event = Event::Waited;
+    let mut held = false;
+    while !hub.stopping.get() {
+        let step = tenure.holder.borrow_mut().next(event, boot_ms());
+        let holds = matches!(step, Next::Renew(_)) || (held && matches!(step, Next::Wait(_)));
+        if holds != held {
+            info!(hub.log, "lease of the duties"; "held" => holds);
+            held = holds;
+        }
+        event = perform(&hub, step).await;
+    }
+}
+
+async fn perform(hub: &Hub, step: Next) -> Event {
+    let now = boot_ms();
+    let failed = |failure: Failure| {
+        hub.note_store("lease", Some(&failure));
+        Event::Failed
+    };
+    match step {
+        Next::Wait(until) => {
+            tokio::time::sleep(Duration::from_millis(until.saturating_sub(now))).await;
+            Event::Waited
+        }
+        Next::Grant => {
+            let seconds = hub.settings.promises.lease.as_secs().max(1) as i64;
+            match hub.store.grant(seconds).await {
+                Ok(lease) => Event::Granted { lease: lease.0, sent: now },
+                Err(failure) => failed(failure),
+            }
+        }
+        Next::Create(lease) => {
+            let mark =
+                Mark { entry: hub.settings.name.clone(), incarnation: hub.incarnation, lease };
+            let value = serde_json::to_vec(&mark).unwrap_or_default();
+            match hub.store.swap(LEADER, 0, value.into(), Some(Lease(lease))).await {
+                Ok(Swap::Done(revision)) => Event::Created(revision),
+                Ok(Swap::Other(_)) => Event::Waited,
+                Err(failure) => failed(failure),
+            }
+        }
+        Next::Read => match hub.store.get(LEADER).await {
+            Ok(None) => Event::Found(Found::Nobody),
+            Ok(Some(stored)) => Event::Found(found(hub, &stored)),
+            Err(failure) => failed(failure),
+        },
+        Next::Renew(lease) => match hub.store.renew(Lease(lease)).await {
+            Ok(true) => Event::Renewed(now),
+            Ok(false) => Event::Lapsed,
+            Err(failure) => failed(failure),
+        },
+    }
+}
+
+fn found(hub: &Hub, stored: &infra::Stored) -> Found {
+    match serde_json::from_slice::<Mark>(&stored.value) {
+        Ok(mark) if mark.entry == hub.settings.name && mark.incarnation == hub.incarnation => {
+            Found::Mine { lease: mark.lease, revision: stored.revision }
+        }
+        _ => Found::Other,
+    }
+}
+
+/// Passes this entry's counts of ended windows on.
+pub(crate) async fn pass_on(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(EVERY).await;
+        let unix = Clock::unix_ms();
+        let ended = hub.usage.borrow().ended(unix.saturating_sub(PASS_ON_MS));
+        for window in ended {
+            pass_on_window(&hub, window).await;
+        }
+    }
+}
+
+/// Passes the counts of one window on.
+pub(crate) async fn pass_on_window(hub: &Hub, window: Window) {
+    let counts = hub.usage.borrow_mut().take(window);
+    if counts.is_empty() {
+        return;
+    }
+    let key = format!("{COUNTS}{window}/{}.{}", hub.settings.name, hub.incarnation);
+    let value = serde_json::to_vec(&counts).unwrap_or_default();
+    let put = Put { key, value: value.into(), lease: None };
+    let passed = hub.store.commit(&Commit { puts: vec![put], ..Commit::default() }).await;
+    hub.note_store("counts", passed.as_ref().err());
+    if passed.is_err() {
+        // Written again under the same key, so that nothing is counted twice.
+        hub.usage.borrow_mut().put_back(window, counts);
+    }
+}
+
+/// Passes on what is counted, the open window included, as the process ends.
+pub(crate) async fn pass_on_all(hub: &Hub) {
+    let far = Clock::unix_ms() + 3_600_000;
+    let open = hub.usage.borrow().ended(far);
+    for window in open {
+        pass_on_window(hub, window).await;
+    }
+}
+
+/// Does the duties while this entry holds the lease.
+pub(crate) async fn act(hub: Rc<Hub>, duties: Arc<dyn Duties>, tenure: Rc<Tenure>) {
+    let mut reported: BTreeMap<Window, ()> = BTreeMap::new();
+    let mut spread: BTreeMap<Name, Spread> = BTreeMap::new();
+    let mut number = None;
+    loop {
+        tokio::time::sleep(EVERY).await;
+        let holds = tenure.number();
+        if holds != number {
+            info!(hub.log, "duties"; "acting" => holds.is_some(), "number" => holds);
+            (reported, spread) = (BTreeMap::new(), BTreeMap::new());
+            number = holds;
+        }
+        if number.is_none() || hub.stopping.get() {
+            continue;
+        }
+        if hub.settings.promises.orders {
+            order(&hub, &*duties, &tenure, &mut spread).await;
+        }
+        if !hub.settings.promises.usage_window.is_zero() {
+            report(&hub, &*duties, &tenure, &mut reported).await;
+        }
+    }
+}
+
+/// Decides and reports the windows that are due.
+async fn report(
+    hub: &Hub,
+    duties: &dyn Duties,
+    tenure: &Tenure,
+    reported: &mut BTreeMap<Window, ()>,
+) {
+    let unix = Clock::unix_ms();
+    let length = hub.settings.promises.usage_window.as_millis() as u64;
+    let last = (unix.saturating_sub(GATHER_MS) / length).saturating_sub(1);
+    if reported.contains_key(&last) {
+        return;
+    }
+    let listed = hub.store.list(COUNTS).await;
+    hub.note_store("counts", listed.as_ref().err());
+    let decided = hub.store.list(DECIDED).await;
+    hub.note_store("decided", decided.as_ref().err());
+    let (Ok(listed), Ok(decided)) = (listed, decided) else { return };
+    let mut known: BTreeMap<Window, Counts> = BTreeMap::new();
+    let mut old = Vec::new();
+    for (key, stored) in &decided.items {
+        let window = key.strip_prefix(DECIDED).and_then(|window| window.parse().ok());
+        let counts = serde_json::from_slice(&stored.value);
+        let (Some(window), Ok(counts)) = (window, counts) else { continue };
+        if (window + 1) * length + KEPT_MS < unix {
+            old.push(key.clone());
+        }
+        known.insert(window, counts);
+    }
+    let mut gathered: BTreeMap<Window, Vec<(String, Counts)>> = BTreeMap::new();
+    for (key, stored) in &listed.items {
+        let window = key.strip_prefix(COUNTS).and_then(|rest| rest.split('/').next());
+        let window = window.and_then(|window| window.parse().ok());
+        let counts = serde_json::from_slice(&stored.value);
+        let (Some(window), Ok(counts)) = (window, counts) else { continue };
+        if known.contains_key(&window) || (window + 1) * length + KEPT_MS < unix {
+            old.push(key.clone());
+        } else if window <= last {
+            gathered.entry(window).or_default().push((key.clone(), counts));
+        }
+    }
+    for (window, parts) in gathered {
+        let (keys, counts): (Vec<String>, Vec<Counts>) = parts.into_iter().unzip();
+        let counts = total(counts);
+        if !decide(hub, tenure, window, &counts).await {
+            return;
+        }
+        old.extend(keys);
+        known.insert(window, counts);
+    }
+    for (window, counts) in known {
+        let is_recent = (window + 1) * length + REPEATED_MS > unix;
+        if reported.contains_key(&window) || !is_recent {
+            continue;
+        }
+        let Some(number) = tenure.number() else { return };
+        let caller = Caller { entry: hub.settings.name.clone(), number };
+        match duties.report_usage(&caller, window, &counts).await {
+            Ok(()) => {
+                info!(hub.log, "usage reported"; "window" => window, "number" => number,
+                    "requests" => counts.values().sum::<u64>());
+                reported.insert(window, ());
+            }
+            Err(failure) => {
+                warn!(hub.log, "usage not reported"; "window" => window, "cause" => %failure);
+            }
+        }
+    }
+    clear(hub, old).await;
+}
+
+/// Decides the counts of a window once and for all; tells whether they stand.
+async fn decide(hub: &Hub, tenure: &Tenure, window: Window, counts: &Counts) -> bool {
+    let Some(number) = tenure.number() else { return false };
+    let key = format!("{DECIDED}{window}");
+    let value = serde_json::to_vec(counts).unwrap_or_default();
+    let commit = Commit {
+        expected: vec![(LEADER.to_owned(), number), (key.clone(), 0)],
+        puts: vec![Put { key, value: value.into(), lease: None }],
+        removes: Vec::new(),
+    };
+    let committed = hub.store.commit(&commit).await;
+    hub.note_store("decide", committed.as_ref().err());
+    info!(hub.log, "usage decided"; "window" => window, "number" => number,
+        "result" => format!("{committed:?}"));
+    matches!(committed, Ok(Committed::Done(_)))
+}
+
+async fn clear(hub: &Hub, keys: Vec<String>) {
+    for part in keys.chunks(MOST_CHANGES) {
+        let commit = Commit { removes: part.to_vec(), ..Commit::default() };
+        let cleared = hub.store.commit(&commit).await;
+        hub.note_store("clear", cleared.as_ref().err());
+    }
+}
+
+/// Gives one order for each service that is scaled, where one is due.
+async fn order(
+    hub: &Hub,
+    duties: &dyn Duties,
+    tenure: &Tenure,
+    spreads: &mut BTreeMap<Name, Spread>,
+) {
+    let rules = hub.rules.borrow().clone();
+    let scaled = |service: &Arc<Service>| {
+        service.scaling.clone().map(|scaling| (service.name.clone(), scaling))
+    };
+    let services: Vec<(Name, Scaling)> = rules.services().filter_map(scaled).collect();
+    for (service, scaling) in services {
+        let spread = spreads
+            .entry(service.clone())
+            .or_insert_with(|| Spread::new(SpreadSettings::default()));
+        // Each round gives what is due now, bounded by the number of places.
+        for _ in 0..2 * scaling.prices.len() {
+            let Some(number) = tenure.number() else { return };
+            let serving = serving(hub, &service);
+            let offers = Offers {
+                bounds: (scaling.min, scaling.max),
+                prices: scaling.prices.clone(),
+                boot_ms: scaling.boot_ms,
+            };
+            let Some(next) = spread.next(&offers, &serving, boot_ms()) else { break };
+            let order = ServerOrder {
+                service: service.clone(),
+                data_centre: next.place.data_centre.clone(),
+                reclaimable: next.place.reclaimable,
+                count: next.count,
+            };
+            let caller = Caller { entry: hub.settings.name.clone(), number };
+            let ordered = duties.order(&caller, &order).await;
+            info!(hub.log, "servers ordered"; "service" => %service, "number" => number,
+                "data_centre" => %order.data_centre, "reclaimable" => order.reclaimable,
+                "count" => order.count, "result" => format!("{ordered:?}"));
+            match ordered {
+                Ok(Ordered::Taken) => {}
+                Ok(Ordered::NoneLeft) => spread.refused(&next.place, boot_ms()),
+                Err(_) => {
+                    spread.unsettled(&next.place);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn serving(hub: &Hub, service: &Name) -> BTreeMap<Place, u32> {
+    let mut serving = BTreeMap::new();
+    for server in hub.picker.borrow().servers() {
+        let listed = &server.listed;
+        if listed.service == *service && !listed.leaving {
+            let place = Place {
+                data_centre: listed.data_centre.clone(),
+                reclaimable: listed.reclaimable,
+            };
+            *serving.entry(place).or_default() += 1;
+        }
+    }
+    serving
+}
--- /dev/null
+++ b/crates/relay/src/hub.rs
@@ -0,0 +1,181 @@
+//! What one entry believes; every task and request reads and changes it.
+
+use crate::dialect::Dialect;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use coord::{Purses, RetryShare, RetryTerms, Roster, Sight, Terms, Usage};
+use infra::{Duties, Store};
+use kernel::prelude::*;
+use kernel::{Metrics, boot_ms};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+use pick::{Load, Model, Picker};
+use rules::Rules;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::rc::Rc;
+
+/// Part of the time to take a key away that is kept back for clocks of different rates.
+const REVOKE_MARGIN_MS: Millis = 300;
+
+/// What another entry told of itself last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Heard {
+    pub(crate) at: Millis,
+    pub(crate) incarnation: u64,
+    pub(crate) stopping: bool,
+    pub(crate) sight_age: Option<Millis>,
+    pub(crate) open: u32,
+    pub(crate) loads: BTreeMap<Name, Load>,
+}
+
+/// Counters and histograms.
+pub(crate) struct Meters {
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    first: Histogram<f64>,
+    store: Counter<u64>,
+}
+
+/// What one entry believes.
+pub struct Hub {
+    pub(crate) settings: conf::Relay,
+    pub(crate) incarnation: u64,
+    pub(crate) log: Logger,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) duties: Option<Arc<dyn Duties>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
+    pub(crate) pool: Pool,
+    pub(crate) rules: RefCell<Rc<Rules>>,
+    pub(crate) sight: RefCell<Sight>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) heard: RefCell<BTreeMap<Name, Heard>>,
+    pub(crate) purses: RefCell<Purses>,
+    pub(crate) retries: RefCell<RetryShare>,
+    pub(crate) usage: RefCell<Usage>,
+    pub(crate) picker: RefCell<Picker>,
+    pub(crate) open: Cell<u32>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) store_back: Cell<Millis>,
+    pub(crate) store_lost: Cell<bool>,
+    peers: OnceCell<Peers>,
+}
+
+impl Hub {
+    pub(crate) fn new(
+        settings: conf::Relay,
+        log: Logger,
+        dialect: Rc<dyn Dialect>,
+        store: Arc<dyn Store>,
+        duties: Option<Arc<dyn Duties>>,
+    ) -> Result<Rc<Self>, Failure> {
+        let promises = settings.promises;
+        let millis = |time: Duration| time.as_millis() as Millis;
+        let hold = millis(promises.revoke);
+        let terms = Terms {
+            window_ms: millis(promises.quota_window),
+            overshoot: promises.quota_overshoot,
+            slack: promises.quota_slack,
+            ..Terms::default()
+        };
+        let retry = RetryTerms {
+            window_ms: millis(promises.retry_window),
+            ratio: promises.retry_ratio,
+            slack: promises.retry_slack,
+        };
+        let metrics = Metrics::new()?;
+        let meters = Meters {
+            requests: metrics.counter("requests", "Requests of callers, by status and result code"),
+            attempts: metrics.counter("attempts", "Requests sent to backend servers, by result"),
+            first: metrics.seconds("first_byte", "Time until the head of the answer was ready"),
+            store: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
+        };
+        Ok(Rc::new(Self {
+            incarnation: Clock::unix_ms(),
+            log,
+            dialect,
+            store,
+            duties,
+            metrics,
+            meters,
+            pool: Pool::default(),
+            rules: RefCell::default(),
+            sight: RefCell::default(),
+            roster: RefCell::new(Roster::new(hold)),
+            heard: RefCell::default(),
+            purses: RefCell::new(Purses::new(terms, Millis::MAX)),
+            retries: RefCell::new(RetryShare::new(retry)),
+            usage: RefCell::new(Usage::new(millis(promises.usage_window))),
+            picker: RefCell::new(Picker::new(Model::default())),
+            open: Cell::new(0),
+            stopping: Cell::new(false),
+            store_back: Cell::new(0),
+            store_lost: Cell::new(false),
+            peers: OnceCell::new(),
+            settings,
+        }))
+    }
+
+    /// Returns the way to the other entries.
+    pub(crate) fn peers(&self) -> &Peers {
+        self.peers.get().expect("it is set before any task starts")
+    }
+
+    pub(crate) fn set_peers(&self, peers: Peers) {
+        // Set once, at the start.
+        drop(self.peers.set(peers));
+    }
+
+    /// Tells whether requests with a key may be served by the rules that are known here.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let promises = &self.settings.promises;
+        if !promises.strict_revoke {
+            return self.sight.borrow().version().is_some();
+        }
+        let limit = (promises.revoke.as_millis() as Millis).saturating_sub(REVOKE_MARGIN_MS);
+        self.sight.borrow().is_fresh(boot_ms(), limit)
+    }
+
+    /// Tells whether this entry serves callers now.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.is_fresh()
+    }
+
+    /// Notes whether a call to the store was answered.
+    pub(crate) fn note_store(&self, call: &'static str, failure: Option<&Failure>) {
+        let result = if failure.is_some() { "failed" } else { "answered" };
+        self.meters.store.add(1, &[KeyValue::new("call", call), KeyValue::new("result", result)]);
+        match failure {
+            Some(failure) if !self.store_lost.replace(true) => {
+                warn!(self.log, "store lost"; "call" => call, "cause" => %failure);
+            }
+            None if self.store_lost.replace(false) => {
+                self.store_back.set(boot_ms());
+                info!(self.log, "store regained"; "call" => call);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn count_request(&self, status: u16, code: Option<Code>) {
+        let code = code.map_or(0, Code::number);
+        let labels = [KeyValue::new("status", i64::from(status)), KeyValue::new("code", i64::from(code))];
+        self.meters.requests.add(1, &labels);
+    }
+
+    pub(crate) fn count_attempt(&self, result: &'static str) {
+        self.meters.attempts.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn record_first(&self, passed: Duration) {
+        self.meters.first.record(passed.as_secs_f64(), &[]);
+    }
+
+    /// Tells the shares how many entries there are.
+    pub(crate) fn share_out(&self) {
+        let entries = self.roster.borrow_mut().sharers(boot_ms());
+        self.purses.borrow_mut().set_entries(entries);
+        self.retries.borrow_mut().set_entries(entries);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,27 @@
+//! Relays callers' requests to backend servers by operators' rules from a store.
+//!
+//! One entry is one thread: a [`Hub`] holds what it believes, tasks keep it up to date, and each
+//! request is admitted, sent and answered by what it says at that moment.
+
+mod admit;
+mod answer;
+mod attempt;
+mod body;
+mod deliver;
+mod dialect;
+mod directory;
+mod duty;
+mod hub;
+mod intake;
+mod log;
+mod message;
+mod peers;
+mod pool;
+mod run;
+mod stream;
+mod sync;
+
+pub use dialect::{Demand, Dialect, Names};
+pub use hub::Hub;
+pub use log::{LogQueue, queue};
+pub use run::{Parts, run};
--- /dev/null
+++ b/crates/relay/src/message.rs
@@ -0,0 +1,54 @@
+//! Messages between entries, each a datagram.
+
+use kernel::{Millis, Name};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A message and who sent it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Envelope {
+    /// Name of the sender.
+    pub(crate) from: Name,
+    /// Run of the sender.
+    pub(crate) incarnation: u64,
+    /// The message.
+    pub(crate) message: Message,
+}
+
+/// A message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum Message {
+    /// What the sender does at present.
+    State(State),
+    /// A request for units of a quota.
+    Ask {
+        /// Number that the answer bears.
+        number: u64,
+        /// The organisation.
+        organisation: Name,
+        /// Units wanted.
+        units: f64,
+    },
+    /// Units of a quota, taken from the sender.
+    Give {
+        /// Number of the request.
+        number: u64,
+        /// The organisation.
+        organisation: Name,
+        /// The units.
+        units: f64,
+    },
+}
+
+/// What an entry does at present.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct State {
+    /// Whether it is stopping.
+    pub(crate) stopping: bool,
+    /// Age of its rules, in milliseconds.
+    pub(crate) sight_age: Option<Millis>,
+    /// Requests of callers that are open.
+    pub(crate) open: u32,
+    /// Requests and unread prompt tokens that it has open, by server.
+    pub(crate) loads: BTreeMap<Name, (u32, u64)>,
+}
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,221 @@
+//! Talks to the other entries: what each does, and units of quotas.
+
+use crate::hub::{Heard, Hub};
+use crate::message::{Envelope, Message, State};
+use coord::{Entry, Transfer};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use pick::Load;
+use rand::seq::IteratorRandom;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+/// Time between two messages about the present state.
+const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Most entries that one message goes to.
+const MOST_TOLD: usize = 12;
+/// Silence after which what an entry told of its load no longer counts, in milliseconds.
+const LOAD_VALID_MS: Millis = 700;
+/// Time to wait for units of other entries.
+const PULL_WAIT: Duration = Duration::from_millis(25);
+/// Pause after other entries had too little, in milliseconds.
+const PULL_PAUSE_MS: Millis = 80;
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 60 << 10;
+
+/// The socket for other entries, and the requests for units that are open.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    pulls: RefCell<BTreeMap<u64, Rc<Pull>>>,
+    number: Cell<u64>,
+    paused: RefCell<BTreeMap<Name, Millis>>,
+}
+
+#[derive(Default)]
+struct Pull {
+    got: Cell<f64>,
+    answers: Cell<usize>,
+    news: Notify,
+}
+
+impl Peers {
+    pub(crate) fn new(socket: UdpSocket) -> Self {
+        Self {
+            socket,
+            pulls: RefCell::default(),
+            number: Cell::new(0),
+            paused: RefCell::default(),
+        }
+    }
+
+    fn send(&self, hub: &Hub, to: &Entry, message: Message) {
+        let envelope = Envelope {
+            from: hub.settings.name.clone(),
+            incarnation: hub.incarnation,
+            message,
+        };
+        let (Ok(bytes), Ok(address)) =
+            (serde_json::to_vec(&envelope), to.peer.parse::<SocketAddr>())
+        else {
+            warn!(hub.log, "message not sent"; "to" => %to.name, "cause" => "its address is unreadable");
+            return;
+        };
+        // A datagram that a full socket does not take is like one that was lost.
+        let _ = self.socket.try_send_to(&bytes, address);
+    }
+}
+
+/// Tells the other entries again and again what this one does.
+pub(crate) async fn tell(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(TELL_EVERY).await;
+        let loads = hub.picker.borrow();
+        let loads = loads.mine().map(|(id, load)| (id.clone(), (load.open, load.unread)));
+        let state = State {
+            stopping: hub.stopping.get(),
+            sight_age: hub.sight.borrow().age(boot_ms()),
+            open: hub.open.get(),
+            loads: loads.collect(),
+        };
+        let roster = hub.roster.borrow();
+        let others = roster.present().filter(|entry| entry.name != hub.settings.name);
+        for entry in others.sample(&mut rand::rng(), MOST_TOLD) {
+            hub.peers().send(&hub, entry, Message::State(state.clone()));
+        }
+    }
+}
+
+/// Takes messages of other entries in.
+pub(crate) async fn listen(hub: Rc<Hub>) {
+    let mut buf = vec![0; DATAGRAM_BYTES];
+    loop {
+        let len = match hub.peers().socket.recv_from(&mut buf).await {
+            Ok((len, _)) => len,
+            Err(e) => {
+                // A refused datagram to an entry that is gone is reported here.
+                debug!(hub.log, "receive failed"; "cause" => %e);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            }
+        };
+        match serde_json::from_slice(&buf[..len]) {
+            Ok(envelope) => take(&hub, envelope),
+            Err(e) => warn!(hub.log, "unreadable message"; "cause" => %e),
+        }
+    }
+}
+
+fn take(hub: &Rc<Hub>, envelope: Envelope) {
+    let Envelope { from, incarnation, message } = envelope;
+    match message {
+        Message::State(state) => take_state(hub, from, incarnation, state),
+        Message::Ask { number, organisation, units } => {
+            let rules = hub.rules.borrow().clone();
+            let holder = rules.organisation_named(&organisation);
+            let Some(quota) = holder.and_then(|holder| holder.quota) else { return };
+            let now = boot_ms();
+            let given = hub.purses.borrow_mut().give(&organisation, &quota, units, now).units;
+            let roster = hub.roster.borrow();
+            if let Some(entry) = roster.get(&from) {
+                let message = Message::Give { number, organisation, units: given };
+                hub.peers().send(hub, entry, message);
+            }
+        }
+        Message::Give { number, organisation, units } => {
+            let rules = hub.rules.borrow().clone();
+            let holder = rules.organisation_named(&organisation);
+            if let Some(quota) = holder.and_then(|holder| holder.quota) {
+                let transfer = Transfer { units };
+                hub.purses.borrow_mut().receive(&organisation, &quota, transfer, boot_ms());
+            }
+            if let Some(pull) = hub.peers().pulls.borrow().get(&number) {
+                pull.got.set(pull.got.get() + units);
+                pull.answers.set(pull.answers.get() + 1);
+                pull.news.notify_one();
+            }
+        }
+    }
+}
+
+fn take_state(hub: &Rc<Hub>, from: Name, incarnation: u64, state: State) {
+    let mut heard = hub.heard.borrow_mut();
+    let known = heard.entry(from.clone()).or_default();
+    if incarnation < known.incarnation {
+        return;
+    }
+    if state.stopping != known.stopping || incarnation != known.incarnation {
+        info!(hub.log, "entry heard"; "other" => %from, "incarnation" => incarnation,
+            "stopping" => state.stopping);
+    }
+    let load = |(id, (open, unread))| (id, Load { open, unread });
+    *known = Heard {
+        at: boot_ms(),
+        incarnation,
+        stopping: state.stopping,
+        sight_age: state.sight_age,
+        open: state.open,
+        loads: state.loads.into_iter().map(load).collect(),
+    };
+    let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
+    let now = boot_ms();
+    for other in heard.values().filter(|heard| now.saturating_sub(heard.at) < LOAD_VALID_MS) {
+        for (id, load) in &other.loads {
+            let total = sum.entry(id.clone()).or_default();
+            total.open += load.open;
+            total.unread += load.unread;
+        }
+    }
+    hub.picker.borrow_mut().set_others(&sum);
+}
+
+/// Asks the other entries for units of an organisation's quota and waits for their answers.
+pub(crate) async fn pull(hub: &Rc<Hub>, organisation: &Name, missing: f64) {
+    let now = boot_ms();
+    let peers = hub.peers();
+    if peers.paused.borrow().get(organisation).is_some_and(|until| now < *until) {
+        return;
+    }
+    let heard = hub.heard.borrow();
+    let is_live =
+        |entry: &&Entry| heard.get(&entry.name).is_some_and(|h| now.saturating_sub(h.at) < LOAD_VALID_MS);
+    let live: Vec<Entry> =
+        hub.roster.borrow().present().filter(is_live).cloned().collect();
+    drop(heard);
+    if live.is_empty() {
+        return;
+    }
+    // Twice an even part first, so that few units travel; then whatever the others have.
+    let rounds = [2.0 * missing / live.len() as f64, missing];
+    let mut got = 0.0;
+    for part in rounds {
+        got += ask_all(hub, organisation, &live, part.min(missing - got), missing - got).await;
+        if got >= missing {
+            return;
+        }
+    }
+    peers.paused.borrow_mut().insert(organisation.clone(), boot_ms() + PULL_PAUSE_MS);
+}
+
+async fn ask_all(hub: &Rc<Hub>, organisation: &Name, live: &[Entry], part: f64, wanted: f64) -> f64 {
+    let peers = hub.peers();
+    let number = peers.number.get() + 1;
+    peers.number.set(number);
+    let pull = Rc::new(Pull::default());
+    peers.pulls.borrow_mut().insert(number, pull.clone());
+    for entry in live {
+        let message =
+            Message::Ask { number, organisation: organisation.clone(), units: part.max(1.0) };
+        peers.send(hub, entry, message);
+    }
+    let enough = async {
+        while pull.got.get() < wanted && pull.answers.get() < live.len() {
+            pull.news.notified().await;
+        }
+    };
+    let _ = tokio::time::timeout(PULL_WAIT, enough).await;
+    peers.pulls.borrow_mut().remove(&number);
+    pull.got.get()
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,151 @@
+//! Connections to backend servers.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderName};
+use hyper::{HeaderMap, Request, Response, body::Incoming};
+use hyper_util::rt::TokioIo;
+use kernel::{Code, Failure};
+use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Time for a connection to be made.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time that sent bytes may stay unacknowledged before the connection counts as dead.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Silence after which a connection is probed, and the time between probes.
+const PROBE: Duration = Duration::from_secs(1);
+/// Idle time after which a connection is not used again when its server states none.
+const IDLE: Duration = Duration::from_secs(4);
+/// Time before the end that a server states at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// The header field in which a server states how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// A request to a backend server.
+pub(crate) type ServerRequest = Request<Full<Bytes>>;
+
+/// A connection to a backend server that carries one request at a time.
+pub(crate) struct Link {
+    address: SocketAddr,
+    tx: SendRequest<Full<Bytes>>,
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub(crate) enum Unsent {
+    /// No byte of it was written.
+    Unwritten(Failure),
+    /// It was written at least in part.
+    Broke(Failure),
+}
+
+struct Idle {
+    link: Link,
+    until: Instant,
+}
+
+/// Idle connections by server.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Takes an idle connection or makes a new one.
+    pub(crate) async fn link(&self, address: SocketAddr) -> Result<Link, Failure> {
+        if let Some(link) = self.take(address) {
+            return Ok(link);
+        }
+        connect(address).await
+    }
+
+    /// Keeps a connection whose answer has been read, for as long as the answer allows.
+    pub(crate) fn keep(&self, link: Link, headers: &HeaderMap) {
+        let Some(time) = reusable_for(headers) else { return };
+        if link.tx.is_closed() {
+            return;
+        }
+        let until = Instant::now() + time;
+        self.idle.borrow_mut().entry(link.address).or_default().push(Idle { link, until });
+    }
+
+    /// Drops connections that are idle for too long.
+    pub(crate) fn sweep(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|idle| idle.until > now && !idle.link.tx.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Link> {
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(last) = idle.pop() {
+            if last.until > now && last.link.tx.is_ready() {
+                return Some(last.link);
+            }
+        }
+        None
+    }
+}
+
+impl Link {
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(&mut self, req: ServerRequest) -> Result<Response<Incoming>, Unsent> {
+        let sent = self.tx.try_send_request(req).await;
+        sent.map_err(|mut e| {
+            let failure =
+                |code, e: &hyper::Error| Failure::new(code, format!("{}: {e}", self.address));
+            if e.take_message().is_some() {
+                Unsent::Unwritten(failure(Code::NotDispatched, e.error()))
+            } else {
+                Unsent::Broke(failure(Code::BackendBroke, e.error()))
+            }
+        })
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Link, Failure> {
+    let failed = |e: String| Failure::new(Code::NotDispatched, format!("{address}: {e}"));
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| failed("no connection in time".into()))?;
+    let stream = stream.map_err(|e| failed(e.to_string()))?;
+    tune(&stream).map_err(|e| failed(e.to_string()))?;
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
+    // Its failures reach the request that is under way.
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    Ok(Link { address, tx })
+}
+
+/// Makes a connection notice that its other end went silent.
+pub(crate) fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
+/// Returns how long a connection may be idle after an answer; none when it may not be used again.
+fn reusable_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name| headers.get(name).and_then(|value: &hyper::header::HeaderValue| value.to_str().ok());
+    if text(CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let stated = text(KEEP_ALIVE).and_then(|value| {
+        let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        timeout.parse().ok().map(Duration::from_secs)
+    });
+    Some(stated.unwrap_or(IDLE + IDLE_MARGIN).saturating_sub(IDLE_MARGIN))
+}
--- /dev/null
+++ b/crates/relay/src/sync.rs
@@ -0,0 +1,316 @@
+//! Keeps what the entry believes of rules, servers and entries in step with the store.
+
+use crate::hub::Hub;
+use coord::{Confirmed, Entry};
+use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// Time between two reads of the rules; with one read it stays below the time to apply them.
+const RULES_EVERY: Duration = Duration::from_millis(900);
+/// Pause after a call to the store failed.
+const RETRY: Duration = Duration::from_millis(250);
+/// Time that one watch of the servers waits; a silent connection hides changes for so long.
+const SERVERS_WAIT_MS: u64 = 1_500;
+/// Time that one watch of the entries waits.
+const ENTRIES_WAIT_MS: u64 = 4_000;
+/// Time for servers to register again after the store was away, in milliseconds.
+const REGISTER_AGAIN_MS: Millis = 2_200;
+/// Time to live of an entry's registration, in seconds.
+const REGISTRATION_S: i64 = 10;
+/// Time between two renewals of it.
+const RENEW_EVERY: Duration = Duration::from_millis(2_500);
+/// Prefix of the entries' keys.
+const ENTRIES: &str = "fennelfold/entries/";
+
+/// Reads the rules again and again; each answer confirms how fresh they are.
+pub(crate) async fn rules(hub: Rc<Hub>) {
+    loop {
+        let sent = boot_ms();
+        let read = hub.store.get(hub.dialect.rules_key()).await;
+        hub.note_store("rules", read.as_ref().err());
+        let pause = match read {
+            Ok(Some(stored)) => {
+                take_rules(&hub, &stored, sent);
+                RULES_EVERY
+            }
+            Ok(None) | Err(_) => RETRY,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn take_rules(hub: &Hub, stored: &Stored, sent: Millis) {
+    let known = hub.rules.borrow().version;
+    let rules = match hub.dialect.rules(&stored.value) {
+        Ok(rules) => rules,
+        Err(failure) => {
+            warn!(hub.log, "rules unreadable"; "cause" => failure.context, "kept" => known);
+            return;
+        }
+    };
+    let version = rules.version;
+    match hub.sight.borrow_mut().confirm(version, sent) {
+        Confirmed::Newer => {
+            info!(hub.log, "rules in force"; "version" => version, "before" => known,
+                "revision" => stored.revision, "read_ms" => boot_ms().saturating_sub(sent));
+            *hub.rules.borrow_mut() = Rc::new(rules);
+        }
+        Confirmed::Same => {}
+        Confirmed::Older => {
+            warn!(hub.log, "rules older than known"; "version" => version, "kept" => known);
+        }
+    }
+}
+
+/// Follows a prefix: calls `all` with a listing and `one` with each change after it.
+async fn follow(
+    hub: &Rc<Hub>,
+    prefix: &str,
+    wait_ms: u64,
+    all: impl Fn(&Hub, Vec<(String, Stored)>),
+    one: impl Fn(&Hub, Change),
+    each: impl Fn(&Hub),
+) {
+    loop {
+        let listed = hub.store.list(prefix).await;
+        hub.note_store("list", listed.as_ref().err());
+        let Ok(listing) = listed else {
+            each(hub);
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        let mut after = listing.revision;
+        all(hub, listing.items);
+        loop {
+            each(hub);
+            let watched = hub.store.watch(prefix, after, wait_ms).await;
+            hub.note_store("watch", watched.as_ref().err());
+            match watched {
+                Ok(Watched::Changes(changes, revision)) => {
+                    for change in changes {
+                        one(hub, change);
+                    }
+                    after = after.max(revision);
+                }
+                Ok(Watched::Forgotten) => {
+                    info!(hub.log, "history forgotten"; "prefix" => prefix.to_owned(), "after" => after);
+                    break;
+                }
+                Err(_) => {
+                    tokio::time::sleep(RETRY).await;
+                    // What was removed meanwhile may be told only by a listing.
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Follows the backend servers.
+pub(crate) async fn servers(hub: Rc<Hub>) {
+    let prefix = hub.dialect.servers_prefix().to_owned();
+    // Entries that are missing while the store may have lost them, and since when.
+    let missing: RefCell<BTreeMap<Name, Millis>> = RefCell::default();
+    let all = |hub: &Hub, items: Vec<(String, Stored)>| {
+        let mut listed = BTreeSet::new();
+        for (key, stored) in items {
+            if let Some(id) = take_server(hub, &key, &stored) {
+                missing.borrow_mut().remove(&id);
+                listed.insert(id);
+            }
+        }
+        let gone: Vec<Name> = {
+            let picker = hub.picker.borrow();
+            let ids = picker.servers().map(|server| server.listed.id.clone());
+            ids.filter(|id| !listed.contains(id)).collect()
+        };
+        for id in gone {
+            leave(hub, &missing, id);
+        }
+    };
+    let one = |hub: &Hub, change: Change| match change.stored {
+        Some(stored) => {
+            if let Some(id) = take_server(hub, &change.key, &stored) {
+                missing.borrow_mut().remove(&id);
+            }
+        }
+        None => leave(hub, &missing, id_of(hub, &change.key)),
+    };
+    let each = |hub: &Hub| drop_missing(hub, &missing);
+    follow(&hub, &prefix, SERVERS_WAIT_MS, all, one, each).await;
+}
+
+fn id_of(hub: &Hub, key: &str) -> Name {
+    Name::from(key.strip_prefix(hub.dialect.servers_prefix()).unwrap_or(key))
+}
+
+/// Takes in what a server registered and returns its name.
+fn take_server(hub: &Hub, key: &str, stored: &Stored) -> Option<Name> {
+    match hub.dialect.server(key, &stored.value) {
+        Ok(listed) => {
+            let id = listed.id.clone();
+            let (leaving, service) = (listed.leaving, listed.service.clone());
+            if hub.picker.borrow_mut().list(listed) {
+                info!(hub.log, "server listed"; "server" => %id, "service" => %service,
+                    "leaving" => leaving, "revision" => stored.revision);
+            }
+            Some(id)
+        }
+        Err(failure) => {
+            warn!(hub.log, "server entry names no server"; "key" => key.to_owned(),
+                "cause" => failure.context);
+            let id = id_of(hub, key);
+            hub.picker.borrow_mut().remove(&id);
+            None
+        }
+    }
+}
+
+/// Takes in that a server is no longer listed.
+///
+/// While the store was away registrations may have lapsed although their servers live; these have
+/// some time to register again.
+fn leave(hub: &Hub, missing: &RefCell<BTreeMap<Name, Millis>>, id: Name) {
+    let now = boot_ms();
+    if now.saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
+        missing.borrow_mut().entry(id).or_insert(now);
+    } else {
+        forget(hub, &id);
+    }
+}
+
+fn drop_missing(hub: &Hub, missing: &RefCell<BTreeMap<Name, Millis>>) {
+    if hub.store_lost.get() || boot_ms().saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
+        return;
+    }
+    for (id, _) in std::mem::take(&mut *missing.borrow_mut()) {
+        forget(hub, &id);
+    }
+}
+
+fn forget(hub: &Hub, id: &Name) {
+    if hub.picker.borrow_mut().remove(id) {
+        info!(hub.log, "server gone"; "server" => %id);
+    }
+}
+
+/// What an entry writes under its key.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Registration {
+    incarnation: u64,
+    front: Name,
+    peer: Name,
+    data_centre: Name,
+}
+
+/// Follows the entries.
+pub(crate) async fn entries(hub: Rc<Hub>) {
+    let all = |hub: &Hub, items: Vec<(String, Stored)>| {
+        let entries = items.iter().filter_map(|(key, stored)| read_entry(hub, key, stored));
+        hub.roster.borrow_mut().replace(entries.collect(), boot_ms());
+        hub.share_out();
+    };
+    let one = |hub: &Hub, change: Change| {
+        match &change.stored {
+            Some(stored) => {
+                if let Some(entry) = read_entry(hub, &change.key, stored) {
+                    info!(hub.log, "entry listed"; "other" => %entry.name, "incarnation" => entry.incarnation);
+                    hub.roster.borrow_mut().add(entry);
+                }
+            }
+            None => {
+                let name = change.key.strip_prefix(ENTRIES).unwrap_or(&change.key);
+                info!(hub.log, "entry gone"; "other" => name.to_owned());
+                hub.roster.borrow_mut().remove(name, boot_ms());
+            }
+        }
+        hub.share_out();
+    };
+    follow(&hub, ENTRIES, ENTRIES_WAIT_MS, all, one, |hub| hub.share_out()).await;
+}
+
+fn read_entry(hub: &Hub, key: &str, stored: &Stored) -> Option<Entry> {
+    let name = Name::from(key.strip_prefix(ENTRIES)?);
+    match serde_json::from_slice::<Registration>(&stored.value) {
+        Ok(Registration { incarnation, front, peer, data_centre }) => {
+            Some(Entry { name, incarnation, front, peer, data_centre })
+        }
+        Err(e) => {
+            warn!(hub.log, "registration unreadable"; "other" => %name, "cause" => %e);
+            None
+        }
+    }
+}
+
+/// Keeps this entry registered until it stops.
+pub(crate) async fn register(hub: Rc<Hub>) {
+    let mut lease: Option<Lease> = None;
+    let mut is_first = true;
+    while !hub.stopping.get() {
+        let registered = match lease {
+            Some(lease) => hub.store.renew(lease).await,
+            None => Ok(false),
+        };
+        hub.note_store("renew", registered.as_ref().err());
+        let pause = match registered {
+            Ok(true) => RENEW_EVERY,
+            Err(_) => RETRY,
+            Ok(false) => match write_registration(&hub, &mut is_first).await {
+                Ok(made) => {
+                    lease = Some(made);
+                    RENEW_EVERY
+                }
+                Err(failure) => {
+                    debug!(hub.log, "not registered"; "cause" => %failure);
+                    RETRY
+                }
+            },
+        };
+        tokio::time::sleep(pause).await;
+    }
+    let commit = Commit { removes: vec![key_of(&hub)], ..Commit::default() };
+    let removed = hub.store.commit(&commit).await;
+    hub.note_store("commit", removed.as_ref().err());
+}
+
+fn key_of(hub: &Hub) -> String {
+    format!("{ENTRIES}{}", hub.settings.name)
+}
+
+async fn write_registration(hub: &Hub, is_first: &mut bool) -> Result<Lease, Failure> {
+    let key = key_of(hub);
+    let known = hub.store.get(&key).await?;
+    let lease = hub.store.grant(REGISTRATION_S).await?;
+    let registration = Registration {
+        incarnation: hub.incarnation,
+        front: Name::from(hub.settings.front.to_string()),
+        peer: Name::from(hub.settings.peer.to_string()),
+        data_centre: hub.settings.data_centre.clone(),
+    };
+    let value = serde_json::to_vec(&registration)
+        .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
+    let put = Put { key, value: value.into(), lease: Some(lease) };
+    let commit = Commit { puts: vec![put], ..Commit::default() };
+    match hub.store.commit(&commit).await? {
+        Committed::Done(revision) => {
+            let was_counted = known.is_some();
+            info!(hub.log, "registered"; "revision" => revision, "was_counted" => was_counted);
+            if *is_first {
+                *is_first = false;
+                // The others have to count this entry before it earns a share of any quota.
+                let hold = hub.settings.promises.revoke.as_millis() as Millis;
+                let from = if was_counted { boot_ms() } else { boot_ms() + hold };
+                hub.purses.borrow_mut().start_at(from);
+            }
+            Ok(lease)
+        }
+        Committed::Conflict | Committed::NoLease => {
+            Err(Failure::new(Code::PlatformUnreachable, "the registration did not take effect"))
+        }
+    }
+}
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -4,7 +4,7 @@
 use cluster::Cluster;
 use kernel::Stop;
 use kernel::prelude::*;
-use platform::{Cloud, Vm, VmList, VmRole, VmState};
+use infra::{Cloud, Vm, VmList, VmRole, VmState};
 use rand::RngExt;
 use route::{
     Admission, Choice, Limit, Limits, Offered, Pool, Report, Retry, RetryBudgets, Server, Verdict,
--- a/crates/standin/src/platform_api.rs
+++ b/crates/standin/src/platform_api.rs
@@ -1,7 +1,7 @@
 //! VM list and cloud API.
 
 use kernel::{Code, Failure, Name};
-use platform::{Notice, Price, StartVm, Vm, VmState};
+use infra::{Notice, Price, StartVm, Vm, VmState};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::BTreeMap;
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
 
 use kernel::Code;
-use platform::{Etcd, Kv as _, Swap};
+use infra::{Etcd, Kv as _, Swap};
 use standin::Running;
 use standin::kv::{Faults, Kv};
 use std::net::SocketAddr;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use backend::{Plain as Client, PlainServices, Tag};
 use kernel::{Code, Failure, Key, NodeId};
-use platform::{
+use infra::{
     Cloud, HttpCloud, HttpVmList, HttpWeightStore, Market, Price, StartVm, VmList, VmRole, VmState,
     WeightStore, Weights,
 };
