Servers found are written down before the first order

Ruled out: the platform adding servers of its own; its log shows only our orders. The figures are settings now (section fleet).

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -18,5 +18,5 @@
 };
 pub use generation::{Body, Head};
 pub use node::{Membership, Node, Platform};
-pub use relay::{Promises, Relay, Services};
+pub use relay::{Fleet, Promises, Relay, Services};
 pub use source::{Merged, Source};
--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -27,6 +27,25 @@
     pub services: Services,
     /// What the deployment promises its callers and operators.
     pub promises: Promises,
+    /// How many backend servers are held.
+    pub fleet: Fleet,
+}
+
+/// How many backend servers are held, where entries order them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fleet {
+    /// Part of the servers found at the start that is kept as reclaimable ones.
+    pub kept: f64,
+    /// Servers that are not reclaimable.
+    pub lasting: u32,
+    /// Part of the servers found below which lasting ones replace those that cannot be had.
+    pub floor: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self { kept: 0.9, lasting: 2, floor: 0.55 }
+    }
 }
 
 /// Addresses of the platform's services.
@@ -93,7 +112,7 @@
 }
 
 /// The sections of the settings.
-const SECTIONS: [&str; 3] = ["entry", "services", "promises"];
+const SECTIONS: [&str; 4] = ["entry", "services", "promises", "fleet"];
 
 impl Relay {
     /// Reads and checks the settings.
@@ -107,10 +126,11 @@
             let absent = || Section { file: source.file.clone(), ..Section::default() };
             merged.sections.get(name).cloned().unwrap_or_else(absent)
         };
-        let (entry, services, promises) =
-            (section("entry"), section("services"), section("promises"));
+        let (entry, services, promises, fleet) =
+            (section("entry"), section("services"), section("promises"), section("fleet"));
         let services = read_services(Fields::new(&services, &mut mistakes));
         let promises = read_promises(Fields::new(&promises, &mut mistakes));
+        let fleet = read_fleet(Fields::new(&fleet, &mut mistakes));
         let mut fields = Fields::new(&entry, &mut mistakes);
         let relay = Self {
             name: fields.required("name", "a name that is unique in the deployment"),
@@ -122,6 +142,7 @@
             metrics: fields.address("metrics"),
             services,
             promises,
+            fleet,
         };
         fields.finish();
         for (name, section) in &merged.sections {
@@ -165,3 +186,14 @@
     fields.finish();
     promises
 }
+
+fn read_fleet(mut fields: Fields<'_>) -> Fleet {
+    let default = Fleet::default();
+    let fleet = Fleet {
+        kept: fields.number("kept", "parts of the servers found", default.kept, 0.0..=10.0),
+        lasting: fields.count("lasting", u64::from(default.lasting), 0..=10_000) as u32,
+        floor: fields.number("floor", "parts of the servers found", default.floor, 0.0..=10.0),
+    };
+    fields.finish();
+    fleet
+}
--- a/crates/place/src/spread.rs
+++ b/crates/place/src/spread.rs
@@ -55,15 +55,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     settings: SpreadSettings,
-    found: Option<u32>,
+    found: u32,
     given: BTreeMap<Place, (u32, Millis)>,
     refused_until: BTreeMap<Place, Millis>,
 }
 
 impl Spread {
-    /// Creates the state of a holder that has given no order.
-    pub fn new(settings: SpreadSettings) -> Self {
-        Self { settings, ..Self::default() }
+    /// Creates the state of a holder that has given no order; `found` servers served before the
+    /// first order of any holder.
+    pub fn new(settings: SpreadSettings, found: u32) -> Self {
+        Self { settings, found, ..Self::default() }
     }
 
     /// Returns the next order to give; `serving` counts the servers that take work.
@@ -74,9 +75,7 @@
         now: Millis,
     ) -> Option<SpreadOrder> {
         let total: u32 = serving.values().sum();
-        let found = *self.found.get_or_insert(total).max(&mut total.clone());
-        self.found = Some(found);
-        let wanted = self.wanted(offers, serving, found);
+        let wanted = self.wanted(offers, serving);
         // Servers are given back only once their replacements serve.
         let planned: u32 = wanted.values().sum();
         let can_shrink = total >= planned;
@@ -109,15 +108,14 @@
         &self,
         offers: &Offers,
         serving: &BTreeMap<Place, u32>,
-        found: u32,
     ) -> BTreeMap<Place, u32> {
         let mut centres: Vec<(&Name, f64)> =
             offers.prices.iter().map(|(name, price)| (name, *price)).collect();
         centres.sort_by(|a, b| a.1.total_cmp(&b.1));
         let (least, most) = offers.bounds;
-        let kept = (self.settings.kept * f64::from(found)).ceil() as u32;
+        let kept = (self.settings.kept * f64::from(self.found)).ceil() as u32;
         let count = centres.len().max(1) as u32;
-        let floor = self.settings.floor * f64::from(found);
+        let floor = self.settings.floor * f64::from(self.found);
         let total: u32 = serving.values().sum();
         // Below the floor lasting servers fill up what cannot be had.
         let lacking = (floor - f64::from(total)).max(0.0).ceil() as u32;
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -17,6 +17,8 @@
 const COUNTS: &str = "fennelfold/counts/";
 /// Prefix of the counts that were decided, by window.
 const DECIDED: &str = "fennelfold/usage/";
+/// Prefix of the numbers of servers that were found at the start, by service.
+const FOUND: &str = "fennelfold/found/";
 /// Time after the end of a window by which entries have passed their counts on, in milliseconds.
 const GATHER_MS: u64 = 2_000;
 /// Time after the end of a window at which an entry passes its counts on, in milliseconds.
@@ -303,9 +305,18 @@
     };
     let services: Vec<(Name, Scaling)> = rules.services().filter_map(scaled).collect();
     for (service, scaling) in services {
-        let spread = spreads
-            .entry(service.clone())
-            .or_insert_with(|| Spread::new(SpreadSettings::default()));
+        if !spreads.contains_key(&service) {
+            let Some(found) = servers_found(hub, tenure, &service).await else { continue };
+            let fleet = hub.settings.fleet;
+            let settings = SpreadSettings {
+                kept: fleet.kept,
+                lasting: fleet.lasting,
+                floor: fleet.floor,
+                ..SpreadSettings::default()
+            };
+            spreads.insert(service.clone(), Spread::new(settings, found));
+        }
+        let Some(spread) = spreads.get_mut(&service) else { continue };
         // Each round gives what is due now, bounded by the number of places.
         for _ in 0..2 * scaling.prices.len() {
             let Some(number) = tenure.number() else { return };
@@ -339,6 +350,34 @@
     }
 }
 
+/// Returns how many servers of a service there were before the first order of any holder.
+///
+/// The first holder writes it down; its orders change what its successors find.
+async fn servers_found(hub: &Hub, tenure: &Tenure, service: &Name) -> Option<u32> {
+    let number = tenure.number()?;
+    let key = format!("{FOUND}{service}");
+    let known = hub.store.get(&key).await;
+    hub.note_store("found", known.as_ref().err());
+    if let Some(stored) = known.ok()? {
+        return serde_json::from_slice(&stored.value).ok();
+    }
+    let found: u32 = serving(hub, service).values().sum();
+    if found == 0 {
+        return None;
+    }
+    let put = Put { key: key.clone(), value: found.to_string().into(), lease: None };
+    let commit = Commit {
+        expected: vec![(LEADER.to_owned(), number), (key, 0)],
+        puts: vec![put],
+        removes: Vec::new(),
+    };
+    let committed = hub.store.commit(&commit).await;
+    hub.note_store("found", committed.as_ref().err());
+    info!(hub.log, "servers found"; "service" => %service, "count" => found,
+        "result" => format!("{committed:?}"));
+    matches!(committed, Ok(Committed::Done(_))).then_some(found)
+}
+
 fn serving(hub: &Hub, service: &Name) -> BTreeMap<Place, u32> {
     let mut serving = BTreeMap::new();
     for server in hub.picker.borrow().servers() {
