The fleet follows the work asked for; counts of usage travel between entries

Cause of missed windows: counts that only their entry knew were lost with it or came late. Entries now tell them to each other; the holder of the duty waits until all have told them.

--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -34,17 +34,17 @@
 /// How many backend servers are held, where entries order them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fleet {
-    /// Part of the servers found at the start that is kept as reclaimable ones.
-    pub kept: f64,
+    /// Part of a server's time that is to be used.
+    pub used: f64,
     /// Servers that are not reclaimable.
     pub lasting: u32,
-    /// Part of the servers found below which lasting ones replace those that cannot be had.
-    pub floor: f64,
+    /// Least part of the servers found at the start that is held.
+    pub least: f64,
 }
 
 impl Default for Fleet {
     fn default() -> Self {
-        Self { kept: 0.9, lasting: 2, floor: 0.55 }
+        Self { used: 0.7, lasting: 1, least: 0.5 }
     }
 }
 
@@ -64,6 +64,8 @@
     pub grace: Duration,
     /// Longest time that an answer of the directory is kept.
     pub directory_ttl: Duration,
+    /// Time in which a new version of the rules is in force everywhere.
+    pub apply: Duration,
     /// Whether a key that was taken away must stop working on every entry.
     pub strict_revoke: bool,
     /// Time in which it must.
@@ -95,6 +97,7 @@
         Self {
             grace: Duration::from_secs(8),
             directory_ttl: Duration::from_secs(2),
+            apply: Duration::from_secs(2),
             strict_revoke: false,
             revoke: Duration::from_secs(5),
             lease: Duration::from_secs(3),
@@ -167,6 +170,7 @@
     let promises = Promises {
         grace: fields.duration("grace", default.grace),
         directory_ttl: fields.duration("directory_ttl", default.directory_ttl),
+        apply: fields.duration("apply", default.apply),
         strict_revoke: fields.flag("strict_revoke", default.strict_revoke),
         revoke: fields.duration("revoke", default.revoke),
         lease: fields.duration("lease", default.lease),
@@ -190,9 +194,9 @@
 fn read_fleet(mut fields: Fields<'_>) -> Fleet {
     let default = Fleet::default();
     let fleet = Fleet {
-        kept: fields.number("kept", "parts of the servers found", default.kept, 0.0..=10.0),
+        used: fields.number("used", "parts of the time", default.used, 0.05..=10.0),
         lasting: fields.count("lasting", u64::from(default.lasting), 0..=10_000) as u32,
-        floor: fields.number("floor", "parts of the servers found", default.floor, 0.0..=10.0),
+        least: fields.number("least", "parts of the servers found", default.least, 0.0..=10.0),
     };
     fields.finish();
     fleet
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,4 +13,4 @@
 pub use retry::{RetryShare, RetryTerms};
 pub use roster::{Entry, Roster};
 pub use sight::{Confirmed, Sight};
-pub use usage::{Counts, Usage, Window, total};
+pub use usage::{Counts, Tallies, Usage, Window};
--- a/crates/coord/src/usage.rs
+++ b/crates/coord/src/usage.rs
@@ -38,32 +38,75 @@
         *self.open.entry(window).or_default().entry(organisation.clone()).or_default() += 1;
     }
 
-    /// Takes out the counts of a window.
-    pub fn take(&mut self, window: Window) -> Counts {
-        self.open.remove(&window).unwrap_or_default()
+    /// Returns the counts of the windows that are not older than the kept ones.
+    pub fn recent(&self) -> &BTreeMap<Window, Counts> {
+        &self.open
     }
 
-    /// Puts counts back that could not be passed on.
-    pub fn put_back(&mut self, window: Window, counts: Counts) {
-        add(self.open.entry(window).or_default(), counts);
+    /// Forgets windows that ended long ago.
+    pub fn prune(&mut self, unix_ms: u64) {
+        let oldest = self.window(unix_ms).saturating_sub(KEPT_WINDOWS);
+        self.open.retain(|window, _| *window >= oldest);
     }
+}
+
+/// What the entries told of their counts.
+#[derive(Clone, Debug, Default)]
+pub struct Tallies {
+    runs: BTreeMap<(Name, u64), Tally>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Tally {
+    /// When the counts were told, since 1970.
+    at_ms: u64,
+    windows: BTreeMap<Window, Counts>,
+}
 
-    /// Lists the windows that ended before a time and have counts.
-    pub fn ended(&self, unix_ms: u64) -> Vec<Window> {
-        let now = self.window(unix_ms);
-        self.open.keys().copied().filter(|window| *window < now).collect()
+impl Tallies {
+    /// Takes in what a run of an entry counted; counts only grow, and those of a run that ended
+    /// stay.
+    pub fn hear(
+        &mut self,
+        entry: &Name,
+        incarnation: u64,
+        windows: BTreeMap<Window, Counts>,
+        unix_ms: u64,
+    ) {
+        let tally = self.runs.entry((entry.clone(), incarnation)).or_default();
+        tally.at_ms = unix_ms;
+        tally.windows.extend(windows);
+    }
+
+    /// Tells whether a run of an entry told its counts after a time.
+    pub fn heard_after(&self, entry: &Name, incarnation: u64, unix_ms: u64) -> bool {
+        let tally = self.runs.get(&(entry.clone(), incarnation));
+        tally.is_some_and(|tally| tally.at_ms > unix_ms)
+    }
+
+    /// Adds up what all runs counted in a window.
+    pub fn total(&self, window: Window) -> Counts {
+        total(self.runs.values().filter_map(|tally| tally.windows.get(&window).cloned()))
+    }
+
+    /// Forgets runs that told nothing since a time.
+    pub fn prune(&mut self, unix_ms: u64) {
+        self.runs.retain(|_, tally| tally.at_ms >= unix_ms);
     }
 }
 
+/// Windows that an entry tells its counts of.
+const KEPT_WINDOWS: Window = 4;
+
 /// Adds counts to others.
-pub(crate) fn add(sum: &mut Counts, counts: Counts) {
+fn add(sum: &mut Counts, counts: Counts) {
     for (organisation, count) in counts {
         *sum.entry(organisation).or_default() += count;
     }
 }
 
-/// Adds the counts of several entries up.
-pub fn total(all: impl IntoIterator<Item = Counts>) -> Counts {
+/// Adds up the counts of several entries.
+fn total(all: impl IntoIterator<Item = Counts>) -> Counts {
     let mut sum = Counts::new();
     for counts in all {
         add(&mut sum, counts);
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -66,6 +66,17 @@
     pub plain_ms: f64,
 }
 
+impl Model {
+    /// Returns the time that a request takes an engine, at a usual batch, in milliseconds.
+    pub fn work_ms(&self, unread: u64, answer_tokens: u64) -> f64 {
+        let step_ms = self.step_ms + self.step_each_ms * USUAL_BATCH;
+        unread as f64 / self.read_per_ms + answer_tokens as f64 * step_ms / USUAL_BATCH
+    }
+}
+
+/// Requests of a batch at which an engine answers well within the targets.
+const USUAL_BATCH: f64 = 16.0;
+
 impl Default for Model {
     fn default() -> Self {
         Self {
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod cache;
 mod choose;
+mod demand;
 mod outcome;
 mod picker;
 mod server;
 
 pub use choose::{Choice, Model, Part, Prompt, Why, Wanted};
+pub use demand::Demand;
 pub use outcome::Outcome;
 pub use picker::Picker;
 pub use server::{Listed, Load, Server};
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -113,7 +113,8 @@
         self.servers.values()
     }
 
-    pub(crate) fn model(&self) -> &Model {
+    /// Returns the speed of engines.
+    pub fn model(&self) -> &Model {
         &self.model
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,4 +11,4 @@
 pub use lease::{Event, Fencing, Found, Holder, Next, Permit, Times};
 pub use order::{Order, Orders, Reason, Wanted};
 pub use repair::{Action, Fleet, Running, Slot, StoredSlot, repair};
-pub use spread::{Offers, Place, Spread, SpreadOrder, SpreadSettings};
+pub use spread::{Offers, Place, Seen, Spread, SpreadOrder, SpreadSettings};
--- a/crates/place/src/spread.rs
+++ b/crates/place/src/spread.rs
@@ -1,4 +1,8 @@
 //! How many backend servers to order in each data centre, and of which kind.
+//!
+//! Reclaimable servers carry the load, spread so that the loss of a data centre leaves enough.
+//! Lasting ones stand in for those that cannot be had, ordered with the notice of a reclaim, so
+//! that they serve soon after it.
 
 use kernel::{Millis, Name};
 use std::collections::BTreeMap;
@@ -23,25 +27,52 @@
     pub boot_ms: Millis,
 }
 
-/// What is wanted beyond the least.
+/// Settings of the orders.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadSettings {
-    /// Part of the servers found at the start that is kept, reclaimable and spread evenly.
-    pub kept: f64,
+    /// Part of a server's time that is to be used.
+    pub used: f64,
+    /// Most servers that are held, as a part of those found at the start.
+    pub most: f64,
     /// Servers that are not reclaimable, in the cheapest data centres.
     pub lasting: u32,
+    /// Least part of the servers found at the start that is held.
+    pub least: f64,
+    /// Time in which the expected load follows a rise of the load, in milliseconds.
+    pub rise_ms: f64,
+    /// Time in which the expected load follows a fall of the load, in milliseconds.
+    pub fall_ms: f64,
     /// Time after a refused order before it is given again, in milliseconds.
     pub refused_ms: Millis,
-    /// Part of the kept servers below which lasting ones replace those that cannot be had.
-    pub floor: f64,
+    /// Change of the number of reclaimable servers in a data centre that is worth an order to
+    /// give some back.
+    pub step: u32,
 }
 
 impl Default for SpreadSettings {
     fn default() -> Self {
-        Self { kept: 0.9, lasting: 2, refused_ms: 1_500, floor: 0.55 }
+        Self {
+            used: 0.7,
+            most: 2.0,
+            lasting: 1,
+            least: 0.5,
+            rise_ms: 1_500.0,
+            fall_ms: 20_000.0,
+            refused_ms: 1_500,
+            step: 2,
+        }
     }
 }
 
+/// What there is of one service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Servers that take work.
+    pub serving: BTreeMap<Place, u32>,
+    /// Work that callers ask of all entries, in milliseconds of one server a second.
+    pub work: f64,
+}
+
 /// An order to give.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SpreadOrder {
@@ -51,12 +82,21 @@
     pub count: u32,
 }
 
+const MS_PER_S: f64 = 1000.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    count: u32,
+    at: Millis,
+}
+
 /// What the holder of the duty knows of its orders.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     settings: SpreadSettings,
     found: u32,
-    given: BTreeMap<Place, (u32, Millis)>,
+    load: Option<(f64, Millis)>,
+    given: BTreeMap<Place, Given>,
     refused_until: BTreeMap<Place, Millis>,
 }
 
@@ -67,30 +107,16 @@
         Self { settings, found, ..Self::default() }
     }
 
-    /// Returns the next order to give; `serving` counts the servers that take work.
-    pub fn next(
-        &mut self,
-        offers: &Offers,
-        serving: &BTreeMap<Place, u32>,
-        now: Millis,
-    ) -> Option<SpreadOrder> {
-        let total: u32 = serving.values().sum();
-        let wanted = self.wanted(offers, serving);
-        // Servers are given back only once their replacements serve.
-        let planned: u32 = wanted.values().sum();
-        let can_shrink = total >= planned;
-        let differing = wanted.into_iter().find_map(|(place, count)| {
-            let have = serving.get(&place).copied().unwrap_or(0);
-            let given = self.given.get(&place).copied();
-            let is_new = given.map_or(have, |(count, _)| count) != count;
-            let is_lacking = have < count
-                && given.is_some_and(|(_, at)| now >= at + offers.boot_ms + self.settings.refused_ms);
-            let is_refused = self.refused_until.get(&place).is_some_and(|until| now < *until);
-            let may = !is_refused && (count >= have || can_shrink);
-            (may && (is_new || is_lacking)).then_some(SpreadOrder { place, count })
-        })?;
-        self.given.insert(differing.place.clone(), (differing.count, now));
-        Some(differing)
+    /// Returns the next order to give.
+    pub fn next(&mut self, offers: &Offers, seen: &Seen, now: Millis) -> Option<SpreadOrder> {
+        let needed = self.needed(seen, now);
+        let wanted = self.wanted(offers, seen, needed, now);
+        let order = wanted
+            .into_iter()
+            .map(|(place, count)| SpreadOrder { place, count })
+            .find(|order| self.is_due(order, offers, seen, needed, now))?;
+        self.given.insert(order.place.clone(), Given { count: order.count, at: now });
+        Some(order)
     }
 
     /// Notes that there are no such servers to be had.
@@ -104,35 +130,122 @@
         self.given.remove(place);
     }
 
+    /// Returns how many servers the expected load needs.
+    ///
+    /// The load is what callers ask for and not what is open: the latter grows without bound
+    /// while servers are missing.
+    pub fn needed(&mut self, seen: &Seen, now: Millis) -> u32 {
+        let found = f64::from(self.found);
+        let (load, at) = self.load.unwrap_or((found, now));
+        let asked = seen.work / MS_PER_S / self.settings.used;
+        let time = if asked > load { self.settings.rise_ms } else { self.settings.fall_ms };
+        let kept = (-(now.saturating_sub(at) as f64) / time).exp();
+        let load = asked + (load - asked) * kept;
+        self.load = Some((load, now));
+        load.clamp(self.settings.least * found, self.settings.most * found).ceil() as u32
+    }
+
     fn wanted(
         &self,
         offers: &Offers,
-        serving: &BTreeMap<Place, u32>,
-    ) -> BTreeMap<Place, u32> {
+        seen: &Seen,
+        needed: u32,
+        now: Millis,
+    ) -> Vec<(Place, u32)> {
         let mut centres: Vec<(&Name, f64)> =
             offers.prices.iter().map(|(name, price)| (name, *price)).collect();
         centres.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let (least, most) = offers.bounds;
-        let kept = (self.settings.kept * f64::from(self.found)).ceil() as u32;
         let count = centres.len().max(1) as u32;
-        let floor = self.settings.floor * f64::from(self.found);
-        let total: u32 = serving.values().sum();
-        // Below the floor lasting servers fill up what cannot be had.
-        let lacking = (floor - f64::from(total)).max(0.0).ceil() as u32;
-        let mut lasting_left = self.settings.lasting + lacking;
-        let mut wanted = BTreeMap::new();
-        for (index, (data_centre, _)) in centres.into_iter().enumerate() {
+        let most = offers.bounds.1;
+        // Without its largest data centre the rest still holds what is needed.
+        let spread = (needed * count).div_ceil((count - 1).max(1));
+        let (serving, coming) = self.reclaimable(offers, seen, now);
+        let growing = needed.saturating_sub(serving + coming).max(self.settings.lasting);
+        let shrinking = needed.saturating_sub(serving).max(growing);
+        let lasting = self.lasting(&centres, seen, most, (growing, shrinking));
+        let mut wanted = Vec::new();
+        for (index, ((data_centre, _), lasting)) in centres.into_iter().zip(lasting).enumerate() {
             let index = index as u32;
-            let even = kept / count + u32::from(index < kept % count);
-            let share = lasting_left.div_ceil(count - index).min(most);
-            let lasting = share.min(lasting_left);
-            lasting_left -= lasting;
+            let even = spread / count + u32::from(index < spread % count);
             let reclaimable = even.min(most - lasting);
-            let lasting = lasting.max(least.saturating_sub(reclaimable));
+            let lasting = lasting.max(offers.bounds.0.saturating_sub(reclaimable));
             let place = |reclaimable| Place { data_centre: data_centre.clone(), reclaimable };
-            wanted.insert(place(true), reclaimable);
-            wanted.insert(place(false), lasting);
+            wanted.push((place(true), reclaimable));
+            wanted.push((place(false), lasting));
         }
         wanted
     }
+
+    /// Returns how many lasting servers each data centre is to have, between two sums.
+    ///
+    /// Those that are there stay where they are: moving one pays for both.
+    fn lasting(
+        &self,
+        centres: &[(&Name, f64)],
+        seen: &Seen,
+        most: u32,
+        (least_sum, most_sum): (u32, u32),
+    ) -> Vec<u32> {
+        let now = |(data_centre, _): &(&Name, f64)| {
+            let place = Place { data_centre: (*data_centre).clone(), reclaimable: false };
+            let given = self.given.get(&place).map(|given| given.count);
+            given.unwrap_or(seen.serving.get(&place).copied().unwrap_or(0))
+        };
+        let mut counts: Vec<u32> = centres.iter().map(now).collect();
+        // Spread evenly, the cheapest data centres first.
+        while counts.iter().sum::<u32>() < least_sum {
+            let Some(count) = counts.iter_mut().min_by_key(|count| **count) else { break };
+            if *count >= most {
+                break;
+            }
+            *count += 1;
+        }
+        while counts.iter().sum::<u32>() > most_sum {
+            let Some(count) = counts.iter_mut().rev().max_by_key(|count| **count) else { break };
+            *count -= 1;
+        }
+        counts
+    }
+
+    /// Counts the reclaimable servers that serve, and those that were ordered and will soon.
+    fn reclaimable(&self, offers: &Offers, seen: &Seen, now: Millis) -> (u32, u32) {
+        let serving = seen.serving.iter().filter(|(place, _)| place.reclaimable);
+        let serving = serving.map(|(_, count)| count).sum();
+        let coming = self.given.iter().filter(|(place, given)| {
+            place.reclaimable && now < given.at + offers.boot_ms + self.settings.refused_ms
+        });
+        let missing = coming.map(|(place, given)| {
+            given.count.saturating_sub(seen.serving.get(place).copied().unwrap_or(0))
+        });
+        (serving, missing.sum())
+    }
+
+    fn is_due(
+        &self,
+        order: &SpreadOrder,
+        offers: &Offers,
+        seen: &Seen,
+        needed: u32,
+        now: Millis,
+    ) -> bool {
+        let SpreadOrder { place, count } = order;
+        if self.refused_until.get(place).is_some_and(|until| now < *until) {
+            return false;
+        }
+        let have = seen.serving.get(place).copied().unwrap_or(0);
+        let given = self.given.get(place).copied();
+        let before = given.map_or(have, |given| given.count);
+        if *count < before {
+            // Servers are given back only while the rest holds what is needed.
+            let total: u32 = seen.serving.values().sum();
+            let is_enough = total.saturating_sub(have.saturating_sub(*count)) >= needed;
+            let is_worth = !place.reclaimable || before - count >= self.settings.step;
+            return is_enough && is_worth;
+        }
+        let is_lacking = have < *count
+            && given.is_none_or(|given| {
+                now >= given.at + offers.boot_ms + self.settings.refused_ms
+            });
+        *count > before || is_lacking
+    }
 }
--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -111,9 +111,15 @@
             return failed(hub, &job, code, trail);
         }
         let Some(choice) = choose(hub, &job, &tried) else {
+            if tried.is_empty() {
+                count_demand(hub, &job, job.prompt.as_ref().map_or(0, |prompt| prompt.tokens));
+            }
             let code = if trail.runs > 0 { Code::BackendBroke } else { Code::NoServer };
             return failed(hub, &job, code, trail);
         };
+        if tried.is_empty() {
+            count_demand(hub, &job, choice.unread);
+        }
         tried.push(choice.id.clone());
         trail.sends += 1;
         let (ended, reply) = match attempt(hub, &job, &choice, None, trail).await {
@@ -152,6 +158,13 @@
     }
 }
 
+/// Counts the work that a request asks of an engine.
+fn count_demand(hub: &Hub, job: &Job, unread: u64) {
+    let Some(prompt) = &job.prompt else { return };
+    let work_ms = hub.picker.borrow().model().work_ms(unread, prompt.answer_tokens);
+    hub.demand.borrow_mut().add(&job.service, work_ms, boot_ms());
+}
+
 /// Counts a request that began to run.
 pub(crate) fn count_usage(hub: &Hub, job: &Job) {
     if let Some(organisation) = &job.organisation {
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -1,28 +1,31 @@
 //! What one entry does for all: reports usage and orders backend servers.
 
 use crate::hub::Hub;
-use coord::{Counts, Window, total};
+use crate::sync::LEADER;
+use coord::{Counts, Window};
 use infra::{Commit, Committed, Duties, Holder as Caller, Lease, Ordered, Put, ServerOrder, Swap};
 use kernel::boot_ms;
 use kernel::prelude::*;
-use place::{Event, Fencing, Found, Holder, Next, Offers, Permit, Place, Spread, SpreadSettings, Times};
+use place::{Event, Fencing, Found, Holder, Next, Offers, Permit, Place, Seen, Spread, SpreadSettings, Times};
 use rules::{Scaling, Service};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Key of the lease of the duties.
-const LEADER: &str = "fennelfold/leader";
-/// Prefix of the counts that entries pass on, by window and entry.
-const COUNTS: &str = "fennelfold/counts/";
 /// Prefix of the counts that were decided, by window.
 const DECIDED: &str = "fennelfold/usage/";
 /// Prefix of the numbers of servers that were found at the start, by service.
 const FOUND: &str = "fennelfold/found/";
-/// Time after the end of a window by which entries have passed their counts on, in milliseconds.
-const GATHER_MS: u64 = 2_000;
-/// Time after the end of a window at which an entry passes its counts on, in milliseconds.
-const PASS_ON_MS: u64 = 250;
+/// Least time from the end of a window to its report, in milliseconds: requests that began just
+/// before the end are counted when their answers begin.
+const GATHER_MS: u64 = 1_000;
+/// Time kept back from the due time of a window to decide and report it, in milliseconds.
+const REPORT_MS: u64 = 3_500;
+/// Time after which counts that an entry told last are forgotten, in milliseconds.
+const TALLY_MS: u64 = 60_000;
+/// Time between two looks of an entry that waits for the lease, in milliseconds; the end of the
+/// lease is also told by the watch.
+const LOOK_MS: Millis = 4_000;
 /// Time between two looks at what is due.
 const EVERY: Duration = Duration::from_millis(500);
 /// Time for which decided windows are kept, so that a successor repeats them exactly, in
@@ -73,13 +76,24 @@
     let mut event = Event::Waited;
     let mut held = false;
     while !hub.stopping.get() {
+        let is_taken = event == Event::Found(Found::Other);
         let step = tenure.holder.borrow_mut().next(event, boot_ms());
         let holds = matches!(step, Next::Renew(_)) || (held && matches!(step, Next::Wait(_)));
         if holds != held {
             info!(hub.log, "lease of the duties"; "held" => holds);
             held = holds;
         }
-        event = perform(&hub, step).await;
+        event = match step {
+            Next::Wait(_) if is_taken => {
+                let wait = tokio::time::sleep(Duration::from_millis(LOOK_MS));
+                tokio::select! {
+                    () = wait => {}
+                    () = hub.leader_moved.notified() => {}
+                }
+                Event::Waited
+            }
+            _ => perform(&hub, step).await,
+        };
     }
 }
 
@@ -133,44 +147,6 @@
     }
 }
 
-/// Passes this entry's counts of ended windows on.
-pub(crate) async fn pass_on(hub: Rc<Hub>) {
-    loop {
-        tokio::time::sleep(EVERY).await;
-        let unix = Clock::unix_ms();
-        let ended = hub.usage.borrow().ended(unix.saturating_sub(PASS_ON_MS));
-        for window in ended {
-            pass_on_window(&hub, window).await;
-        }
-    }
-}
-
-/// Passes the counts of one window on.
-pub(crate) async fn pass_on_window(hub: &Hub, window: Window) {
-    let counts = hub.usage.borrow_mut().take(window);
-    if counts.is_empty() {
-        return;
-    }
-    let key = format!("{COUNTS}{window}/{}.{}", hub.settings.name, hub.incarnation);
-    let value = serde_json::to_vec(&counts).unwrap_or_default();
-    let put = Put { key, value: value.into(), lease: None };
-    let passed = hub.store.commit(&Commit { puts: vec![put], ..Commit::default() }).await;
-    hub.note_store("counts", passed.as_ref().err());
-    if passed.is_err() {
-        // Written again under the same key, so that nothing is counted twice.
-        hub.usage.borrow_mut().put_back(window, counts);
-    }
-}
-
-/// Passes on what is counted, the open window included, as the process ends.
-pub(crate) async fn pass_on_all(hub: &Hub) {
-    let far = Clock::unix_ms() + 3_600_000;
-    let open = hub.usage.borrow().ended(far);
-    for window in open {
-        pass_on_window(hub, window).await;
-    }
-}
-
 /// Does the duties while this entry holds the lease.
 pub(crate) async fn act(hub: Rc<Hub>, duties: Arc<dyn Duties>, tenure: Rc<Tenure>) {
     let mut reported: BTreeMap<Window, ()> = BTreeMap::new();
@@ -204,16 +180,19 @@
     reported: &mut BTreeMap<Window, ()>,
 ) {
     let unix = Clock::unix_ms();
+    hub.tallies.borrow_mut().prune(unix.saturating_sub(TALLY_MS));
     let length = hub.settings.promises.usage_window.as_millis() as u64;
     let last = (unix.saturating_sub(GATHER_MS) / length).saturating_sub(1);
-    if reported.contains_key(&last) {
+    let first = last.saturating_sub(REPEATED_MS / length);
+    let due: Vec<Window> =
+        (first..=last).filter(|window| !reported.contains_key(window)).collect();
+    let is_told = |window: &Window| is_told(hub, (window + 1) * length, unix);
+    if !due.iter().any(is_told) {
         return;
     }
-    let listed = hub.store.list(COUNTS).await;
-    hub.note_store("counts", listed.as_ref().err());
     let decided = hub.store.list(DECIDED).await;
     hub.note_store("decided", decided.as_ref().err());
-    let (Ok(listed), Ok(decided)) = (listed, decided) else { return };
+    let Ok(decided) = decided else { return };
     let mut known: BTreeMap<Window, Counts> = BTreeMap::new();
     let mut old = Vec::new();
     for (key, stored) in &decided.items {
@@ -225,32 +204,17 @@
         }
         known.insert(window, counts);
     }
-    let mut gathered: BTreeMap<Window, Vec<(String, Counts)>> = BTreeMap::new();
-    for (key, stored) in &listed.items {
-        let window = key.strip_prefix(COUNTS).and_then(|rest| rest.split('/').next());
-        let window = window.and_then(|window| window.parse().ok());
-        let counts = serde_json::from_slice(&stored.value);
-        let (Some(window), Ok(counts)) = (window, counts) else { continue };
-        if known.contains_key(&window) || (window + 1) * length + KEPT_MS < unix {
-            old.push(key.clone());
-        } else if window <= last {
-            gathered.entry(window).or_default().push((key.clone(), counts));
-        }
-    }
-    for (window, parts) in gathered {
-        let (keys, counts): (Vec<String>, Vec<Counts>) = parts.into_iter().unzip();
-        let counts = total(counts);
-        if !decide(hub, tenure, window, &counts).await {
-            return;
-        }
-        old.extend(keys);
-        known.insert(window, counts);
-    }
-    for (window, counts) in known {
-        let is_recent = (window + 1) * length + REPEATED_MS > unix;
-        if reported.contains_key(&window) || !is_recent {
-            continue;
-        }
+    for window in due.into_iter().filter(is_told) {
+        let counts = match known.get(&window) {
+            Some(counts) => counts.clone(),
+            None => {
+                let counts = total(hub, window);
+                if !decide(hub, tenure, window, &counts).await {
+                    return;
+                }
+                counts
+            }
+        };
         let Some(number) = tenure.number() else { return };
         let caller = Caller { entry: hub.settings.name.clone(), number };
         match duties.report_usage(&caller, window, &counts).await {
@@ -267,6 +231,26 @@
     clear(hub, old).await;
 }
 
+/// Tells whether all entries have told their counts of a window, or it cannot wait any longer.
+fn is_told(hub: &Hub, end_ms: u64, unix: u64) -> bool {
+    let due = hub.settings.promises.usage_due.as_millis() as u64;
+    if unix + REPORT_MS >= end_ms + due {
+        return true;
+    }
+    let tallies = hub.tallies.borrow();
+    hub.roster.borrow().present().all(|entry| {
+        entry.name == hub.settings.name
+            || tallies.heard_after(&entry.name, entry.incarnation, end_ms + GATHER_MS / 2)
+    })
+}
+
+fn total(hub: &Hub, window: Window) -> Counts {
+    let mut tallies = hub.tallies.borrow().clone();
+    let mine = hub.usage.borrow().recent().clone();
+    tallies.hear(&hub.settings.name, hub.incarnation, mine, Clock::unix_ms());
+    tallies.total(window)
+}
+
 /// Decides the counts of a window once and for all; tells whether they stand.
 async fn decide(hub: &Hub, tenure: &Tenure, window: Window, counts: &Counts) -> bool {
     let Some(number) = tenure.number() else { return false };
@@ -309,9 +293,9 @@
             let Some(found) = servers_found(hub, tenure, &service).await else { continue };
             let fleet = hub.settings.fleet;
             let settings = SpreadSettings {
-                kept: fleet.kept,
+                used: fleet.used,
                 lasting: fleet.lasting,
-                floor: fleet.floor,
+                least: fleet.least,
                 ..SpreadSettings::default()
             };
             spreads.insert(service.clone(), Spread::new(settings, found));
@@ -320,13 +304,13 @@
         // Each round gives what is due now, bounded by the number of places.
         for _ in 0..2 * scaling.prices.len() {
             let Some(number) = tenure.number() else { return };
-            let serving = serving(hub, &service);
+            let seen = seen(hub, &service);
             let offers = Offers {
                 bounds: (scaling.min, scaling.max),
                 prices: scaling.prices.clone(),
                 boot_ms: scaling.boot_ms,
             };
-            let Some(next) = spread.next(&offers, &serving, boot_ms()) else { break };
+            let Some(next) = spread.next(&offers, &seen, boot_ms()) else { break };
             let order = ServerOrder {
                 service: service.clone(),
                 data_centre: next.place.data_centre.clone(),
@@ -337,7 +321,8 @@
             let ordered = duties.order(&caller, &order).await;
             info!(hub.log, "servers ordered"; "service" => %service, "number" => number,
                 "data_centre" => %order.data_centre, "reclaimable" => order.reclaimable,
-                "count" => order.count, "result" => format!("{ordered:?}"));
+                "count" => order.count, "needed" => spread.needed(&seen, boot_ms()),
+                "work" => seen.work, "result" => format!("{ordered:?}"));
             match ordered {
                 Ok(Ordered::Taken) => {}
                 Ok(Ordered::NoneLeft) => spread.refused(&next.place, boot_ms()),
@@ -361,7 +346,7 @@
     if let Some(stored) = known.ok()? {
         return serde_json::from_slice(&stored.value).ok();
     }
-    let found: u32 = serving(hub, service).values().sum();
+    let found: u32 = seen(hub, service).serving.values().sum();
     if found == 0 {
         return None;
     }
@@ -378,17 +363,20 @@
     matches!(committed, Ok(Committed::Done(_))).then_some(found)
 }
 
-fn serving(hub: &Hub, service: &Name) -> BTreeMap<Place, u32> {
-    let mut serving = BTreeMap::new();
+fn seen(hub: &Hub, service: &Name) -> Seen {
+    let mut seen = Seen { work: hub.work_asked(service), ..Seen::default() };
     for server in hub.picker.borrow().servers() {
         let listed = &server.listed;
-        if listed.service == *service && !listed.leaving {
+        if listed.service != *service {
+            continue;
+        }
+        if !listed.leaving {
             let place = Place {
                 data_centre: listed.data_centre.clone(),
                 reclaimable: listed.reclaimable,
             };
-            *serving.entry(place).or_default() += 1;
+            *seen.serving.entry(place).or_default() += 1;
         }
     }
-    serving
+    seen
 }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -3,20 +3,25 @@
 use crate::dialect::Dialect;
 use crate::peers::Peers;
 use crate::pool::Pool;
-use coord::{Purses, RetryShare, RetryTerms, Roster, Sight, Terms, Usage};
+use coord::{Purses, RetryShare, RetryTerms, Roster, Sight, Tallies, Terms, Usage};
 use infra::{Duties, Store};
 use kernel::prelude::*;
 use kernel::{Metrics, boot_ms};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
-use pick::{Load, Model, Picker};
+use pick::{Demand, Load, Model, Picker};
 use rules::Rules;
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
+use tokio::sync::{Notify, watch};
 
 /// Part of the time to take a key away that is kept back for clocks of different rates.
 const REVOKE_MARGIN_MS: Millis = 300;
 
+/// Silence after which what an entry told of its work no longer counts, in milliseconds.
+const WORK_VALID_MS: Millis = 2_000;
+
 /// What another entry told of itself last.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Heard {
@@ -26,6 +31,7 @@
     pub(crate) sight_age: Option<Millis>,
     pub(crate) open: u32,
     pub(crate) loads: BTreeMap<Name, Load>,
+    pub(crate) work: BTreeMap<Name, f64>,
 }
 
 /// Counters and histograms.
@@ -54,11 +60,16 @@
     pub(crate) purses: RefCell<Purses>,
     pub(crate) retries: RefCell<RetryShare>,
     pub(crate) usage: RefCell<Usage>,
+    pub(crate) tallies: RefCell<Tallies>,
     pub(crate) picker: RefCell<Picker>,
+    pub(crate) demand: RefCell<Demand>,
+    pub(crate) missing: RefCell<BTreeSet<Name>>,
     pub(crate) open: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) store_back: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
+    pub(crate) regained: watch::Sender<u64>,
+    pub(crate) leader_moved: Notify,
     peers: OnceCell<Peers>,
 }
 
@@ -107,11 +118,16 @@
             purses: RefCell::new(Purses::new(terms, Millis::MAX)),
             retries: RefCell::new(RetryShare::new(retry)),
             usage: RefCell::new(Usage::new(millis(promises.usage_window))),
+            tallies: RefCell::default(),
             picker: RefCell::new(Picker::new(Model::default())),
+            demand: RefCell::default(),
+            missing: RefCell::default(),
             open: Cell::new(0),
             stopping: Cell::new(false),
             store_back: Cell::new(0),
             store_lost: Cell::new(false),
+            regained: watch::Sender::new(0),
+            leader_moved: Notify::new(),
             peers: OnceCell::new(),
             settings,
         }))
@@ -152,6 +168,7 @@
             }
             None if self.store_lost.replace(false) => {
                 self.store_back.set(boot_ms());
+                self.regained.send_modify(|times| *times += 1);
                 info!(self.log, "store regained"; "call" => call);
             }
             _ => {}
@@ -172,6 +189,15 @@
         self.meters.first.record(passed.as_secs_f64(), &[]);
     }
 
+    /// Returns the work that callers ask of all entries that are heard.
+    pub(crate) fn work_asked(&self, service: &str) -> f64 {
+        let now = boot_ms();
+        let mine = self.demand.borrow().rate(service, now);
+        let heard = self.heard.borrow();
+        let valid = heard.values().filter(|heard| now.saturating_sub(heard.at) < WORK_VALID_MS);
+        mine + valid.filter_map(|heard| heard.work.get(service)).sum::<f64>()
+    }
+
     /// Tells the shares how many entries there are.
     pub(crate) fn share_out(&self) {
         let entries = self.roster.borrow_mut().sharers(boot_ms());
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between entries, each a datagram.
 
+use coord::{Counts, Window};
 use kernel::{Millis, Name};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -51,4 +52,8 @@
     pub(crate) open: u32,
     /// Requests and unread prompt tokens that it has open, by server.
     pub(crate) loads: BTreeMap<Name, (u32, u64)>,
+    /// Requests that began here, by window and organisation; not in every message.
+    pub(crate) counts: BTreeMap<Window, Counts>,
+    /// Work that callers ask of it, in milliseconds of a server a second, by service.
+    pub(crate) work: BTreeMap<Name, f64>,
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -15,6 +15,8 @@
 
 /// Time between two messages about the present state.
 const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Messages about the present state of which one bears the counts.
+const COUNTS_EVERY: u64 = 4;
 /// Most entries that one message goes to.
 const MOST_TOLD: usize = 12;
 /// Silence after which what an entry told of its load no longer counts, in milliseconds.
@@ -70,8 +72,22 @@
 
 /// Tells the other entries again and again what this one does.
 pub(crate) async fn tell(hub: Rc<Hub>) {
-    loop {
+    for number in 0_u64.. {
         tokio::time::sleep(TELL_EVERY).await;
+        tell_once(&hub, number % COUNTS_EVERY == 0);
+    }
+}
+
+/// Tells the other entries what this one does, with its counts or without.
+pub(crate) fn tell_once(hub: &Hub, with_counts: bool) {
+    let counts = if with_counts {
+        let mut usage = hub.usage.borrow_mut();
+        usage.prune(Clock::unix_ms());
+        usage.recent().clone()
+    } else {
+        BTreeMap::new()
+    };
+    {
         let loads = hub.picker.borrow();
         let loads = loads.mine().map(|(id, load)| (id.clone(), (load.open, load.unread)));
         let state = State {
@@ -79,11 +95,13 @@
             sight_age: hub.sight.borrow().age(boot_ms()),
             open: hub.open.get(),
             loads: loads.collect(),
+            counts,
+            work: hub.demand.borrow().rates(boot_ms()).map(|(name, rate)| (name.clone(), rate)).collect(),
         };
         let roster = hub.roster.borrow();
         let others = roster.present().filter(|entry| entry.name != hub.settings.name);
         for entry in others.sample(&mut rand::rng(), MOST_TOLD) {
-            hub.peers().send(&hub, entry, Message::State(state.clone()));
+            hub.peers().send(hub, entry, Message::State(state.clone()));
         }
     }
 }
@@ -141,6 +159,10 @@
 }
 
 fn take_state(hub: &Rc<Hub>, from: Name, incarnation: u64, state: State) {
+    if !state.counts.is_empty() {
+        let mut tallies = hub.tallies.borrow_mut();
+        tallies.hear(&from, incarnation, state.counts, Clock::unix_ms());
+    }
     let mut heard = hub.heard.borrow_mut();
     let known = heard.entry(from.clone()).or_default();
     if incarnation < known.incarnation {
@@ -158,6 +180,7 @@
         sight_age: state.sight_age,
         open: state.open,
         loads: state.loads.into_iter().map(load).collect(),
+        work: state.work,
     };
     let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
     let now = boot_ms();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -55,7 +55,7 @@
     let registration = spawn_local(sync::register(hub.clone()));
     spawn_local(peers::listen(hub.clone()));
     spawn_local(peers::tell(hub.clone()));
-    spawn_local(duty::pass_on(hub.clone()));
+    spawn_local(sync::missing(hub.clone()));
     spawn_local(sweep(hub.clone()));
     if let Some(duties) = hub.duties.clone() {
         let tenure = Rc::new(Tenure::new(hub.settings.promises.lease));
@@ -127,8 +127,5 @@
     while Instant::now() < end && (Instant::now() < quiet || hub.open.get() > 0) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    let passed = tokio::time::timeout(Duration::from_millis(300), duty::pass_on_all(hub)).await;
-    if passed.is_err() {
-        warn!(hub.log, "counts lost"; "cause" => "the store did not answer in time");
-    }
+    peers::tell_once(hub, true);
 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -6,16 +6,16 @@
 use kernel::boot_ms;
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-/// Time between two reads of the rules; with one read it stays below the time to apply them.
-const RULES_EVERY: Duration = Duration::from_millis(900);
+/// Part of the time to apply rules that passes between two reads of them; the rest covers a read
+/// that is slow or lost.
+const RULES_EVERY: f64 = 0.6;
 /// Pause after a call to the store failed.
 const RETRY: Duration = Duration::from_millis(250);
 /// Time that one watch of the servers waits; a silent connection hides changes for so long.
-const SERVERS_WAIT_MS: u64 = 1_500;
+const SERVERS_WAIT_MS: u64 = 2_500;
 /// Time that one watch of the entries waits.
 const ENTRIES_WAIT_MS: u64 = 4_000;
 /// Time for servers to register again after the store was away, in milliseconds.
@@ -24,8 +24,14 @@
 const REGISTRATION_S: i64 = 10;
 /// Time between two renewals of it.
 const RENEW_EVERY: Duration = Duration::from_millis(2_500);
+/// Time between two looks at servers that did not register again.
+const MISSING_EVERY: Duration = Duration::from_millis(100);
+/// Prefix of the keys that every entry follows.
+const LIVE: &str = "fennelfold/live/";
 /// Prefix of the entries' keys.
-const ENTRIES: &str = "fennelfold/entries/";
+const ENTRIES: &str = "fennelfold/live/entries/";
+/// Key of the lease of the duties.
+pub(crate) const LEADER: &str = "fennelfold/live/leader";
 
 /// Reads the rules again and again; each answer confirms how fresh they are.
 pub(crate) async fn rules(hub: Rc<Hub>) {
@@ -36,7 +42,7 @@
         let pause = match read {
             Ok(Some(stored)) => {
                 take_rules(&hub, &stored, sent);
-                RULES_EVERY
+                hub.settings.promises.apply.mul_f64(RULES_EVERY)
             }
             Ok(None) | Err(_) => RETRY,
         };
@@ -74,21 +80,24 @@
     wait_ms: u64,
     all: impl Fn(&Hub, Vec<(String, Stored)>),
     one: impl Fn(&Hub, Change),
-    each: impl Fn(&Hub),
 ) {
+    let mut regained = hub.regained.subscribe();
     loop {
+        regained.mark_unchanged();
         let listed = hub.store.list(prefix).await;
         hub.note_store("list", listed.as_ref().err());
         let Ok(listing) = listed else {
-            each(hub);
             tokio::time::sleep(RETRY).await;
             continue;
         };
         let mut after = listing.revision;
         all(hub, listing.items);
         loop {
-            each(hub);
-            let watched = hub.store.watch(prefix, after, wait_ms).await;
+            let watched = tokio::select! {
+                watched = hub.store.watch(prefix, after, wait_ms) => watched,
+                // A watch from before the store was lost may be silent for good.
+                _ = regained.changed() => break,
+            };
             hub.note_store("watch", watched.as_ref().err());
             match watched {
                 Ok(Watched::Changes(changes, revision)) => {
@@ -114,35 +123,39 @@
 /// Follows the backend servers.
 pub(crate) async fn servers(hub: Rc<Hub>) {
     let prefix = hub.dialect.servers_prefix().to_owned();
-    // Entries that are missing while the store may have lost them, and since when.
-    let missing: RefCell<BTreeMap<Name, Millis>> = RefCell::default();
     let all = |hub: &Hub, items: Vec<(String, Stored)>| {
-        let mut listed = BTreeSet::new();
-        for (key, stored) in items {
-            if let Some(id) = take_server(hub, &key, &stored) {
-                missing.borrow_mut().remove(&id);
-                listed.insert(id);
-            }
-        }
+        let listed = items.iter().filter_map(|(key, stored)| take_server(hub, key, stored));
+        let listed: BTreeSet<Name> = listed.collect();
         let gone: Vec<Name> = {
             let picker = hub.picker.borrow();
             let ids = picker.servers().map(|server| server.listed.id.clone());
             ids.filter(|id| !listed.contains(id)).collect()
         };
         for id in gone {
-            leave(hub, &missing, id);
+            leave(hub, id);
         }
     };
     let one = |hub: &Hub, change: Change| match change.stored {
-        Some(stored) => {
-            if let Some(id) = take_server(hub, &change.key, &stored) {
-                missing.borrow_mut().remove(&id);
-            }
-        }
-        None => leave(hub, &missing, id_of(hub, &change.key)),
+        Some(stored) => drop(take_server(hub, &change.key, &stored)),
+        None => leave(hub, id_of(hub, &change.key)),
     };
-    let each = |hub: &Hub| drop_missing(hub, &missing);
-    follow(&hub, &prefix, SERVERS_WAIT_MS, all, one, each).await;
+    follow(&hub, &prefix, SERVERS_WAIT_MS, all, one).await;
+}
+
+/// Drops servers that did not register again in time after the store was away.
+pub(crate) async fn missing(hub: Rc<Hub>) {
+    loop {
+        tokio::time::sleep(MISSING_EVERY).await;
+        hub.share_out();
+        let back = hub.store_back.get();
+        if hub.store_lost.get() || boot_ms().saturating_sub(back) < REGISTER_AGAIN_MS {
+            continue;
+        }
+        let missing = std::mem::take(&mut *hub.missing.borrow_mut());
+        for id in missing {
+            forget(&hub, &id);
+        }
+    }
 }
 
 fn id_of(hub: &Hub, key: &str) -> Name {
@@ -154,6 +167,7 @@
     match hub.dialect.server(key, &stored.value) {
         Ok(listed) => {
             let id = listed.id.clone();
+            hub.missing.borrow_mut().remove(&id);
             let (leaving, service) = (listed.leaving, listed.service.clone());
             if hub.picker.borrow_mut().list(listed) {
                 info!(hub.log, "server listed"; "server" => %id, "service" => %service,
@@ -175,24 +189,14 @@
 ///
 /// While the store was away registrations may have lapsed although their servers live; these have
 /// some time to register again.
-fn leave(hub: &Hub, missing: &RefCell<BTreeMap<Name, Millis>>, id: Name) {
-    let now = boot_ms();
-    if now.saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
-        missing.borrow_mut().entry(id).or_insert(now);
+fn leave(hub: &Hub, id: Name) {
+    if boot_ms().saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
+        hub.missing.borrow_mut().insert(id);
     } else {
         forget(hub, &id);
     }
 }
 
-fn drop_missing(hub: &Hub, missing: &RefCell<BTreeMap<Name, Millis>>) {
-    if hub.store_lost.get() || boot_ms().saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
-        return;
-    }
-    for (id, _) in std::mem::take(&mut *missing.borrow_mut()) {
-        forget(hub, &id);
-    }
-}
-
 fn forget(hub: &Hub, id: &Name) {
     if hub.picker.borrow_mut().remove(id) {
         info!(hub.log, "server gone"; "server" => %id);
@@ -216,6 +220,12 @@
         hub.share_out();
     };
     let one = |hub: &Hub, change: Change| {
+        if change.key == LEADER {
+            if change.stored.is_none() {
+                hub.leader_moved.notify_one();
+            }
+            return;
+        }
         match &change.stored {
             Some(stored) => {
                 if let Some(entry) = read_entry(hub, &change.key, stored) {
@@ -231,7 +241,7 @@
         }
         hub.share_out();
     };
-    follow(&hub, ENTRIES, ENTRIES_WAIT_MS, all, one, |hub| hub.share_out()).await;
+    follow(&hub, LIVE, ENTRIES_WAIT_MS, all, one).await;
 }
 
 fn read_entry(hub: &Hub, key: &str, stored: &Stored) -> Option<Entry> {
