--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -66,6 +66,8 @@
     pub directory_ttl: Duration,
     /// Time in which a new version of the rules is in force everywhere.
     pub apply: Duration,
+    /// Time after which a leaving server gets no new request.
+    pub drain: Duration,
     /// Whether a key that was taken away must stop working on every entry.
     pub strict_revoke: bool,
     /// Time in which it must.
@@ -98,6 +100,7 @@
             grace: Duration::from_secs(8),
             directory_ttl: Duration::from_secs(2),
             apply: Duration::from_secs(2),
+            drain: Duration::from_secs(2),
             strict_revoke: false,
             revoke: Duration::from_secs(5),
             lease: Duration::from_secs(3),
@@ -171,17 +174,28 @@
         grace: fields.duration("grace", default.grace),
         directory_ttl: fields.duration("directory_ttl", default.directory_ttl),
         apply: fields.duration("apply", default.apply),
+        drain: fields.duration("drain", default.drain),
         strict_revoke: fields.flag("strict_revoke", default.strict_revoke),
         revoke: fields.duration("revoke", default.revoke),
         lease: fields.duration("lease", default.lease),
         usage_window: fields.duration("usage_window", default.usage_window),
         usage_due: fields.duration("usage_due", default.usage_due),
         orders: fields.flag("orders", default.orders),
-        retry_ratio: fields.number("retry_ratio", "repeats a request", default.retry_ratio, 0.0..=10.0),
+        retry_ratio: fields.number(
+            "retry_ratio",
+            "repeats a request",
+            default.retry_ratio,
+            0.0..=10.0,
+        ),
         retry_window: fields.duration("retry_window", default.retry_window),
         retry_slack: fields.number("retry_slack", "repeats", default.retry_slack, 0.0..=1e9),
         quota_window: fields.duration("quota_window", default.quota_window),
-        quota_overshoot: fields.number("quota_overshoot", "parts of the quota", default.quota_overshoot, 0.0..=10.0),
+        quota_overshoot: fields.number(
+            "quota_overshoot",
+            "parts of the quota",
+            default.quota_overshoot,
+            0.0..=10.0,
+        ),
         quota_slack: fields.number("quota_slack", "units", default.quota_slack, 0.0..=1e12),
     };
     if promises.revoke.is_zero() {
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -3,9 +3,9 @@
 use crate::upkeep::{Standing, Times, Upkeep};
 use cluster::Cluster;
 use conf::{Body, Config, Head};
+use infra::Kv;
 use kernel::Stop;
 use kernel::prelude::*;
-use infra::Kv;
 use rand::RngExt;
 use std::sync::atomic::AtomicI64;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/control/tests/configuration/kv.rs
+++ b/crates/control/tests/configuration/kv.rs
@@ -3,8 +3,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use conf::Head;
-use kernel::prelude::*;
 use infra::{Kv, Lease, Stored, Swap};
+use kernel::prelude::*;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use tokio::sync::{Notify, watch};
--- a/crates/coord/src/purse.rs
+++ b/crates/coord/src/purse.rs
@@ -104,7 +104,13 @@
     }
 
     /// Gives another entry up to `wanted`, keeping what this one is likely to need itself.
-    pub fn give(&mut self, organisation: &Name, quota: &Quota, wanted: f64, now: Millis) -> Transfer {
+    pub fn give(
+        &mut self,
+        organisation: &Name,
+        quota: &Quota,
+        wanted: f64,
+        now: Millis,
+    ) -> Transfer {
         let units = self.earn(organisation, quota, now);
         let given = wanted.min(*units).max(0.0);
         *units -= given;
--- a/crates/exec/src/claim.rs
+++ b/crates/exec/src/claim.rs
@@ -1,10 +1,10 @@
 //! The claim in the key-value service, needed only when the other side is silent.
 
 use crate::requests::Requests;
+use infra::{Stored, Swap};
 use kernel::prelude::*;
 use ledger::{Claim, ClaimEvent, ClaimNext, ClaimResult};
 use opentelemetry::KeyValue;
-use infra::{Stored, Swap};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
--- a/crates/exec/src/home.rs
+++ b/crates/exec/src/home.rs
@@ -1,9 +1,9 @@
 //! The home of a key that a caller made up.
 
 use crate::requests::Requests;
+use infra::{Stored, Swap};
 use kernel::prelude::*;
 use ledger::{Home, Terms};
-use infra::{Stored, Swap};
 use serde::{Deserialize, Serialize};
 
 /// The home of a key that a caller made up, as stored in the key-value service.
--- a/crates/fennelfold/src/entry/services.rs
+++ b/crates/fennelfold/src/entry/services.rs
@@ -5,11 +5,11 @@
 use conf::Node;
 use control::Configuration;
 use exec::{Requests, Services, Settings};
+use infra::{Cloud, Etcd, Health, HttpCloud, HttpVmList, Kv, Observed, VmList};
 use kernel::Metrics;
 use kernel::prelude::*;
 use member::{Member, MemberState};
 use peer::{PeerSettings, Peers};
-use infra::{Cloud, Etcd, Health, HttpCloud, HttpVmList, Kv, Observed, VmList};
 use rand::RngExt;
 use servers::Servers;
 
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use kernel::Outcome;
 use infra::{Vm, VmRole, VmState};
+use kernel::Outcome;
 use serde_json::Value;
 use standin::Running;
 use standin::plain::{Faults, Plain};
--- a/crates/infra/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -17,11 +17,9 @@
 
 pub use cloud::{Cloud, Market, Notice, Price, StartVm};
 pub use cloud_http::HttpCloud;
-pub use etcd::Etcd;
 pub use duty::{Duties, Holder, Ordered, ServerOrder};
-pub use kv::{
-    Change, Commit, Committed, Kv, Lease, Listing, Put, Store, Stored, Swap, Watched,
-};
+pub use etcd::Etcd;
+pub use kv::{Change, Commit, Committed, Kv, Lease, Listing, Put, Store, Stored, Swap, Watched};
 pub use observed::{Health, Observed};
 pub use vm_list::{Vm, VmList, VmRole, VmState};
 pub use vms_http::HttpVmList;
--- a/crates/kernel/src/metrics.rs
+++ b/crates/kernel/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics by opentelemetry, exposed in the Prometheus text format.
 
 use crate::{Code, Failure};
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
 /// First part of the name of each metric.
@@ -41,6 +41,11 @@
         self.meter.f64_histogram(name).with_description(about).with_unit("s").build()
     }
 
+    /// Creates a gauge.
+    pub fn gauge(&self, name: &'static str, about: &'static str) -> Gauge<u64> {
+        self.meter.u64_gauge(name).with_description(about).build()
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -178,7 +178,8 @@
         let load = server.load();
         let open = f64::from(load.open);
         let slots = f64::from(server.listed.slots.max(1));
-        let away = if server.listed.data_centre == *wanted.data_centre { 0.0 } else { model.away_ms };
+        let away =
+            if server.listed.data_centre == *wanted.data_centre { 0.0 } else { model.away_ms };
         let Some(prompt) = wanted.prompt else {
             let queue = (open + 1.0) / slots;
             let expected_ms = model.plain_ms * queue.max(1.0) + model.plain_ms * open / slots;
@@ -221,10 +222,9 @@
 
 /// Takes the best candidate; among equals the draw decides, so that entries spread.
 fn soonest<'a, 'b>(candidates: &'b [Candidate<'a>], draw: u64) -> Option<&'b Candidate<'a>> {
-    let tie = |candidate: &Candidate<'_>| {
-        xxh3_64_with_seed(candidate.server.listed.id.as_bytes(), draw)
-    };
-    candidates.iter().min_by(|a, b| {
-        a.cost_ms.total_cmp(&b.cost_ms).then_with(|| tie(a).cmp(&tie(b)))
-    })
+    let tie =
+        |candidate: &Candidate<'_>| xxh3_64_with_seed(candidate.server.listed.id.as_bytes(), draw);
+    candidates
+        .iter()
+        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms).then_with(|| tie(a).cmp(&tie(b))))
 }
--- a/crates/pick/src/outcome.rs
+++ b/crates/pick/src/outcome.rs
@@ -60,7 +60,6 @@
 
     /// Tells whether a server fails clearly more often than its service does.
     pub(crate) fn is_faulty(&self, service: &Self) -> bool {
-        self.failed >= LEAST_FAILURES
-            && self.failed_share() > service.failed_share() + EXCESS_SHARE
+        self.failed >= LEAST_FAILURES && self.failed_share() > service.failed_share() + EXCESS_SHARE
     }
 }
--- a/crates/place/src/spread.rs
+++ b/crates/place/src/spread.rs
@@ -44,9 +44,8 @@
     pub fall_ms: f64,
     /// Time after a refused order before it is given again, in milliseconds.
     pub refused_ms: Millis,
-    /// Change of the number of reclaimable servers in a data centre that is worth an order to
-    /// give some back.
-    pub step: u32,
+    /// Reclaimable servers too many that are worth orders to give some back.
+    pub excess: u32,
 }
 
 impl Default for SpreadSettings {
@@ -59,7 +58,7 @@
             rise_ms: 1_500.0,
             fall_ms: 20_000.0,
             refused_ms: 1_500,
-            step: 2,
+            excess: 2,
         }
     }
 }
@@ -83,6 +82,8 @@
 }
 
 const MS_PER_S: f64 = 1000.0;
+/// Part of a server that is not worth another one.
+const ROUNDING: f64 = 0.1;
 
 #[derive(Clone, Copy, Debug)]
 struct Given {
@@ -111,10 +112,11 @@
     pub fn next(&mut self, offers: &Offers, seen: &Seen, now: Millis) -> Option<SpreadOrder> {
         let needed = self.needed(seen, now);
         let wanted = self.wanted(offers, seen, needed, now);
+        let is_excess = self.is_excess(&wanted);
         let order = wanted
             .into_iter()
             .map(|(place, count)| SpreadOrder { place, count })
-            .find(|order| self.is_due(order, offers, seen, needed, now))?;
+            .find(|order| self.is_due(order, offers, seen, (needed, is_excess), now))?;
         self.given.insert(order.place.clone(), Given { count: order.count, at: now });
         Some(order)
     }
@@ -142,16 +144,11 @@
         let kept = (-(now.saturating_sub(at) as f64) / time).exp();
         let load = asked + (load - asked) * kept;
         self.load = Some((load, now));
-        load.clamp(self.settings.least * found, self.settings.most * found).ceil() as u32
+        let servers = load.clamp(self.settings.least * found, self.settings.most * found);
+        (servers - ROUNDING).ceil() as u32
     }
 
-    fn wanted(
-        &self,
-        offers: &Offers,
-        seen: &Seen,
-        needed: u32,
-        now: Millis,
-    ) -> Vec<(Place, u32)> {
+    fn wanted(&self, offers: &Offers, seen: &Seen, needed: u32, now: Millis) -> Vec<(Place, u32)> {
         let mut centres: Vec<(&Name, f64)> =
             offers.prices.iter().map(|(name, price)| (name, *price)).collect();
         centres.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -220,12 +217,22 @@
         (serving, missing.sum())
     }
 
+    /// Tells whether so many more reclaimable servers were ordered than are wanted that some are
+    /// given back.
+    fn is_excess(&self, wanted: &[(Place, u32)]) -> bool {
+        let reclaimable = || wanted.iter().filter(|(place, _)| place.reclaimable);
+        let given = |place| self.given.get(place).map_or(0, |given: &Given| given.count);
+        let ordered: u32 = reclaimable().map(|(place, _)| given(place)).sum();
+        let wanted: u32 = reclaimable().map(|(_, count)| *count).sum();
+        ordered >= wanted + self.settings.excess
+    }
+
     fn is_due(
         &self,
         order: &SpreadOrder,
         offers: &Offers,
         seen: &Seen,
-        needed: u32,
+        (needed, is_excess): (u32, bool),
         now: Millis,
     ) -> bool {
         let SpreadOrder { place, count } = order;
@@ -235,17 +242,15 @@
         let have = seen.serving.get(place).copied().unwrap_or(0);
         let given = self.given.get(place).copied();
         let before = given.map_or(have, |given| given.count);
-        if *count < before {
+        let is_lacking = have < *count
+            && given
+                .is_none_or(|given| now >= given.at + offers.boot_ms + self.settings.refused_ms);
+        if *count < before && !is_lacking {
             // Servers are given back only while the rest holds what is needed.
             let total: u32 = seen.serving.values().sum();
             let is_enough = total.saturating_sub(have.saturating_sub(*count)) >= needed;
-            let is_worth = !place.reclaimable || before - count >= self.settings.step;
-            return is_enough && is_worth;
+            return is_enough && (!place.reclaimable || is_excess);
         }
-        let is_lacking = have < *count
-            && given.is_none_or(|given| {
-                now >= given.at + offers.boot_ms + self.settings.refused_ms
-            });
         *count > before || is_lacking
     }
 }
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -26,7 +26,12 @@
 ///
 /// # Errors
 /// The code that tells the caller why not.
-pub(crate) fn allow(hub: &Hub, host: &str, path: &str, headers: &HeaderMap) -> Result<Allowed, Code> {
+pub(crate) fn allow(
+    hub: &Hub,
+    host: &str,
+    path: &str,
+    headers: &HeaderMap,
+) -> Result<Allowed, Code> {
     let dialect: &dyn Dialect = &*hub.dialect;
     let names = dialect.names();
     let rules = hub.rules.borrow().clone();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,7 +13,7 @@
 
 /// What the head of an answer means.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Class {
+pub enum Class {
     /// The server states that it did not run the request.
     NotRun,
     /// The answer belongs to another request, or is not as a server makes them.
@@ -23,7 +23,7 @@
 }
 
 /// Tells what the head of an answer to the request `id` means.
-pub(crate) fn classify(status: StatusCode, headers: &HeaderMap, names: &Names, id: &[u8]) -> Class {
+pub fn classify(status: StatusCode, headers: &HeaderMap, names: &Names, id: &[u8]) -> Class {
     if headers.get(&names.request).is_some_and(|echo| echo.as_bytes() != id) {
         return Class::Foreign("it answers another request");
     }
@@ -49,7 +49,7 @@
 
 /// How a request to a server has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Ended {
+pub enum Ended {
     /// Nothing of it was written.
     Unsent,
     /// The server did not run it.
@@ -64,16 +64,16 @@
 
 /// What a request has been through.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct Trail {
+pub struct Trail {
     /// Servers that it was sent to, or tried to be.
-    pub(crate) sends: u32,
+    pub sends: u32,
     /// Servers that may have run it.
-    pub(crate) runs: u32,
+    pub runs: u32,
 }
 
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Next {
+pub enum Next {
     /// Pass the answer on.
     Pass,
     /// Send the request to another server, if the budget for repeats allows.
@@ -88,13 +88,7 @@
 }
 
 /// Decides what to do after a request to a server has ended, `left_ms` before the deadline.
-pub(crate) fn next(
-    ended: Ended,
-    repeat: Repeat,
-    trail: Trail,
-    attempts: u32,
-    left_ms: u64,
-) -> Next {
+pub fn next(ended: Ended, repeat: Repeat, trail: Trail, attempts: u32, left_ms: u64) -> Next {
     let has_time = left_ms > LEAST_LEFT_MS;
     let may_run_again =
         has_time && trail.runs < attempts && (repeat.is_repeatable() || trail.runs == 0);
@@ -119,7 +113,7 @@
 }
 
 /// Tells what remains when a repeat is not allowed by the budget.
-pub(crate) fn without_budget(ended: Ended, trail: Trail) -> Next {
+pub fn without_budget(ended: Ended, trail: Trail) -> Next {
     match ended {
         Ended::Succeeded | Ended::Failed(_) => Next::Pass,
         Ended::Unsent | Ended::NotRun if trail.runs == 0 => Next::Refuse(Code::Overloaded),
--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -12,8 +12,8 @@
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
-use kernel::prelude::*;
 use kernel::boot_ms;
+use kernel::prelude::*;
 use pick::{Choice, Outcome, Prompt, Wanted};
 use rules::{Organisation, Route};
 use std::cell::Cell;
@@ -96,7 +96,7 @@
 /// How an attempt went.
 pub(crate) enum Attempt {
     /// The server answers.
-    Answered(Sent),
+    Answered(Box<Sent>),
     /// It does not.
     Ended(Ended),
 }
@@ -128,9 +128,9 @@
                 let status = sent.head.status();
                 if job.route.repeat.is_stream() && status.is_success() {
                     hub.count_attempt("answered");
-                    return (stream::reply(hub.clone(), job.clone(), sent, trail), None);
+                    return (stream::reply(hub.clone(), job.clone(), *sent, trail), None);
                 }
-                match read_whole(hub, &job, sent).await {
+                match read_whole(hub, &job, *sent).await {
                     Some(reply) if status.is_success() => (Ended::Succeeded, Some(reply)),
                     Some(reply) => (Ended::Failed(status), Some(reply)),
                     None => (Ended::Broke, None),
@@ -252,7 +252,8 @@
         }
         Class::Own => {
             let (head, body) = sent.into_parts();
-            Attempt::Answered(Sent { head: Response::from_parts(head, ()), body, link, slot })
+            let head = Response::from_parts(head, ());
+            Attempt::Answered(Box::new(Sent { head, body, link, slot }))
         }
     }
 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -7,11 +7,9 @@
 use coord::Entry;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use kernel::prelude::*;
 use kernel::boot_ms;
+use kernel::prelude::*;
 
-/// Silence after which an entry is no longer named, in milliseconds.
-const SILENT_MS: Millis = 900;
 /// Age of an entry's rules from which it is no longer named, in milliseconds.
 const OLD_RULES_MS: Millis = 2_500;
 /// Least number of entries that a caller is told, so that it has another one when one fails.
@@ -26,7 +24,7 @@
         return readiness(hub);
     }
     if path == METRICS_PATH {
-        return Response::new(whole(hub.metrics.render()));
+        return Response::new(whole(hub.render()));
     }
     match hub.dialect.demand(path, query) {
         Some(demand) => directory(hub, &demand.data_centre),
@@ -50,8 +48,10 @@
     let now = boot_ms();
     let roster = hub.roster.borrow();
     let heard = hub.heard.borrow();
-    let alive: Vec<&Entry> =
-        roster.present().filter(|entry| is_serving(hub, entry, heard.get(&entry.name), now)).collect();
+    let alive: Vec<&Entry> = roster
+        .present()
+        .filter(|entry| is_serving(hub, entry, heard.get(&entry.name), now))
+        .collect();
     // A lone entry that hears nobody is better than none.
     let all: Vec<&Entry> = if alive.is_empty() { roster.present().collect() } else { alive };
     let (near, far): (Vec<&Entry>, Vec<&Entry>) =
@@ -69,7 +69,7 @@
     }
     heard.is_some_and(|heard| {
         !heard.stopping
-            && now.saturating_sub(heard.at) < SILENT_MS
+            && now.saturating_sub(heard.at) < hub.silence_ms()
             && heard.sight_age.is_some_and(|age| age < OLD_RULES_MS)
     })
 }
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -6,7 +6,9 @@
 use infra::{Commit, Committed, Duties, Holder as Caller, Lease, Ordered, Put, ServerOrder, Swap};
 use kernel::boot_ms;
 use kernel::prelude::*;
-use place::{Event, Fencing, Found, Holder, Next, Offers, Permit, Place, Seen, Spread, SpreadSettings, Times};
+use place::{
+    Event, Fencing, Found, Holder, Next, Offers, Permit, Place, Seen, Spread, SpreadSettings, Times,
+};
 use rules::{Scaling, Service};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -138,6 +140,11 @@
     }
 }
 
+/// Returns the entry that a mark names.
+pub(crate) fn holder_of(mark: &[u8]) -> Option<Name> {
+    serde_json::from_slice::<Mark>(mark).ok().map(|mark| mark.entry)
+}
+
 fn found(hub: &Hub, stored: &infra::Stored) -> Found {
     match serde_json::from_slice::<Mark>(&stored.value) {
         Ok(mark) if mark.entry == hub.settings.name && mark.incarnation == hub.incarnation => {
@@ -184,8 +191,7 @@
     let length = hub.settings.promises.usage_window.as_millis() as u64;
     let last = (unix.saturating_sub(GATHER_MS) / length).saturating_sub(1);
     let first = last.saturating_sub(REPEATED_MS / length);
-    let due: Vec<Window> =
-        (first..=last).filter(|window| !reported.contains_key(window)).collect();
+    let due: Vec<Window> = (first..=last).filter(|window| !reported.contains_key(window)).collect();
     let is_told = |window: &Window| is_told(hub, (window + 1) * length, unix);
     if !due.iter().any(is_told) {
         return;
@@ -371,10 +377,8 @@
             continue;
         }
         if !listed.leaving {
-            let place = Place {
-                data_centre: listed.data_centre.clone(),
-                reclaimable: listed.reclaimable,
-            };
+            let place =
+                Place { data_centre: listed.data_centre.clone(), reclaimable: listed.reclaimable };
             *seen.serving.entry(place).or_default() += 1;
         }
     }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -8,7 +8,7 @@
 use kernel::prelude::*;
 use kernel::{Metrics, boot_ms};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use pick::{Demand, Load, Model, Picker};
 use rules::Rules;
 use std::cell::{Cell, OnceCell, RefCell};
@@ -19,6 +19,10 @@
 /// Part of the time to take a key away that is kept back for clocks of different rates.
 const REVOKE_MARGIN_MS: Millis = 300;
 
+/// Least silence after which an entry is taken as gone, in milliseconds.
+const SILENT_MS: Millis = 700;
+/// Silence for each entry there is, in milliseconds: three times the mean time between messages.
+const SILENT_EACH_MS: Millis = 40;
 /// Silence after which what an entry told of its work no longer counts, in milliseconds.
 const WORK_VALID_MS: Millis = 2_000;
 
@@ -40,6 +44,10 @@
     attempts: Counter<u64>,
     first: Histogram<f64>,
     store: Counter<u64>,
+    servers: Gauge<u64>,
+    entries: Gauge<u64>,
+    open: Gauge<u64>,
+    sight: Gauge<u64>,
 }
 
 /// What one entry believes.
@@ -66,9 +74,12 @@
     pub(crate) missing: RefCell<BTreeSet<Name>>,
     pub(crate) open: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether streams that begin now might not end before the process does.
+    pub(crate) ending: Cell<bool>,
     pub(crate) store_back: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
     pub(crate) regained: watch::Sender<u64>,
+    pub(crate) leader: RefCell<Option<Name>>,
     pub(crate) leader_moved: Notify,
     peers: OnceCell<Peers>,
 }
@@ -100,6 +111,10 @@
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
             attempts: metrics.counter("attempts", "Requests sent to backend servers, by result"),
             first: metrics.seconds("first_byte", "Time until the head of the answer was ready"),
+            servers: metrics.gauge("servers_known", "Backend servers that may take work"),
+            entries: metrics.gauge("entries_known", "Entries that share limits"),
+            open: metrics.gauge("requests_open", "Requests of callers that are open"),
+            sight: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
         };
         Ok(Rc::new(Self {
@@ -124,9 +139,11 @@
             missing: RefCell::default(),
             open: Cell::new(0),
             stopping: Cell::new(false),
+            ending: Cell::new(false),
             store_back: Cell::new(0),
             store_lost: Cell::new(false),
             regained: watch::Sender::new(0),
+            leader: RefCell::default(),
             leader_moved: Notify::new(),
             peers: OnceCell::new(),
             settings,
@@ -175,9 +192,22 @@
         }
     }
 
+    /// Renders the metrics.
+    pub(crate) fn render(&self) -> String {
+        let now = boot_ms();
+        let servers =
+            self.picker.borrow().servers().filter(|server| !server.listed.leaving).count();
+        self.meters.servers.record(servers as u64, &[]);
+        self.meters.entries.record(self.roster.borrow_mut().sharers(now) as u64, &[]);
+        self.meters.open.record(u64::from(self.open.get()), &[]);
+        self.meters.sight.record(self.sight.borrow().age(now).unwrap_or(u64::MAX), &[]);
+        self.metrics.render()
+    }
+
     pub(crate) fn count_request(&self, status: u16, code: Option<Code>) {
         let code = code.map_or(0, Code::number);
-        let labels = [KeyValue::new("status", i64::from(status)), KeyValue::new("code", i64::from(code))];
+        let labels =
+            [KeyValue::new("status", i64::from(status)), KeyValue::new("code", i64::from(code))];
         self.meters.requests.add(1, &labels);
     }
 
@@ -189,12 +219,20 @@
         self.meters.first.record(passed.as_secs_f64(), &[]);
     }
 
+    /// Returns the silence after which an entry is taken as gone, in milliseconds; messages reach
+    /// each entry the more seldom the more there are.
+    pub(crate) fn silence_ms(&self) -> Millis {
+        let entries = self.roster.borrow().present().count() as u64;
+        SILENT_MS.max(entries * SILENT_EACH_MS)
+    }
+
     /// Returns the work that callers ask of all entries that are heard.
     pub(crate) fn work_asked(&self, service: &str) -> f64 {
         let now = boot_ms();
         let mine = self.demand.borrow().rate(service, now);
         let heard = self.heard.borrow();
-        let valid = heard.values().filter(|heard| now.saturating_sub(heard.at) < WORK_VALID_MS);
+        let limit = WORK_VALID_MS.max(self.silence_ms());
+        let valid = heard.values().filter(|heard| now.saturating_sub(heard.at) < limit);
         mine + valid.filter_map(|heard| heard.work.get(service)).sum::<f64>()
     }
 
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -18,8 +18,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use kernel::prelude::*;
 use kernel::boot_ms;
+use kernel::prelude::*;
 use rules::Quota;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -36,6 +36,8 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Least and largest time after which a caller over its quota may come back, in seconds.
 const QUOTA_RETRY_S: (f64, f64) = (0.2, 4.0);
+/// Time after which a caller may come back that met an entry about to end: another one serves it.
+const LEAVING_RETRY: Duration = Duration::from_millis(20);
 /// Time after which a caller may come back that met rules out of date.
 const STALE_RETRY: Duration = Duration::from_millis(300);
 
@@ -52,7 +54,9 @@
 pub(crate) async fn accept(hub: Rc<Hub>, listener: TcpListener, door: Door) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::task::spawn_local(connection(hub.clone(), stream, door))),
+            Ok((stream, _)) => {
+                drop(tokio::task::spawn_local(connection(hub.clone(), stream, door)))
+            }
             Err(e) => {
                 warn!(hub.log, "accept failed"; "cause" => %e);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -69,11 +73,14 @@
     let service = service_fn(|req: Request<Incoming>| {
         let hub = hub.clone();
         async move {
+            // A length beside chunks may have been dropped before it is seen here, and what
+            // follows may be part of the body to whoever sent it.
+            let is_chunked = req.headers().contains_key(TRANSFER_ENCODING);
             let mut reply = match door {
                 Door::Front => front(&hub, req).await,
                 Door::Side => directory::side(&hub, &req),
             };
-            if hub.stopping.get() {
+            if hub.stopping.get() || is_chunked {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(reply)
@@ -150,11 +157,7 @@
 ) -> Result<(Reply, Option<Code>), Failure> {
     let Parts { method, uri, mut headers, .. } = parts;
     if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-        // What follows on this connection may be part of the body to one reader and a request of
-        // its own to another.
-        let mut reply = refuse(&Failure::new(Code::AmbiguousLength, uri.path()));
-        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        return Ok((reply, Some(Code::AmbiguousLength)));
+        return Err(Failure::new(Code::AmbiguousLength, uri.path()));
     }
     let named = host(&uri, &headers).to_owned();
     let allowed = allow(hub, &named, uri.path(), &headers).map_err(|code| {
@@ -162,6 +165,9 @@
         if failure.retry_after.is_some() { failure.retry_after(STALE_RETRY) } else { failure }
     })?;
     let Allowed { rules, route, organisation, prompt, rank, wait_ms } = allowed;
+    if hub.ending.get() && route.repeat.is_stream() {
+        return Err(Failure::new(Code::Leaving, named).retry_after(LEAVING_RETRY));
+    }
     let body = read_body(body, rules.limits.body_bytes).await?;
     if let Some((holder, quota)) = organisation.as_ref().and_then(|o| o.quota.map(|q| (o, q))) {
         let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
@@ -207,7 +213,8 @@
     let read = tokio::time::timeout(BODY_TIME, Limited::new(body, limit).collect()).await;
     let read = read.map_err(|_| Failure::new(Code::BodyLate, format!("{BODY_TIME:?}")))?;
     read.map(|body| body.to_bytes()).map_err(|e| {
-        let code = if e.is::<LengthLimitError>() { Code::BodyTooLarge } else { Code::MalformedBody };
+        let code =
+            if e.is::<LengthLimitError>() { Code::BodyTooLarge } else { Code::MalformedBody };
         Failure::new(code, e.to_string())
     })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,7 +21,9 @@
 mod stream;
 mod sync;
 
+pub use attempt::{Class, Ended, Next, Trail, classify, next, without_budget};
 pub use dialect::{Demand, Dialect, Names};
 pub use hub::Hub;
 pub use log::{LogQueue, queue};
-pub use run::{Parts, run};
+pub use run::{Parts, run, run_until};
+pub use stream::Splitter;
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -30,7 +30,10 @@
             std::mem::take(&mut *pending)
         };
         if taken.left_out > 0 {
-            let line = format!("{{\"level\":\"WARN\",\"msg\":\"log lines left out\",\"count\":{}}}\n", taken.left_out);
+            let line = format!(
+                "{{\"level\":\"WARN\",\"msg\":\"log lines left out\",\"count\":{}}}\n",
+                taken.left_out
+            );
             taken.lines.extend_from_slice(line.as_bytes());
         }
         // A reader that is gone reads no complaint either.
@@ -54,7 +57,11 @@
     type Ok = ();
     type Err = slog::Never;
 
-    fn log(&self, record: &slog::Record<'_>, values: &slog::OwnedKVList) -> Result<(), slog::Never> {
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
         let mut line = Vec::with_capacity(256);
         let written = {
             let json = slog_json::Json::new(&mut line)
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -15,12 +15,12 @@
 
 /// Time between two messages about the present state.
 const TELL_EVERY: Duration = Duration::from_millis(150);
+/// Entries besides the holder of the duties that are told counts, so that these outlive it.
+const COUNTS_KEPT: usize = 2;
 /// Messages about the present state of which one bears the counts.
 const COUNTS_EVERY: u64 = 4;
 /// Most entries that one message goes to.
 const MOST_TOLD: usize = 12;
-/// Silence after which what an entry told of its load no longer counts, in milliseconds.
-const LOAD_VALID_MS: Millis = 700;
 /// Time to wait for units of other entries.
 const PULL_WAIT: Duration = Duration::from_millis(25);
 /// Pause after other entries had too little, in milliseconds.
@@ -45,20 +45,12 @@
 
 impl Peers {
     pub(crate) fn new(socket: UdpSocket) -> Self {
-        Self {
-            socket,
-            pulls: RefCell::default(),
-            number: Cell::new(0),
-            paused: RefCell::default(),
-        }
+        Self { socket, pulls: RefCell::default(), number: Cell::new(0), paused: RefCell::default() }
     }
 
     fn send(&self, hub: &Hub, to: &Entry, message: Message) {
-        let envelope = Envelope {
-            from: hub.settings.name.clone(),
-            incarnation: hub.incarnation,
-            message,
-        };
+        let envelope =
+            Envelope { from: hub.settings.name.clone(), incarnation: hub.incarnation, message };
         let (Ok(bytes), Ok(address)) =
             (serde_json::to_vec(&envelope), to.peer.parse::<SocketAddr>())
         else {
@@ -78,32 +70,44 @@
     }
 }
 
-/// Tells the other entries what this one does, with its counts or without.
+/// Tells other entries what this one does, and those that keep them its counts.
 pub(crate) fn tell_once(hub: &Hub, with_counts: bool) {
-    let counts = if with_counts {
-        let mut usage = hub.usage.borrow_mut();
-        usage.prune(Clock::unix_ms());
-        usage.recent().clone()
-    } else {
-        BTreeMap::new()
-    };
-    {
-        let loads = hub.picker.borrow();
-        let loads = loads.mine().map(|(id, load)| (id.clone(), (load.open, load.unread)));
-        let state = State {
-            stopping: hub.stopping.get(),
-            sight_age: hub.sight.borrow().age(boot_ms()),
-            open: hub.open.get(),
-            loads: loads.collect(),
-            counts,
-            work: hub.demand.borrow().rates(boot_ms()).map(|(name, rate)| (name.clone(), rate)).collect(),
+    let state = state(hub);
+    let roster = hub.roster.borrow();
+    let others: Vec<&Entry> =
+        roster.present().filter(|entry| entry.name != hub.settings.name).collect();
+    if with_counts {
+        let counts = {
+            let mut usage = hub.usage.borrow_mut();
+            usage.prune(Clock::unix_ms());
+            usage.recent().clone()
         };
-        let roster = hub.roster.borrow();
-        let others = roster.present().filter(|entry| entry.name != hub.settings.name);
-        for entry in others.sample(&mut rand::rng(), MOST_TOLD) {
+        let state = State { counts, ..state.clone() };
+        let leader = hub.leader.borrow();
+        let holder = others.iter().filter(|entry| Some(&entry.name) == leader.as_ref());
+        let keepers = others.iter().sample(&mut rand::rng(), COUNTS_KEPT);
+        for entry in holder.chain(keepers) {
             hub.peers().send(hub, entry, Message::State(state.clone()));
         }
     }
+    for entry in others.into_iter().sample(&mut rand::rng(), MOST_TOLD) {
+        hub.peers().send(hub, entry, Message::State(state.clone()));
+    }
+}
+
+fn state(hub: &Hub) -> State {
+    let picker = hub.picker.borrow();
+    let loads = picker.mine().map(|(id, load)| (id.clone(), (load.open, load.unread)));
+    let demand = hub.demand.borrow();
+    let work = demand.rates(boot_ms()).map(|(service, rate)| (service.clone(), rate));
+    State {
+        stopping: hub.stopping.get(),
+        sight_age: hub.sight.borrow().age(boot_ms()),
+        open: hub.open.get(),
+        loads: loads.collect(),
+        counts: BTreeMap::new(),
+        work: work.collect(),
+    }
 }
 
 /// Takes messages of other entries in.
@@ -184,7 +188,8 @@
     };
     let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
     let now = boot_ms();
-    for other in heard.values().filter(|heard| now.saturating_sub(heard.at) < LOAD_VALID_MS) {
+    let silence = hub.silence_ms();
+    for other in heard.values().filter(|heard| now.saturating_sub(heard.at) < silence) {
         for (id, load) in &other.loads {
             let total = sum.entry(id.clone()).or_default();
             total.open += load.open;
@@ -201,12 +206,7 @@
     if peers.paused.borrow().get(organisation).is_some_and(|until| now < *until) {
         return;
     }
-    let heard = hub.heard.borrow();
-    let is_live =
-        |entry: &&Entry| heard.get(&entry.name).is_some_and(|h| now.saturating_sub(h.at) < LOAD_VALID_MS);
-    let live: Vec<Entry> =
-        hub.roster.borrow().present().filter(is_live).cloned().collect();
-    drop(heard);
+    let live = live(hub, now);
     if live.is_empty() {
         return;
     }
@@ -222,7 +222,24 @@
     peers.paused.borrow_mut().insert(organisation.clone(), boot_ms() + PULL_PAUSE_MS);
 }
 
-async fn ask_all(hub: &Rc<Hub>, organisation: &Name, live: &[Entry], part: f64, wanted: f64) -> f64 {
+/// Lists the other entries that were heard lately.
+fn live(hub: &Hub, now: Millis) -> Vec<Entry> {
+    let silence = hub.silence_ms();
+    let heard = hub.heard.borrow();
+    let is_live = |entry: &&Entry| {
+        heard.get(&entry.name).is_some_and(|heard| now.saturating_sub(heard.at) < silence)
+    };
+    let roster = hub.roster.borrow();
+    roster.present().filter(is_live).cloned().sample(&mut rand::rng(), MOST_TOLD)
+}
+
+async fn ask_all(
+    hub: &Rc<Hub>,
+    organisation: &Name,
+    live: &[Entry],
+    part: f64,
+    wanted: f64,
+) -> f64 {
     let peers = hub.peers();
     let number = peers.number.get() + 1;
     peers.number.set(number);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -139,7 +139,8 @@
 
 /// Returns how long a connection may be idle after an answer; none when it may not be used again.
 fn reusable_for(headers: &HeaderMap) -> Option<Duration> {
-    let text = |name| headers.get(name).and_then(|value: &hyper::header::HeaderValue| value.to_str().ok());
+    let text =
+        |name| headers.get(name).and_then(|value: &hyper::header::HeaderValue| value.to_str().ok());
     if text(CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,6 +19,9 @@
 const BACKLOG: u32 = 1_024;
 /// Time after SIGTERM for which new callers are still served: they keep the directory's answers.
 const LINGER: Duration = Duration::from_millis(3_500);
+/// Part of the grace after which no new stream begins: callers know other entries by then, and one
+/// that begins later may not end in time.
+const STREAMS_UNTIL: f64 = 0.25;
 /// Time before the end of the grace at which the process ends in any case.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two sweeps of idle connections.
@@ -44,6 +47,18 @@
 /// [`Code::PortInUse`] when an address cannot be listened on, [`Code::Internal`] when signals
 /// cannot be handled.
 pub async fn run(parts: Parts) -> Result<(), Failure> {
+    let log = parts.log.clone();
+    run_until(parts, async move { wait_for_stop(&log).await }).await
+}
+
+/// Runs an entry until a stop comes; must run inside a `LocalSet`.
+///
+/// # Errors
+/// [`Code::PortInUse`] when an address cannot be listened on, and the failure of the stop.
+pub async fn run_until(
+    parts: Parts,
+    stopped: impl Future<Output = Result<(), Failure>>,
+) -> Result<(), Failure> {
     let Parts { settings, dialect, store, duties, log } = parts;
     let hub = Hub::new(settings, log, dialect, store, duties)?;
     info!(hub.log, "start"; "incarnation" => hub.incarnation,
@@ -62,7 +77,7 @@
         spawn_local(duty::hold(hub.clone(), tenure.clone()));
         spawn_local(duty::act(hub.clone(), duties, tenure));
     }
-    wait_for_stop(&hub).await?;
+    stopped.await?;
     stop(&hub).await;
     registration.abort();
     info!(hub.log, "stop"; "open" => hub.open.get());
@@ -105,14 +120,14 @@
 }
 
 /// Waits for SIGTERM; SIGHUP changes nothing here, as addresses and promises are read at the start.
-async fn wait_for_stop(hub: &Hub) -> Result<(), Failure> {
+async fn wait_for_stop(log: &Logger) -> Result<(), Failure> {
     let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
     let mut term = signal(SignalKind::terminate()).map_err(internal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(internal)?;
     loop {
         tokio::select! {
             _ = term.recv() => return Ok(()),
-            _ = hangup.recv() => info!(hub.log, "reload"; "changed" => false),
+            _ = hangup.recv() => info!(log, "reload"; "changed" => false),
         }
     }
 }
@@ -126,6 +141,8 @@
     let quiet = began + LINGER.min(hub.settings.promises.grace / 2);
     while Instant::now() < end && (Instant::now() < quiet || hub.open.get() > 0) {
         tokio::time::sleep(Duration::from_millis(50)).await;
+        hub.ending
+            .set(Instant::now() >= began + hub.settings.promises.grace.mul_f64(STREAMS_UNTIL));
     }
     peers::tell_once(hub, true);
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,41 +15,43 @@
 use kernel::prelude::*;
 use pick::Outcome;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// Splits a stream of events at their ends.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     rest: BytesMut,
     last_id: Option<Bytes>,
 }
 
 impl Splitter {
     /// Takes in bytes and returns those of the events that are whole now.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         let from = self.rest.len().saturating_sub(1);
         self.rest.extend_from_slice(bytes);
         let ends = self.rest[from..].windows(2).rposition(|pair| pair == b"\n\n");
         let Some(at) = ends else { return Bytes::new() };
         let whole = self.rest.split_to(from + at + 2).freeze();
-        let ids = whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
-        if let Some(id) = ids.last() {
+        let mut ids =
+            whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
+        if let Some(id) = ids.next_back() {
             self.last_id = Some(whole.slice_ref(id.trim_ascii()));
         }
         whole
     }
 
     /// Tells whether part of an event has arrived.
-    pub(crate) fn is_partial(&self) -> bool {
+    pub fn is_partial(&self) -> bool {
         !self.rest.is_empty()
     }
 
     /// Returns the identity of the last whole event.
-    pub(crate) fn last_id(&self) -> Option<HeaderValue> {
+    pub fn last_id(&self) -> Option<HeaderValue> {
         self.last_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok())
     }
 
     /// Forgets the part of an event that will not be completed.
-    pub(crate) fn cut(&mut self) {
+    pub fn cut(&mut self) {
         self.rest.clear();
     }
 }
@@ -121,10 +123,15 @@
     async fn read(&mut self) -> Brought {
         // After a failure the answer was cut; nothing is read any more.
         let Some(sent) = &mut self.sent else { return Brought::End };
-        match tokio::time::timeout_at(self.job.deadline, sent.body.frame()).await {
+        let limit = match silence(&self.job, self.trail, self.chunks) {
+            Some(silence) => self.job.deadline.min(Instant::now() + silence),
+            None => self.job.deadline,
+        };
+        match tokio::time::timeout_at(limit, sent.body.frame()).await {
             Ok(Some(Ok(frame))) => Brought::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(e))) => Brought::Broke(e.to_string()),
             Ok(None) => Brought::End,
+            Err(_) if limit < self.job.deadline => Brought::Broke("its server is silent".into()),
             Err(_) => Brought::Broke("the deadline passed".into()),
         }
     }
@@ -181,7 +188,7 @@
                     self.trail.runs += 1;
                     info!(hub.log, "stream goes on"; "request" => job.name(),
                         "server" => %choice.id, "chunks" => self.chunks);
-                    self.sent = Some(sent);
+                    self.sent = Some(*sent);
                     return None;
                 }
                 Attempt::Answered(_) | Attempt::Ended(Ended::Broke) => self.trail.runs += 1,
@@ -196,3 +203,15 @@
 
 /// Most servers that a stream is tried at.
 const MOST_TRIED: usize = 5;
+/// Part of the longest pause that is on time after which a stream goes on elsewhere; the rest is
+/// for the other server to begin.
+const SILENT_PAUSE: f64 = 0.6;
+
+/// Returns how long the server of a stream may be silent when another one can go on.
+fn silence(job: &Job, trail: Trail, chunks: u64) -> Option<Duration> {
+    let may_go_on = job.route.repeat.is_repeatable() && trail.runs < job.route.attempts;
+    if !may_go_on || chunks == 0 || job.route.pause_ms == 0 {
+        return None;
+    }
+    Some(Duration::from_millis(job.route.pause_ms).mul_f64(SILENT_PAUSE))
+}
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,5 +1,6 @@
 //! Keeps what the entry believes of rules, servers and entries in step with the store.
 
+use crate::duty;
 use crate::hub::Hub;
 use coord::{Confirmed, Entry};
 use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
@@ -18,6 +19,9 @@
 const SERVERS_WAIT_MS: u64 = 2_500;
 /// Time that one watch of the entries waits.
 const ENTRIES_WAIT_MS: u64 = 4_000;
+/// Part of the time to obey a leaving server that passes after a change before the next call, so
+/// that changes which come together are heard in one.
+const GATHER: f64 = 0.3;
 /// Time for servers to register again after the store was away, in milliseconds.
 const REGISTER_AGAIN_MS: Millis = 2_200;
 /// Time to live of an entry's registration, in seconds.
@@ -101,10 +105,14 @@
             hub.note_store("watch", watched.as_ref().err());
             match watched {
                 Ok(Watched::Changes(changes, revision)) => {
+                    let changed = !changes.is_empty();
                     for change in changes {
                         one(hub, change);
                     }
                     after = after.max(revision);
+                    if changed {
+                        tokio::time::sleep(hub.settings.promises.drain.mul_f64(GATHER)).await;
+                    }
                 }
                 Ok(Watched::Forgotten) => {
                     info!(hub.log, "history forgotten"; "prefix" => prefix.to_owned(), "after" => after);
@@ -215,15 +223,15 @@
 /// Follows the entries.
 pub(crate) async fn entries(hub: Rc<Hub>) {
     let all = |hub: &Hub, items: Vec<(String, Stored)>| {
+        let leader = items.iter().find(|(key, _)| key == LEADER);
+        take_leader(hub, leader.map(|(_, stored)| stored));
         let entries = items.iter().filter_map(|(key, stored)| read_entry(hub, key, stored));
         hub.roster.borrow_mut().replace(entries.collect(), boot_ms());
         hub.share_out();
     };
     let one = |hub: &Hub, change: Change| {
         if change.key == LEADER {
-            if change.stored.is_none() {
-                hub.leader_moved.notify_one();
-            }
+            take_leader(hub, change.stored.as_ref());
             return;
         }
         match &change.stored {
@@ -244,6 +252,18 @@
     follow(&hub, LIVE, ENTRIES_WAIT_MS, all, one).await;
 }
 
+/// Takes in who holds the duties.
+fn take_leader(hub: &Hub, stored: Option<&Stored>) {
+    let leader = stored.and_then(|stored| duty::holder_of(&stored.value));
+    if leader.is_none() {
+        hub.leader_moved.notify_one();
+    }
+    if *hub.leader.borrow() != leader {
+        info!(hub.log, "holder of the duties"; "entry_now" => leader.as_deref().map(str::to_owned));
+        *hub.leader.borrow_mut() = leader;
+    }
+}
+
 fn read_entry(hub: &Hub, key: &str, stored: &Stored) -> Option<Entry> {
     let name = Name::from(key.strip_prefix(ENTRIES)?);
     match serde_json::from_slice::<Registration>(&stored.value) {
--- a/crates/servers/src/lib.rs
+++ b/crates/servers/src/lib.rs
@@ -2,9 +2,9 @@
 
 use backend::Engines;
 use cluster::Cluster;
+use infra::{Cloud, Vm, VmList, VmRole, VmState};
 use kernel::Stop;
 use kernel::prelude::*;
-use infra::{Cloud, Vm, VmList, VmRole, VmState};
 use rand::RngExt;
 use route::{
     Admission, Choice, Limit, Limits, Offered, Pool, Report, Retry, RetryBudgets, Server, Verdict,
--- a/crates/standin/src/platform_api.rs
+++ b/crates/standin/src/platform_api.rs
@@ -1,7 +1,7 @@
 //! VM list and cloud API.
 
-use kernel::{Code, Failure, Name};
 use infra::{Notice, Price, StartVm, Vm, VmState};
+use kernel::{Code, Failure, Name};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::BTreeMap;
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -1,7 +1,7 @@
 //! The weight store: a bounded number of bytes a second for all readers together.
 
-use kernel::{Code, Failure};
 use infra::Weights;
+use kernel::{Code, Failure};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -2,8 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
 
-use kernel::Code;
 use infra::{Etcd, Kv as _, Swap};
+use kernel::Code;
 use standin::Running;
 use standin::kv::{Faults, Kv};
 use std::net::SocketAddr;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,11 +3,11 @@
 #![allow(clippy::unwrap_used, reason = "a step that fails ends its test")]
 
 use backend::{Plain as Client, PlainServices, Tag};
-use kernel::{Code, Failure, Key, NodeId};
 use infra::{
     Cloud, HttpCloud, HttpVmList, HttpWeightStore, Market, Price, StartVm, VmList, VmRole, VmState,
     WeightStore, Weights,
 };
+use kernel::{Code, Failure, Key, NodeId};
 use standin::platform_api::{Faults, Platform, Reclaim};
 use standin::{Running, plain, weights};
 use std::future::Future;
