Streams move off servers that end soon; the fleet stays as found before the first request

A stream that still runs shortly before its server ends is stopped there, its memory copied, and goes on elsewhere after its last whole event, from the shared budget for repeats.

--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -21,7 +21,7 @@
 }
 
 /// Part of the budget that is used; the rest covers windows that begin between two requests.
-const USED: f64 = 0.8;
+const USED: f64 = 0.93;
 
 #[derive(Clone, Debug, Default)]
 struct Window {
--- a/crates/place/src/spread.rs
+++ b/crates/place/src/spread.rs
@@ -140,6 +140,10 @@
         let found = f64::from(self.found);
         let (load, at) = self.load.unwrap_or((found, now));
         let asked = seen.work / MS_PER_S / self.settings.used;
+        if asked == 0.0 && self.load.is_none() {
+            // Before the first request the servers that were found are what is known of the load.
+            return self.found;
+        }
         let time = if asked > load { self.settings.rise_ms } else { self.settings.fall_ms };
         let kept = (-(now.saturating_sub(at) as f64) / time).exp();
         let load = asked + (load - asked) * kept;
--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -93,6 +93,15 @@
     pub(crate) slot: Slot,
 }
 
+/// How a stream goes on at another server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Resume {
+    /// Last event that the caller has.
+    pub(crate) after: Option<HeaderValue>,
+    /// Where the memory of the run is.
+    pub(crate) moved_from: Option<HeaderValue>,
+}
+
 /// How an attempt went.
 pub(crate) enum Attempt {
     /// The server answers.
@@ -122,7 +131,7 @@
         }
         tried.push(choice.id.clone());
         trail.sends += 1;
-        let (ended, reply) = match attempt(hub, &job, &choice, None, trail).await {
+        let (ended, reply) = match attempt(hub, &job, &choice, &Resume::default(), trail).await {
             Attempt::Ended(ended) => (ended, None),
             Attempt::Answered(sent) => {
                 let status = sent.head.status();
@@ -202,7 +211,7 @@
     hub: &Rc<Hub>,
     job: &Job,
     choice: &Choice,
-    resume: Option<&HeaderValue>,
+    resume: &Resume,
     trail: Trail,
 ) -> Attempt {
     let slot = Slot::open(hub, choice, job.prompt.as_ref());
@@ -274,7 +283,7 @@
     hub: &Hub,
     job: &Job,
     choice: &Choice,
-    resume: Option<&HeaderValue>,
+    resume: &Resume,
 ) -> Result<ServerRequest, hyper::http::Error> {
     let names = hub.dialect.names();
     let mut req = Request::builder()
@@ -292,8 +301,11 @@
     if let Some(organisation) = &job.organisation {
         headers.insert(&names.organisation, HeaderValue::from_str(&organisation.name)?);
     }
-    if let Some(resume) = resume {
-        headers.insert(LAST_EVENT_ID, resume.clone());
+    if let Some(after) = &resume.after {
+        headers.insert(LAST_EVENT_ID, after.clone());
+    }
+    if let Some(from) = &resume.moved_from {
+        headers.insert(&names.moved_from, from.clone());
     }
     Ok(req)
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,10 +1,12 @@
 //! What the relay needs to know of a platform's way to write things.
 
 use hyper::HeaderMap;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use kernel::{Failure, Name};
 use pick::{Listed, Prompt};
 use rules::Rules;
+use std::net::SocketAddr;
 
 /// Names of header fields between callers, entries and backend servers.
 #[derive(Clone, Debug)]
@@ -25,6 +27,8 @@
     pub seal: HeaderName,
     /// Rank of a request at an engine.
     pub urgency: HeaderName,
+    /// Where the memory of a run is that goes on at another engine.
+    pub moved_from: HeaderName,
     /// Fields that callers may not set for servers.
     pub reserved: Vec<HeaderName>,
 }
@@ -62,6 +66,14 @@
     /// Reads the prompt out of the head of a request, if it states one.
     fn prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Writes the order to stop the run of a request and copy its memory to the engine at `to`:
+    /// a path to post to, and a body.
+    fn move_run(&self, request: &str, to: SocketAddr) -> (PathAndQuery, Vec<u8>);
+
+    /// Reads the answer to such an order: the value of [`Names::moved_from`] with which the run
+    /// goes on, if the copy was made by the engine at `at`.
+    fn moved_run(&self, at: SocketAddr, answer: &[u8]) -> Option<HeaderValue>;
+
     /// Reads a question to the directory; none for another path.
     fn demand(&self, path: &str, query: &str) -> Option<Demand>;
 
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -15,10 +15,16 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 /// Part of the time to take a key away that is kept back for clocks of different rates.
 const REVOKE_MARGIN_MS: Millis = 300;
 
+/// Time before the end of a server at which its streams are moved: two calls, a copy, and the
+/// news of its end that may be as old as a pause between two watches.
+const MOVE_BEFORE: Duration = Duration::from_millis(1_300);
+/// Time for which the departure of a server is remembered.
+const DEPARTURE_KEPT: Duration = Duration::from_secs(30);
 /// Least silence after which an entry is taken as gone, in milliseconds.
 const SILENT_MS: Millis = 700;
 /// Silence for each entry there is, in milliseconds: three times the mean time between messages.
@@ -72,6 +78,8 @@
     pub(crate) picker: RefCell<Picker>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) missing: RefCell<BTreeSet<Name>>,
+    pub(crate) departures: RefCell<BTreeMap<Name, Instant>>,
+    pub(crate) departing: watch::Sender<u64>,
     pub(crate) open: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Whether streams that begin now might not end before the process does.
@@ -137,6 +145,8 @@
             picker: RefCell::new(Picker::new(Model::default())),
             demand: RefCell::default(),
             missing: RefCell::default(),
+            departures: RefCell::default(),
+            departing: watch::Sender::new(0),
             open: Cell::new(0),
             stopping: Cell::new(false),
             ending: Cell::new(false),
@@ -226,6 +236,17 @@
         SILENT_MS.max(entries * SILENT_EACH_MS)
     }
 
+    /// Notes that a server ends in about this time, so that its streams are moved before.
+    pub(crate) fn departs(&self, server: &Name, ends_in: Duration) {
+        let now = Instant::now();
+        let at = now + ends_in.saturating_sub(MOVE_BEFORE);
+        let mut departures = self.departures.borrow_mut();
+        departures.retain(|_, at| now.saturating_duration_since(*at) < DEPARTURE_KEPT);
+        let known = departures.entry(server.clone()).or_insert(at);
+        *known = at.min(*known);
+        self.departing.send_modify(|times| *times += 1);
+    }
+
     /// Returns the work that callers ask of all entries that are heard.
     pub(crate) fn work_asked(&self, service: &str) -> f64 {
         let now = boot_ms();
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -186,7 +186,7 @@
     for name in [&CONTENT_LENGTH, &EXPECT, &names.key, &names.organisation, &names.expected] {
         headers.remove(name);
     }
-    for name in std::iter::once(&names.urgency).chain(&names.reserved) {
+    for name in [&names.urgency, &names.moved_from].into_iter().chain(&names.reserved) {
         headers.remove(name);
     }
     let time = Duration::from_millis(wait_ms.min(route.timeout_ms));
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -100,6 +100,10 @@
 }
 
 impl Link {
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(&mut self, req: ServerRequest) -> Result<Response<Incoming>, Unsent> {
         let sent = self.tx.try_send_request(req).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -2,19 +2,21 @@
 
 use crate::attempt::{Ended, Next, Trail, next};
 use crate::body::{Reply, streamed};
-use crate::deliver::{Attempt, Job, Sent, attempt, choose, count_usage, passed_on};
+use crate::deliver::{Attempt, Job, Resume, Sent, attempt, choose, count_usage, passed_on};
 use crate::hub::Hub;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream;
-use http_body_util::BodyExt;
-use hyper::Response;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Outcome;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Splits a stream of events at their ends.
@@ -64,6 +66,9 @@
     tried: Vec<Name>,
     events: Splitter,
     chunks: u64,
+    departing: watch::Receiver<u64>,
+    /// Server that the stream was to be moved from already.
+    left: Option<Name>,
 }
 
 /// What the stream of a server has brought.
@@ -71,19 +76,30 @@
     Bytes(Bytes),
     End,
     Broke(String),
+    /// Its server ends soon.
+    Departs,
 }
 
 /// Builds the answer that passes a stream on.
 pub(crate) fn reply(hub: Rc<Hub>, job: Rc<Job>, mut sent: Sent, trail: Trail) -> Reply {
     let mut head = std::mem::replace(&mut sent.head, Response::new(()));
-    // A resumed stream may have another length than the one stated first.
-    if job.route.repeat.is_repeatable() {
-        head.headers_mut().remove(CONTENT_LENGTH);
-    }
+    // A stream that goes on elsewhere may have another length than the one stated first.
+    head.headers_mut().remove(CONTENT_LENGTH);
     let tried = vec![sent.slot.server.clone()];
     let trail = Trail { runs: trail.runs + 1, ..trail };
     let events = Splitter::default();
-    let passing = Passing { hub, job, sent: Some(sent), trail, tried, events, chunks: 0 };
+    let departing = hub.departing.subscribe();
+    let passing = Passing {
+        hub,
+        job,
+        sent: Some(sent),
+        trail,
+        tried,
+        events,
+        chunks: 0,
+        departing,
+        left: None,
+    };
     let chunks = stream::unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
         Some((next.map(Frame::data), passing))
@@ -102,6 +118,7 @@
                         return Some(Ok(whole));
                     }
                 }
+                Brought::Departs => self.move_on().await,
                 Brought::End if !self.events.is_partial() => {
                     self.finish();
                     return None;
@@ -127,7 +144,14 @@
             Some(silence) => self.job.deadline.min(Instant::now() + silence),
             None => self.job.deadline,
         };
-        match tokio::time::timeout_at(limit, sent.body.frame()).await {
+        let departure = departure(&self.hub, &sent.slot.server, &mut self.departing);
+        let is_moved = self.left.as_ref() == Some(&sent.slot.server);
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout_at(limit, sent.body.frame()) => read,
+            () = departure, if !is_moved => return Brought::Departs,
+        };
+        match read {
             Ok(Some(Ok(frame))) => Brought::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(e))) => Brought::Broke(e.to_string()),
             Ok(None) => Brought::End,
@@ -149,7 +173,7 @@
             sent.slot.read();
         }
         let whole = self.events.push(bytes);
-        if self.job.route.repeat.is_repeatable() { whole } else { bytes.clone() }
+        whole
     }
 
     fn finish(&mut self) {
@@ -161,6 +185,44 @@
             "took_ms" => self.job.began.elapsed().as_millis() as u64);
     }
 
+    /// Moves the stream to a server that stays; without success it goes on where it is.
+    async fn move_on(&mut self) {
+        let (job, hub) = (self.job.clone(), self.hub.clone());
+        let Some(from) = self.sent.as_ref().map(|sent| sent.slot.server.clone()) else { return };
+        self.left = Some(from.clone());
+        let can_move = hub.rules.borrow().get(&job.service).is_some_and(|service| service.moves);
+        let Some(after) = self.events.last_id().filter(|_| can_move) else { return };
+        self.tried.push(from.clone());
+        let Some(choice) = choose(&hub, &job, &self.tried) else { return };
+        if !hub.retries.borrow_mut().take(&job.service, boot_ms()) {
+            return;
+        }
+        let Some(address) = self.sent.as_ref().map(|sent| sent.link.address()) else { return };
+        let moved_from = match order_move(&hub, &job, address, choice.address).await {
+            Ok(moved_from) => moved_from,
+            Err(cause) => {
+                info!(hub.log, "stream stays"; "request" => job.name(), "server" => %from,
+                    "to" => %choice.id, "cause" => cause);
+                return;
+            }
+        };
+        // The run has stopped; what its stream still holds is generated again from the copy.
+        self.events.cut();
+        let resume = Resume { after: Some(after), moved_from: Some(moved_from) };
+        let attempted = attempt(&hub, &job, &choice, &resume, self.trail).await;
+        let is_moved = match attempted {
+            Attempt::Answered(sent) if sent.head.status().is_success() => {
+                if let Some(old) = self.sent.replace(*sent) {
+                    old.slot.outcome.set(Outcome::Answered);
+                }
+                true
+            }
+            _ => false,
+        };
+        info!(hub.log, "stream moved"; "request" => job.name(), "server" => %from,
+            "to" => %choice.id, "moved" => is_moved, "chunks" => self.chunks);
+    }
+
     /// Goes on at another server after the last whole event; returns a failure when that cannot be.
     async fn go_on(&mut self, cause: String) -> Option<Failure> {
         if let Some(sent) = self.sent.take() {
@@ -182,8 +244,8 @@
             };
             self.tried.push(choice.id.clone());
             self.trail.sends += 1;
-            let resume = self.events.last_id();
-            match attempt(&hub, &job, &choice, resume.as_ref(), self.trail).await {
+            let resume = Resume { after: self.events.last_id(), moved_from: None };
+            match attempt(&hub, &job, &choice, &resume, self.trail).await {
                 Attempt::Answered(sent) if sent.head.status().is_success() => {
                     self.trail.runs += 1;
                     info!(hub.log, "stream goes on"; "request" => job.name(),
@@ -201,6 +263,50 @@
     }
 }
 
+/// Waits until a server is about to end.
+async fn departure(hub: &Hub, server: &Name, departing: &mut watch::Receiver<u64>) {
+    loop {
+        departing.mark_unchanged();
+        let at = hub.departures.borrow().get(server).copied();
+        match at {
+            Some(at) => return tokio::time::sleep_until(at).await,
+            // The sender lives as long as the hub.
+            None => drop(departing.changed().await),
+        }
+    }
+}
+
+/// Time for an engine to stop a run and copy its memory.
+const MOVE_TIME: Duration = Duration::from_millis(600);
+
+/// Orders an engine to stop a run and copy its memory to another one.
+async fn order_move(
+    hub: &Hub,
+    job: &Job,
+    at: SocketAddr,
+    to: SocketAddr,
+) -> Result<HeaderValue, String> {
+    let (target, body) = hub.dialect.move_run(job.name(), to);
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = Uri::from(target);
+    let host = HeaderValue::from_str(&at.to_string()).map_err(|e| e.to_string())?;
+    req.headers_mut().insert(HOST, host);
+    req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let call = async {
+        let mut link = hub.pool.link(at).await.map_err(|failure| failure.context)?;
+        let answer = link.send(req).await.map_err(|e| format!("{e:?}"))?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+        hub.pool.keep(link, &head.headers);
+        if !head.status.is_success() {
+            return Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body)));
+        }
+        hub.dialect.moved_run(at, &body).ok_or_else(|| "the answer names no copy".to_owned())
+    };
+    tokio::time::timeout(MOVE_TIME, call).await.map_err(|_| "no answer in time".to_owned())?
+}
+
 /// Most servers that a stream is tried at.
 const MOST_TRIED: usize = 5;
 /// Part of the longest pause that is on time after which a stream goes on elsewhere; the rest is
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -177,9 +177,15 @@
             let id = listed.id.clone();
             hub.missing.borrow_mut().remove(&id);
             let (leaving, service) = (listed.leaving, listed.service.clone());
+            let ends_in = listed.leaves_ms.map(Duration::from_millis);
+            let ends_in = ends_in.unwrap_or(hub.settings.promises.drain);
             if hub.picker.borrow_mut().list(listed) {
                 info!(hub.log, "server listed"; "server" => %id, "service" => %service,
-                    "leaving" => leaving, "revision" => stored.revision);
+                    "leaving" => leaving, "ends_in_ms" => ends_in.as_millis() as u64,
+                    "revision" => stored.revision);
+                if leaving {
+                    hub.departs(&id, ends_in);
+                }
             }
             Some(id)
         }
@@ -206,7 +212,12 @@
 }
 
 fn forget(hub: &Hub, id: &Name) {
+    let was_leaving = hub.picker.borrow().get(id).is_some_and(|server| server.listed.leaving);
     if hub.picker.borrow_mut().remove(id) {
+        if !was_leaving {
+            // Some servers leave without a word and serve on for the same time.
+            hub.departs(id, hub.settings.promises.drain);
+        }
         info!(hub.log, "server gone"; "server" => %id);
     }
 }
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -22,6 +22,7 @@
         not_run: name("not-run"),
         seal: name("seal"),
         urgency: name("urgency"),
+        moved_from: name("moved-from"),
         reserved: Vec::new(),
     }
 }
--- a/crates/rules/src/rules.rs
+++ b/crates/rules/src/rules.rs
@@ -73,6 +73,8 @@
     pub connections: u32,
     /// Requests that an engine serves at once; none for a plain service.
     pub batch: Option<u32>,
+    /// Whether runs can be moved from one engine to another.
+    pub moves: bool,
     /// Tokens that an engine's memory holds; 0 for a plain service.
     pub memory_tokens: u64,
     /// How it is scaled, if it is.
