A silent server is left only for another one; shares of cut entries come back sooner

Quotas: an entry that was cut off kept its share from the others for 15 s, now 8 s; what entries earn uses the overshoot that the deployment allows.

--- a/crates/coord/src/purse.rs
+++ b/crates/coord/src/purse.rs
@@ -17,23 +17,27 @@
     pub overshoot: f64,
     /// Units of any quota that may be spent beyond it in a window.
     pub slack: f64,
-    /// Part of the allowed excess that entries keep as savings; the rest covers rounding and
-    /// requests under way.
+    /// Part of the quota that entries earn; a little more than one makes up for units that lie
+    /// with entries which do not need them.
+    pub earned: f64,
+    /// Part of what is then left of the allowed excess that entries keep as savings; the rest
+    /// covers rounding and requests under way.
     pub saved: f64,
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { window_ms: 8_000, overshoot: 0.1, slack: 0.0, saved: 0.7 }
+        Self { window_ms: 8_000, overshoot: 0.1, slack: 0.0, earned: 1.0, saved: 0.7 }
     }
 }
 
 impl Terms {
     /// Returns the most that one of `entries` purses may save up.
     pub fn savings(&self, quota: &Quota, entries: usize) -> f64 {
-        let earned = quota.per_s * self.window_ms as f64 / 1000.0;
-        let allowed = (earned + quota.burst) * (1.0 + self.overshoot) + self.slack - earned;
-        self.saved * allowed / entries.max(1) as f64
+        let rated = quota.per_s * self.window_ms as f64 / 1000.0;
+        let allowed = (rated + quota.burst) * (1.0 + self.overshoot) + self.slack;
+        let left = (allowed - rated * self.earned).max(0.0);
+        self.saved * left / entries.max(1) as f64
     }
 }
 
@@ -135,7 +139,7 @@
         let new = Purse { units: 0.0, at: self.earn_from };
         let purse = self.purses.entry(organisation.clone()).or_insert(new);
         let passed = now.saturating_sub(purse.at) as f64 / 1000.0;
-        let earned = passed * quota.per_s / self.entries as f64;
+        let earned = passed * quota.per_s * self.terms.earned / self.entries as f64;
         // What was received beyond the savings stays; nothing is earned on top of it.
         purse.units = purse.units.max((purse.units + earned).min(most));
         purse.at = now.max(purse.at);
--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -296,7 +296,7 @@
     headers.insert(&names.deadline, HeaderValue::from(job.left_ms()));
     headers.insert(&names.expected, HeaderValue::from_str(&choice.id)?);
     if job.prompt.is_some() {
-        headers.insert(&names.urgency, HeaderValue::from(u16::from(job.rank.min(9))));
+        headers.insert(&names.urgency, HeaderValue::from(u16::from(urgency(job, choice))));
     }
     if let Some(organisation) = &job.organisation {
         headers.insert(&names.organisation, HeaderValue::from_str(&organisation.name)?);
@@ -310,6 +310,18 @@
     Ok(req)
 }
 
+/// Largest number that engines take for the rank of a request.
+const LEAST_URGENT: u8 = 9;
+/// Part of its target that a request is expected to take from which it goes before others of its
+/// rank and above: a long prompt has no time to wait for short ones.
+const TIGHT: f64 = 0.4;
+
+/// Returns the rank of a request at its engine; 0 goes first.
+fn urgency(job: &Job, choice: &Choice) -> u8 {
+    let is_tight = choice.expected_ms > TIGHT * job.route.target_ms as f64;
+    if is_tight { 0 } else { job.rank.min(LEAST_URGENT) }
+}
+
 /// The standard field in which a stream goes on after an event.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -107,6 +107,7 @@
             window_ms: millis(promises.quota_window),
             overshoot: promises.quota_overshoot,
             slack: promises.quota_slack,
+            earned: 1.0 + promises.quota_overshoot,
             ..Terms::default()
         };
         let retry = RetryTerms {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response, Uri};
 use kernel::boot_ms;
 use kernel::prelude::*;
-use pick::Outcome;
+use pick::{Choice, Outcome};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -69,6 +69,8 @@
     departing: watch::Receiver<u64>,
     /// Server that the stream was to be moved from already.
     left: Option<Name>,
+    /// Whether a silent server is waited for, as the stream cannot go on elsewhere.
+    waits: bool,
 }
 
 /// What the stream of a server has brought.
@@ -76,6 +78,8 @@
     Bytes(Bytes),
     End,
     Broke(String),
+    /// Nothing came for so long that the next event would be late.
+    Silence,
     /// Its server ends soon.
     Departs,
 }
@@ -99,6 +103,7 @@
         chunks: 0,
         departing,
         left: None,
+        waits: false,
     };
     let chunks = stream::unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
@@ -119,17 +124,28 @@
                     }
                 }
                 Brought::Departs => self.move_on().await,
+                // A silent server may still answer: it is left only for another one.
+                Brought::Silence => match self.next_server() {
+                    Some(choice) => {
+                        let cause = "its server is silent".into();
+                        if let Some(failure) = self.go_on(cause, Some(choice)).await {
+                            return Some(Err(failure));
+                        }
+                    }
+                    None => self.waits = true,
+                },
                 Brought::End if !self.events.is_partial() => {
                     self.finish();
                     return None;
                 }
                 Brought::End => {
-                    if let Some(failure) = self.go_on("it ended within an event".into()).await {
+                    if let Some(failure) = self.go_on("it ended within an event".into(), None).await
+                    {
                         return Some(Err(failure));
                     }
                 }
                 Brought::Broke(cause) => {
-                    if let Some(failure) = self.go_on(cause).await {
+                    if let Some(failure) = self.go_on(cause, None).await {
                         return Some(Err(failure));
                     }
                 }
@@ -141,8 +157,8 @@
         // After a failure the answer was cut; nothing is read any more.
         let Some(sent) = &mut self.sent else { return Brought::End };
         let limit = match silence(&self.job, self.trail, self.chunks) {
-            Some(silence) => self.job.deadline.min(Instant::now() + silence),
-            None => self.job.deadline,
+            Some(silence) if !self.waits => self.job.deadline.min(Instant::now() + silence),
+            _ => self.job.deadline,
         };
         let departure = departure(&self.hub, &sent.slot.server, &mut self.departing);
         let is_moved = self.left.as_ref() == Some(&sent.slot.server);
@@ -155,7 +171,7 @@
             Ok(Some(Ok(frame))) => Brought::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(e))) => Brought::Broke(e.to_string()),
             Ok(None) => Brought::End,
-            Err(_) if limit < self.job.deadline => Brought::Broke("its server is silent".into()),
+            Err(_) if limit < self.job.deadline => Brought::Silence,
             Err(_) => Brought::Broke("the deadline passed".into()),
         }
     }
@@ -169,6 +185,7 @@
             count_usage(&self.hub, &self.job);
         }
         self.chunks += 1;
+        self.waits = false;
         if let Some(sent) = &self.sent {
             sent.slot.read();
         }
@@ -185,6 +202,18 @@
             "took_ms" => self.job.began.elapsed().as_millis() as u64);
     }
 
+    /// Chooses the server that the stream goes on at, and takes the repeat from the budget.
+    fn next_server(&self) -> Option<Choice> {
+        let (job, hub) = (&self.job, &self.hub);
+        let step =
+            next(Ended::Broke, job.route.repeat, self.trail, job.route.attempts, job.left_ms());
+        if !matches!(step, Next::Again { .. }) {
+            return None;
+        }
+        let choice = choose(hub, job, &self.tried)?;
+        hub.retries.borrow_mut().take(&job.service, boot_ms()).then_some(choice)
+    }
+
     /// Moves the stream to a server that stays; without success it goes on where it is.
     async fn move_on(&mut self) {
         let (job, hub) = (self.job.clone(), self.hub.clone());
@@ -224,7 +253,9 @@
     }
 
     /// Goes on at another server after the last whole event; returns a failure when that cannot be.
-    async fn go_on(&mut self, cause: String) -> Option<Failure> {
+    ///
+    /// The first server to try may have been chosen already, and its repeat taken from the budget.
+    async fn go_on(&mut self, cause: String, mut chosen: Option<Choice>) -> Option<Failure> {
         if let Some(sent) = self.sent.take() {
             sent.slot.outcome.set(Outcome::Failed);
             info!(self.hub.log, "stream broke"; "request" => self.job.name(),
@@ -234,12 +265,7 @@
         let (job, hub) = (self.job.clone(), self.hub.clone());
         self.events.cut();
         loop {
-            let step =
-                next(Ended::Broke, job.route.repeat, self.trail, job.route.attempts, job.left_ms());
-            let is_allowed = matches!(step, Next::Again { .. })
-                && hub.retries.borrow_mut().take(&job.service, boot_ms());
-            let choice = if is_allowed { choose(&hub, &job, &self.tried) } else { None };
-            let Some(choice) = choice else {
+            let Some(choice) = chosen.take().or_else(|| self.next_server()) else {
                 return Some(Failure::new(Code::Incomplete, cause));
             };
             self.tried.push(choice.id.clone());
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -24,10 +24,11 @@
 const GATHER: f64 = 0.3;
 /// Time for servers to register again after the store was away, in milliseconds.
 const REGISTER_AGAIN_MS: Millis = 2_200;
-/// Time to live of an entry's registration, in seconds.
-const REGISTRATION_S: i64 = 10;
-/// Time between two renewals of it.
-const RENEW_EVERY: Duration = Duration::from_millis(2_500);
+/// Time to live of an entry's registration, in seconds: the shares of an entry that is cut off stay
+/// unused for so long and for the time in which it stops by itself.
+const REGISTRATION_S: i64 = 3;
+/// Time between two renewals of it; two may be lost.
+const RENEW_EVERY: Duration = Duration::from_millis(900);
 /// Time between two looks at servers that did not register again.
 const MISSING_EVERY: Duration = Duration::from_millis(100);
 /// Prefix of the keys that every entry follows.
