--- a/crates/fennelfold/src/cmd/mod.rs
+++ b/crates/fennelfold/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod inspect;
 pub(crate) mod out;
 pub(crate) mod relay;
+mod story;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use clap_complete::Shell;
@@ -28,6 +29,7 @@
         .subcommand(call::command())
         .subcommand(inspect::status_command())
         .subcommand(explain::command())
+        .subcommand(story::command())
         .subcommand(inspect::drain_command())
         .subcommand(completions());
     debug_assert!(is_sound(&command));
@@ -43,6 +45,7 @@
         Some(("call", matches)) => call::run(matches).await,
         Some(("status", matches)) => inspect::run_status(matches).await,
         Some(("explain", matches)) => explain::run(matches).await,
+        Some(("story", matches)) => story::run(matches),
         Some(("drain", matches)) => inspect::run_drain(matches).await,
         Some(("completions", matches)) => {
             let shell = matches.get_one::<Shell>("shell").copied().unwrap_or(Shell::Bash);
