--- a/crates/fennelfold/src/cmd/story.rs
+++ b/crates/fennelfold/src/cmd/story.rs
@@ -56,7 +56,9 @@
         let line = line?;
         let Some(start) = line.find('{').filter(|_| line.contains(request)) else { continue };
         // Other output may stand between the lines of an entry.
-        let Ok(fields) = serde_json::from_str::<Map<String, Value>>(&line[start..]) else { continue };
+        let Ok(fields) = serde_json::from_str::<Map<String, Value>>(&line[start..]) else {
+            continue;
+        };
         if fields.get("request").and_then(Value::as_str) == Some(request) {
             lines.push(fields);
         }
--- a/crates/fennelfold/tests/it/command_line.rs
+++ b/crates/fennelfold/tests/it/command_line.rs
@@ -37,7 +37,9 @@
 async fn completions_for_each_shell_name_every_subcommand() {
     for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
         let completions = out(&fennelfold(&["completions", shell]).await);
-        for name in ["entry", "config", "where", "call", "status", "explain", "drain", "relay", "story"] {
+        for name in
+            ["entry", "config", "where", "call", "status", "explain", "drain", "relay", "story"]
+        {
             assert!(completions.contains(name), "{name} for {shell}");
         }
     }
--- a/crates/fennelfold/tests/it/main.rs
+++ b/crates/fennelfold/tests/it/main.rs
@@ -12,6 +12,6 @@
 mod resuming;
 mod serving;
 mod starting;
-mod story;
 mod stopping;
+mod story;
 mod support;
--- a/crates/fennelfold/tests/it/story.rs
+++ b/crates/fennelfold/tests/it/story.rs
@@ -7,7 +7,8 @@
 {"msg":"placed","level":"DEBG","ts":1001,"entry":"e1","request":"r10","server":"s2"}
 {"msg":"request failed","level":"INFO","ts":1250,"entry":"e1","request":"r1","code":3001}
 "#;
-const TWO: &str = r#"{"msg":"refused","level":"INFO","ts":1100,"entry":"e2","request":"r1","code":2002}"#;
+const TWO: &str =
+    r#"{"msg":"refused","level":"INFO","ts":1100,"entry":"e2","request":"r1","code":2002}"#;
 
 fn written(name: &str, text: &str) -> String {
     let path = std::env::temp_dir().join(format!("fennelfold-{}-{name}", std::process::id()));
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -27,7 +27,7 @@
 const TALLY_MS: u64 = 60_000;
 /// Time between two looks of an entry that waits for the lease, in milliseconds; the end of the
 /// lease is also told by the watch.
-const LOOK_MS: Millis = 4_000;
+const LOOK_MS: Millis = 15_000;
 /// Time between two looks at what is due.
 const EVERY: Duration = Duration::from_millis(500);
 /// Time for which decided windows are kept, so that a successor repeats them exactly, in
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -89,6 +89,9 @@
     pub(crate) regained: watch::Sender<u64>,
     pub(crate) leader: RefCell<Option<Name>>,
     pub(crate) leader_moved: Notify,
+    /// Whether another entry has newer rules.
+    pub(crate) rules_newer: Cell<bool>,
+    pub(crate) rules_wanted: Notify,
     peers: OnceCell<Peers>,
 }
 
@@ -156,6 +159,8 @@
             regained: watch::Sender::new(0),
             leader: RefCell::default(),
             leader_moved: Notify::new(),
+            rules_newer: Cell::new(false),
+            rules_wanted: Notify::new(),
             peers: OnceCell::new(),
             settings,
         }))
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -21,6 +21,20 @@
 pub(crate) enum Message {
     /// What the sender does at present.
     State(State),
+    /// The question how fresh the receiver's rules are.
+    Vouch {
+        /// When it was sent, on the boot clock of the sender; the answer bears it.
+        asked_at: Millis,
+    },
+    /// How fresh the sender's rules are.
+    Vouched {
+        /// When the question was sent, on the boot clock of the receiver.
+        asked_at: Millis,
+        /// Version of the rules.
+        version: u64,
+        /// Age of the last confirmation, in milliseconds.
+        age: Millis,
+    },
     /// A request for units of a quota.
     Ask {
         /// Number that the answer bears.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -13,6 +13,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+/// Entries that are asked at a time how fresh their rules are.
+const VOUCHERS: usize = 2;
 /// Time between two messages about the present state.
 const TELL_EVERY: Duration = Duration::from_millis(150);
 /// Entries besides the holder of the duties that are told counts, so that these outlive it.
@@ -134,6 +136,10 @@
     let Envelope { from, incarnation, message } = envelope;
     match message {
         Message::State(state) => take_state(hub, from, incarnation, state),
+        Message::Vouch { asked_at } => vouch(hub, &from, asked_at),
+        Message::Vouched { asked_at, version, age } => {
+            take_vouch(hub, &from, asked_at, version, age)
+        }
         Message::Ask { number, organisation, units } => {
             let rules = hub.rules.borrow().clone();
             let holder = rules.organisation_named(&organisation);
@@ -162,6 +168,44 @@
     }
 }
 
+/// Asks two of these entries, or of all that are heard, how fresh their rules are.
+pub(crate) fn ask_vouch(hub: &Hub, named: &[Name]) {
+    let asked_at = boot_ms();
+    let live = live(hub, asked_at);
+    let is_named = |entry: &&Entry| named.is_empty() || named.contains(&entry.name);
+    let roster = hub.roster.borrow();
+    let readers = roster.present().filter(|entry| named.contains(&entry.name));
+    let asked: Vec<&Entry> = live.iter().filter(is_named).chain(readers).collect();
+    for entry in asked.into_iter().sample(&mut rand::rng(), VOUCHERS) {
+        hub.peers().send(hub, entry, Message::Vouch { asked_at });
+    }
+}
+
+fn vouch(hub: &Hub, to: &Name, asked_at: Millis) {
+    let sight = *hub.sight.borrow();
+    let roster = hub.roster.borrow();
+    let known = sight.version().zip(sight.age(boot_ms())).zip(roster.get(to));
+    if let Some(((version, age), entry)) = known {
+        hub.peers().send(hub, entry, Message::Vouched { asked_at, version, age });
+    }
+}
+
+/// Takes in how fresh another entry's rules are.
+///
+/// The age counts from the sending of the question by this entry's own clock, so that neither the
+/// time on the way nor a suspension here makes the answer look younger than it is.
+fn take_vouch(hub: &Hub, from: &Name, asked_at: Millis, version: u64, age: Millis) {
+    let known = hub.sight.borrow().version();
+    if known == Some(version) {
+        hub.sight.borrow_mut().confirm(version, asked_at.saturating_sub(age));
+    } else if known.is_none_or(|known| version > known) {
+        debug!(hub.log, "rules elsewhere are newer"; "other" => %from, "version" => version,
+            "known" => known);
+        hub.rules_newer.set(true);
+        hub.rules_wanted.notify_one();
+    }
+}
+
 fn take_state(hub: &Rc<Hub>, from: Name, incarnation: u64, state: State) {
     if !state.counts.is_empty() {
         let mut tallies = hub.tallies.borrow_mut();
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -2,6 +2,7 @@
 
 use crate::duty;
 use crate::hub::Hub;
+use crate::peers;
 use coord::{Confirmed, Entry};
 use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
 use kernel::boot_ms;
@@ -13,12 +14,24 @@
 /// Part of the time to apply rules that passes between two reads of them; the rest covers a read
 /// that is slow or lost.
 const RULES_EVERY: f64 = 0.6;
+/// The same where some entries read for all: the others ask them in between.
+const READERS_EVERY: f64 = 0.4;
+/// Part of the time to apply rules that passes between two questions to readers.
+const ASK_EVERY: f64 = 0.2;
+/// Part of the time to apply rules beyond which a confirmation is too old and the store is read.
+const OLD: f64 = 0.7;
+/// Time for other entries to answer how fresh their rules are.
+const VOUCH_TIME: Duration = Duration::from_millis(60);
+/// Entries up to which each reads the rules itself.
+const ALL_READ: usize = 12;
+/// Entries that read the rules for all where there are more.
+const READERS: usize = 8;
 /// Pause after a call to the store failed.
 const RETRY: Duration = Duration::from_millis(250);
-/// Time that one watch of the servers waits; a silent connection hides changes for so long.
-const SERVERS_WAIT_MS: u64 = 2_500;
+/// Time that one watch of the servers waits; the probes of its connection tell a silent one sooner.
+const SERVERS_WAIT_MS: u64 = 6_000;
 /// Time that one watch of the entries waits.
-const ENTRIES_WAIT_MS: u64 = 4_000;
+const ENTRIES_WAIT_MS: u64 = 12_000;
 /// Part of the time to obey a leaving server that passes after a change before the next call, so
 /// that changes which come together are heard in one.
 const GATHER: f64 = 0.3;
@@ -38,23 +51,55 @@
 /// Key of the lease of the duties.
 pub(crate) const LEADER: &str = "fennelfold/live/leader";
 
-/// Reads the rules again and again; each answer confirms how fresh they are.
+/// Reads the rules again and again, or asks those who do; each answer confirms how fresh they are.
 pub(crate) async fn rules(hub: Rc<Hub>) {
+    let apply = hub.settings.promises.apply;
     loop {
+        let readers = readers(&hub);
+        let is_reader = readers.as_ref().is_none_or(|all| all.contains(&hub.settings.name));
+        if let (false, Some(readers)) = (is_reader, &readers) {
+            peers::ask_vouch(&hub, readers);
+            tokio::time::sleep(VOUCH_TIME).await;
+            let limit = apply.mul_f64(OLD).as_millis() as Millis;
+            if !hub.rules_newer.replace(false) && hub.sight.borrow().is_fresh(boot_ms(), limit) {
+                tokio::select! {
+                    () = tokio::time::sleep(apply.mul_f64(ASK_EVERY)) => {}
+                    () = hub.rules_wanted.notified() => {}
+                }
+                continue;
+            }
+        }
         let sent = boot_ms();
         let read = hub.store.get(hub.dialect.rules_key()).await;
         hub.note_store("rules", read.as_ref().err());
         let pause = match read {
             Ok(Some(stored)) => {
                 take_rules(&hub, &stored, sent);
-                hub.settings.promises.apply.mul_f64(RULES_EVERY)
+                apply.mul_f64(if readers.is_some() { READERS_EVERY } else { RULES_EVERY })
+            }
+            Ok(None) => RETRY,
+            Err(_) => {
+                // Whom the store still serves can tell whether the rules here are the newest.
+                peers::ask_vouch(&hub, &[]);
+                RETRY
             }
-            Ok(None) | Err(_) => RETRY,
         };
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Returns the entries that read the rules for all; none where each reads them itself.
+fn readers(hub: &Hub) -> Option<Vec<Name>> {
+    let roster = hub.roster.borrow();
+    let names: Vec<&Name> = roster.present().map(|entry| &entry.name).collect();
+    if names.len() <= ALL_READ {
+        return None;
+    }
+    // Names that stand apart in their order are likely to stand in several data centres.
+    let step = names.len().div_ceil(READERS);
+    Some(names.into_iter().step_by(step).cloned().collect())
+}
+
 fn take_rules(hub: &Hub, stored: &Stored, sent: Millis) {
     let known = hub.rules.borrow().version;
     let rules = match hub.dialect.rules(&stored.value) {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -13,6 +13,11 @@
 use serde::de::DeserializeOwned;
 use std::time::Duration;
 
+/// Silence after which a connection is probed, and the time between two probes.
+const PROBE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection has ended.
+const PROBES: u32 = 2;
+
 /// Bounds of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientSettings {
@@ -50,6 +55,10 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(settings.connect));
         connector.set_nodelay(true);
+        // A connection that goes silent for good is told by probes only.
+        connector.set_keepalive(Some(PROBE));
+        connector.set_keepalive_interval(Some(PROBE));
+        connector.set_keepalive_retries(Some(PROBES));
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(settings.idle_per_server)
