--- a/crates/coord/src/purse.rs
+++ b/crates/coord/src/purse.rs
@@ -100,6 +100,11 @@
         Ask::Short(cost - *units)
     }
 
+    /// Returns the most that one entry may save up of a quota.
+    pub fn savings(&self, quota: &Quota) -> f64 {
+        self.terms.savings(quota, self.entries)
+    }
+
     /// Takes back what a request has cost that did not run.
     pub fn refund(&mut self, organisation: &Name, quota: &Quota, cost: f64, now: Millis) {
         let most = self.terms.savings(quota, self.entries).max(cost);
--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -27,8 +27,13 @@
 struct Window {
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
+    /// When repeats that other entries gave were received.
+    given: VecDeque<Millis>,
 }
 
+/// Time for which a repeat that another entry gave can be used; it counts in the giver's window.
+const GIVEN_MS: Millis = 500;
+
 /// The requests of each service, and what was sent again.
 #[derive(Clone, Debug)]
 pub struct RetryShare {
@@ -65,6 +70,24 @@
         is_left
     }
 
+    /// Gives up to `wanted` repeats to another entry and counts them as used here.
+    pub fn give(&mut self, service: &Name, wanted: u32, now: Millis) -> u32 {
+        (0..wanted).take_while(|_| self.take(service, now)).count() as u32
+    }
+
+    /// Takes in repeats that another entry gave; they lapse if they are not used soon.
+    pub fn receive(&mut self, service: &Name, count: u32, now: Millis) {
+        let window = self.window(service, now);
+        window.given.extend((0..count).map(|_| now));
+    }
+
+    /// Uses a repeat that another entry gave; tells whether there was one.
+    pub fn take_given(&mut self, service: &Name, now: Millis) -> bool {
+        let window = self.window(service, now);
+        window.given.retain(|at| now.saturating_sub(*at) < GIVEN_MS);
+        window.given.pop_front().is_some()
+    }
+
     fn window(&mut self, service: &Name, now: Millis) -> &mut Window {
         let from = now.saturating_sub(self.terms.window_ms);
         let window = self.services.entry(service.clone()).or_default();
--- a/crates/coord/tests/retry.rs
+++ b/crates/coord/tests/retry.rs
@@ -40,3 +40,29 @@
     while share.take(&Name::from("a"), 0) {}
     assert!(share.take(&Name::from("b"), 0));
 }
+
+#[test]
+fn repeats_that_are_given_count_where_they_come_from() {
+    let service = Name::from("s");
+    let (mut a, mut b) = (RetryShare::new(TERMS), RetryShare::new(TERMS));
+    a.set_entries(2);
+    b.set_entries(2);
+    let alone = (0..100).filter(|_| a.clone().take(&service, 0)).count();
+    assert!(alone > 0);
+    while a.take(&service, 0) {}
+    let given = b.give(&service, 5, 0);
+    a.receive(&service, given, 0);
+    let used = (0..100).filter(|_| a.take_given(&service, 0)).count();
+    assert_eq!(used, 5);
+    let left = (0..100).filter(|_| b.take(&service, 0)).count();
+    assert_eq!(f64::from(given) + left as f64, (0.93 * TERMS.slack / 2.0).floor());
+}
+
+#[test]
+fn repeats_that_are_given_lapse() {
+    let service = Name::from("s");
+    let mut share = RetryShare::new(TERMS);
+    share.receive(&service, 3, 0);
+    assert!(share.take_given(&service, 100));
+    assert!(!share.take_given(&service, 600));
+}
--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{Class, Ended, Next, Trail, classify, next, without_budget};
 use crate::body::{Reply, whole};
 use crate::hub::Hub;
+use crate::peers;
 use crate::pool::{Link, ServerRequest, Unsent};
 use crate::stream;
 use bytes::Bytes;
@@ -153,8 +154,7 @@
             }
         }
         let mut step = next(ended, job.route.repeat, trail, job.route.attempts, job.left_ms());
-        if step == (Next::Again { is_repeat: true })
-            && !hub.retries.borrow_mut().take(&job.service, boot_ms())
+        if step == (Next::Again { is_repeat: true }) && !peers::take_repeat(hub, &job.service).await
         {
             step = without_budget(ended, trail);
         }
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -224,7 +224,7 @@
     let try_pay = || hub.purses.borrow_mut().pay(holder, quota, cost, boot_ms());
     let mut ask = try_pay();
     if let Ask::Short(missing) = ask {
-        peers::pull(hub, holder, missing).await;
+        peers::pull(hub, holder, quota, missing).await;
         ask = try_pay();
     }
     match ask {
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -44,6 +44,24 @@
         /// Units wanted.
         units: f64,
     },
+    /// A request for repeats from the budget.
+    AskRepeats {
+        /// Number that the answer bears.
+        number: u64,
+        /// The service.
+        service: Name,
+        /// Repeats wanted.
+        count: u32,
+    },
+    /// Repeats from the budget, taken from the sender.
+    GiveRepeats {
+        /// Number of the request.
+        number: u64,
+        /// The service.
+        service: Name,
+        /// The repeats.
+        count: u32,
+    },
     /// Units of a quota, taken from the sender.
     Give {
         /// Number of the request.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,7 @@
 use kernel::prelude::*;
 use pick::Load;
 use rand::seq::IteratorRandom;
+use rules::Quota;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +26,14 @@
 const MOST_TOLD: usize = 12;
 /// Time to wait for units of other entries.
 const PULL_WAIT: Duration = Duration::from_millis(25);
+/// Part of its savings that an entry is likely to have.
+const LIKELY: f64 = 0.4;
+/// Least and most entries that are asked for units at a time.
+const LEAST_ASKED: usize = 3;
+const MOST_ASKED: usize = 40;
+/// Entries that are asked for repeats at a time, and repeats asked of each.
+const REPEATS_FROM: usize = 4;
+const REPEATS_EACH: u32 = 2;
 /// Pause after other entries had too little, in milliseconds.
 const PULL_PAUSE_MS: Millis = 80;
 /// Largest datagram.
@@ -50,6 +59,15 @@
         Self { socket, pulls: RefCell::default(), number: Cell::new(0), paused: RefCell::default() }
     }
 
+    /// Notes the answer to a request for units.
+    fn answered(&self, number: u64, units: f64) {
+        if let Some(pull) = self.pulls.borrow().get(&number) {
+            pull.got.set(pull.got.get() + units);
+            pull.answers.set(pull.answers.get() + 1);
+            pull.news.notify_one();
+        }
+    }
+
     fn send(&self, hub: &Hub, to: &Entry, message: Message) {
         let envelope =
             Envelope { from: hub.settings.name.clone(), incarnation: hub.incarnation, message };
@@ -159,19 +177,25 @@
                 let transfer = Transfer { units };
                 hub.purses.borrow_mut().receive(&organisation, &quota, transfer, boot_ms());
             }
-            if let Some(pull) = hub.peers().pulls.borrow().get(&number) {
-                pull.got.set(pull.got.get() + units);
-                pull.answers.set(pull.answers.get() + 1);
-                pull.news.notify_one();
+            hub.peers().answered(number, units);
+        }
+        Message::AskRepeats { number, service, count } => {
+            let count = hub.retries.borrow_mut().give(&service, count, boot_ms());
+            if let Some(entry) = hub.roster.borrow().get(&from) {
+                hub.peers().send(hub, entry, Message::GiveRepeats { number, service, count });
             }
         }
+        Message::GiveRepeats { number, service, count } => {
+            hub.retries.borrow_mut().receive(&service, count, boot_ms());
+            hub.peers().answered(number, f64::from(count));
+        }
     }
 }
 
 /// Asks two of these entries, or of all that are heard, how fresh their rules are.
 pub(crate) fn ask_vouch(hub: &Hub, named: &[Name]) {
     let asked_at = boot_ms();
-    let live = live(hub, asked_at);
+    let live = live(hub, asked_at, MOST_TOLD);
     let is_named = |entry: &&Entry| named.is_empty() || named.contains(&entry.name);
     let roster = hub.roster.borrow();
     let readers = roster.present().filter(|entry| named.contains(&entry.name));
@@ -244,44 +268,79 @@
 }
 
 /// Asks the other entries for units of an organisation's quota and waits for their answers.
-pub(crate) async fn pull(hub: &Rc<Hub>, organisation: &Name, missing: f64) {
-    let now = boot_ms();
-    let peers = hub.peers();
-    if peers.paused.borrow().get(organisation).is_some_and(|until| now < *until) {
-        return;
-    }
-    let live = live(hub, now);
-    if live.is_empty() {
+pub(crate) async fn pull(hub: &Rc<Hub>, organisation: &Name, quota: &Quota, missing: f64) {
+    if is_paused(hub, organisation) {
         return;
     }
-    // Twice an even part first, so that few units travel; then whatever the others have.
-    let rounds = [2.0 * missing / live.len() as f64, missing];
+    let savings = hub.purses.borrow().savings(quota).max(1.0);
+    // So many entries are likely to have as much between them; then twice as many.
+    let first = (missing / (LIKELY * savings)).ceil() as usize;
     let mut got = 0.0;
-    for part in rounds {
-        got += ask_all(hub, organisation, &live, part.min(missing - got), missing - got).await;
+    for asked in [first.max(LEAST_ASKED), 2 * first.max(LEAST_ASKED)] {
+        let live = live(hub, boot_ms(), asked.min(MOST_ASKED));
+        if live.is_empty() {
+            break;
+        }
+        let wanted = missing - got;
+        // Twice an even part, so that few units travel.
+        let part = (2.0 * wanted / live.len() as f64).clamp(1.0, wanted.max(1.0));
+        let message =
+            |number| Message::Ask { number, organisation: organisation.clone(), units: part };
+        got += ask_all(hub, &live, message, wanted).await;
         if got >= missing {
             return;
         }
     }
-    peers.paused.borrow_mut().insert(organisation.clone(), boot_ms() + PULL_PAUSE_MS);
+    pause(hub, organisation);
 }
 
-/// Lists the other entries that were heard lately.
-fn live(hub: &Hub, now: Millis) -> Vec<Entry> {
+/// Takes a repeat from the budget, with those of other entries where this one's do not do.
+pub(crate) async fn take_repeat(hub: &Rc<Hub>, service: &Name) -> bool {
+    let take = || {
+        let mut retries = hub.retries.borrow_mut();
+        retries.take(service, boot_ms()) || retries.take_given(service, boot_ms())
+    };
+    if take() {
+        return true;
+    }
+    if is_paused(hub, service) {
+        return false;
+    }
+    let live = live(hub, boot_ms(), REPEATS_FROM);
+    let message =
+        |number| Message::AskRepeats { number, service: service.clone(), count: REPEATS_EACH };
+    if live.is_empty() || ask_all(hub, &live, message, 1.0).await < 1.0 {
+        pause(hub, service);
+    }
+    take()
+}
+
+fn is_paused(hub: &Hub, what: &Name) -> bool {
+    let paused = hub.peers().paused.borrow();
+    paused.get(what).is_some_and(|until| boot_ms() < *until)
+}
+
+/// Asks no more for a while what the other entries lack as well.
+fn pause(hub: &Hub, what: &Name) {
+    hub.peers().paused.borrow_mut().insert(what.clone(), boot_ms() + PULL_PAUSE_MS);
+}
+
+/// Lists up to `most` of the other entries that were heard lately, drawn at random.
+fn live(hub: &Hub, now: Millis, most: usize) -> Vec<Entry> {
     let silence = hub.silence_ms();
     let heard = hub.heard.borrow();
     let is_live = |entry: &&Entry| {
         heard.get(&entry.name).is_some_and(|heard| now.saturating_sub(heard.at) < silence)
     };
     let roster = hub.roster.borrow();
-    roster.present().filter(is_live).cloned().sample(&mut rand::rng(), MOST_TOLD)
+    roster.present().filter(is_live).cloned().sample(&mut rand::rng(), most)
 }
 
+/// Sends a request to entries and waits until they gave enough, or all have answered.
 async fn ask_all(
     hub: &Rc<Hub>,
-    organisation: &Name,
     live: &[Entry],
-    part: f64,
+    message: impl Fn(u64) -> Message,
     wanted: f64,
 ) -> f64 {
     let peers = hub.peers();
@@ -290,9 +349,7 @@
     let pull = Rc::new(Pull::default());
     peers.pulls.borrow_mut().insert(number, pull.clone());
     for entry in live {
-        let message =
-            Message::Ask { number, organisation: organisation.clone(), units: part.max(1.0) };
-        peers.send(hub, entry, message);
+        peers.send(hub, entry, message(number));
     }
     let enough = async {
         while pull.got.get() < wanted && pull.answers.get() < live.len() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,6 +4,7 @@
 use crate::body::{Reply, streamed};
 use crate::deliver::{Attempt, Job, Resume, Sent, attempt, choose, count_usage, passed_on};
 use crate::hub::Hub;
+use crate::peers;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream;
@@ -11,7 +12,6 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
-use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::{Choice, Outcome};
 use std::net::SocketAddr;
@@ -125,7 +125,7 @@
                 }
                 Brought::Departs => self.move_on().await,
                 // A silent server may still answer: it is left only for another one.
-                Brought::Silence => match self.next_server() {
+                Brought::Silence => match self.next_server().await {
                     Some(choice) => {
                         let cause = "its server is silent".into();
                         if let Some(failure) = self.go_on(cause, Some(choice)).await {
@@ -189,8 +189,7 @@
         if let Some(sent) = &self.sent {
             sent.slot.read();
         }
-        let whole = self.events.push(bytes);
-        whole
+        self.events.push(bytes)
     }
 
     fn finish(&mut self) {
@@ -202,8 +201,15 @@
             "took_ms" => self.job.began.elapsed().as_millis() as u64);
     }
 
+    async fn chosen_or_next(&self, chosen: &mut Option<Choice>) -> Option<Choice> {
+        match chosen.take() {
+            Some(choice) => Some(choice),
+            None => self.next_server().await,
+        }
+    }
+
     /// Chooses the server that the stream goes on at, and takes the repeat from the budget.
-    fn next_server(&self) -> Option<Choice> {
+    async fn next_server(&self) -> Option<Choice> {
         let (job, hub) = (&self.job, &self.hub);
         let step =
             next(Ended::Broke, job.route.repeat, self.trail, job.route.attempts, job.left_ms());
@@ -211,7 +217,7 @@
             return None;
         }
         let choice = choose(hub, job, &self.tried)?;
-        hub.retries.borrow_mut().take(&job.service, boot_ms()).then_some(choice)
+        peers::take_repeat(hub, &job.service).await.then_some(choice)
     }
 
     /// Moves the stream to a server that stays; without success it goes on where it is.
@@ -223,7 +229,7 @@
         let Some(after) = self.events.last_id().filter(|_| can_move) else { return };
         self.tried.push(from.clone());
         let Some(choice) = choose(&hub, &job, &self.tried) else { return };
-        if !hub.retries.borrow_mut().take(&job.service, boot_ms()) {
+        if !peers::take_repeat(&hub, &job.service).await {
             return;
         }
         let Some(address) = self.sent.as_ref().map(|sent| sent.link.address()) else { return };
@@ -265,7 +271,7 @@
         let (job, hub) = (self.job.clone(), self.hub.clone());
         self.events.cut();
         loop {
-            let Some(choice) = chosen.take().or_else(|| self.next_server()) else {
+            let Some(choice) = self.chosen_or_next(&mut chosen).await else {
                 return Some(Failure::new(Code::Incomplete, cause));
             };
             self.tried.push(choice.id.clone());
