--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -156,6 +156,10 @@
     began: Instant,
 ) -> Result<(Reply, Option<Code>), Failure> {
     let Parts { method, uri, mut headers, .. } = parts;
+    let head_bytes = head_bytes(&uri, &headers);
+    if head_bytes > hub.rules.borrow().limits.head_bytes {
+        return Err(Failure::new(Code::HeadTooLarge, format!("{head_bytes} bytes")));
+    }
     if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
         return Err(Failure::new(Code::AmbiguousLength, uri.path()));
     }
@@ -169,12 +173,19 @@
         return Err(Failure::new(Code::Leaving, named).retry_after(LEAVING_RETRY));
     }
     let body = read_body(body, rules.limits.body_bytes).await?;
-    if let Some((holder, quota)) = organisation.as_ref().and_then(|o| o.quota.map(|q| (o, q))) {
-        let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
-        pay(hub, &holder.name, &quota, quota.cost(tokens)).await?;
+    let quota = organisation.as_ref().and_then(|o| o.quota.map(|quota| (o.name.clone(), quota)));
+    let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
+    if let Some((holder, quota)) = &quota {
+        pay(hub, holder, quota, quota.cost(tokens)).await?;
     }
+    let refund = || {
+        if let Some((holder, quota)) = &quota {
+            hub.purses.borrow_mut().refund(holder, quota, quota.cost(tokens), boot_ms());
+        }
+    };
     // A request that had to wait is held to what is believed now.
     if organisation.is_some() && !hub.is_fresh() {
+        refund();
         return Err(Failure::new(Code::RulesStale, named).retry_after(STALE_RETRY));
     }
     let service = route.service(rand::random()).cloned();
@@ -206,7 +217,22 @@
         deadline: began + time,
         route,
     };
-    Ok(deliver(hub, Rc::new(job)).await)
+    let (reply, code) = deliver(hub, Rc::new(job)).await;
+    if code.is_some_and(|code| code.outcome() == kernel::Outcome::NotRun) {
+        refund();
+    }
+    Ok((reply, code))
+}
+
+/// Returns the bytes of the target and the header fields of a request.
+fn head_bytes(uri: &hyper::Uri, headers: &hyper::HeaderMap) -> usize {
+    // A colon, a space and the line end.
+    const OVERHEAD: usize = 4;
+    let target = uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let field = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + OVERHEAD
+    };
+    target + headers.iter().map(field).sum::<usize>()
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<bytes::Bytes, Failure> {
