--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -149,7 +149,8 @@
         };
         if matches!(ended, Ended::Broke | Ended::Succeeded | Ended::Failed(_)) {
             trail.runs += 1;
-            if trail.runs == 1 {
+            // A stream begins to run with its first event.
+            if trail.runs == 1 && !job.route.repeat.is_stream() {
                 count_usage(hub, &job);
             }
         }
