--- a/crates/fennelfold/src/entry/mod.rs
+++ b/crates/fennelfold/src/entry/mod.rs
@@ -55,7 +55,8 @@
 /// # Errors
 /// [`Code::PortInUse`] when an address cannot be listened on.
 pub(crate) async fn run(node: Node) -> Result<(), Failure> {
-    let entry = Entry::start(&node).await?;
+    let (log, _guard) = kernel::logger(&node.name);
+    let entry = Entry::start(&node, log).await?;
     let entry = entry.serve()?;
     let entry = entry.leave().await;
     entry.stop().await;
@@ -80,8 +81,7 @@
 }
 
 impl Entry<Starting> {
-    async fn start(node: &Node) -> Result<Self, Failure> {
-        let log = kernel::logger(&node.name);
+    async fn start(node: &Node, log: Logger) -> Result<Self, Failure> {
         let http = web::bind(node.http).await?;
         let in_use = |e| Failure::new(Code::PortInUse, format!("{}: {e}", node.peer));
         let peer = std::net::TcpListener::bind(node.peer).map_err(in_use)?;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,7 +11,7 @@
 mod time;
 
 pub use error::{Code, Failure, Outcome};
-pub use log::{logger, logger_to};
+pub use log::{LogGuard, logger, logger_to};
 pub use metrics::Metrics;
 pub use name::{Key, Name, NodeId};
 pub use registry::{Kernel, Stop};
