A silent server keeps its stream until another one goes on

A resumable stream whose server was silent for 480 ms left it as soon as another server was chosen. When that one refused, the stream had none and was cut, beside a change of configuration. Ruled out: the budget for repeats (it was taken before), the grace of a stop (none was in the window). Change: the silent server is kept until the head of the other answer is there, for 300 ms at most, so that both never work on it for 400 ms.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -124,28 +124,19 @@
                     }
                 }
                 Brought::Departs => self.move_on().await,
-                // A silent server may still answer: it is left only for another one.
-                Brought::Silence => match self.next_server().await {
-                    Some(choice) => {
-                        let cause = "its server is silent".into();
-                        if let Some(failure) = self.go_on(cause, Some(choice)).await {
-                            return Some(Err(failure));
-                        }
-                    }
-                    None => self.waits = true,
-                },
+                // A silent server may still answer: it is left only for one that goes on.
+                Brought::Silence => self.waits = !self.change_server().await,
                 Brought::End if !self.events.is_partial() => {
                     self.finish();
                     return None;
                 }
                 Brought::End => {
-                    if let Some(failure) = self.go_on("it ended within an event".into(), None).await
-                    {
+                    if let Some(failure) = self.go_on("it ended within an event".into()).await {
                         return Some(Err(failure));
                     }
                 }
                 Brought::Broke(cause) => {
-                    if let Some(failure) = self.go_on(cause, None).await {
+                    if let Some(failure) = self.go_on(cause).await {
                         return Some(Err(failure));
                     }
                 }
@@ -201,13 +192,6 @@
             "took_ms" => self.job.began.elapsed().as_millis() as u64);
     }
 
-    async fn chosen_or_next(&self, chosen: &mut Option<Choice>) -> Option<Choice> {
-        match chosen.take() {
-            Some(choice) => Some(choice),
-            None => self.next_server().await,
-        }
-    }
-
     /// Chooses the server that the stream goes on at, and takes the repeat from the budget.
     async fn next_server(&self) -> Option<Choice> {
         let (job, hub) = (&self.job, &self.hub);
@@ -258,10 +242,40 @@
             "to" => %choice.id, "moved" => is_moved, "chunks" => self.chunks);
     }
 
-    /// Goes on at another server after the last whole event; returns a failure when that cannot be.
+    /// Has another server go on in place of a silent one; tells whether it does.
     ///
-    /// The first server to try may have been chosen already, and its repeat taken from the budget.
-    async fn go_on(&mut self, cause: String, mut chosen: Option<Choice>) -> Option<Failure> {
+    /// The silent server is kept until the other one answers.
+    async fn change_server(&mut self) -> bool {
+        let Some(choice) = self.next_server().await else { return false };
+        let (job, hub) = (self.job.clone(), self.hub.clone());
+        self.tried.push(choice.id.clone());
+        self.trail.sends += 1;
+        let resume = Resume { after: self.events.last_id(), moved_from: None };
+        let began = Instant::now();
+        let attempted =
+            tokio::time::timeout(CHANGE_TIME, attempt(&hub, &job, &choice, &resume, self.trail))
+                .await;
+        if !matches!(attempted, Ok(Attempt::Ended(Ended::Unsent | Ended::NotRun))) {
+            self.trail.runs += 1;
+        }
+        let goes_on = match attempted {
+            Ok(Attempt::Answered(sent)) if sent.head.status().is_success() => {
+                self.events.cut();
+                if let Some(old) = self.sent.replace(*sent) {
+                    old.slot.outcome.set(Outcome::Failed);
+                }
+                true
+            }
+            _ => false,
+        };
+        info!(hub.log, "server silent"; "request" => job.name(), "to" => %choice.id,
+            "goes_on" => goes_on, "chunks" => self.chunks, "runs" => self.trail.runs,
+            "took_ms" => began.elapsed().as_millis() as u64);
+        goes_on
+    }
+
+    /// Goes on at another server after the last whole event; returns a failure when that cannot be.
+    async fn go_on(&mut self, cause: String) -> Option<Failure> {
         if let Some(sent) = self.sent.take() {
             sent.slot.outcome.set(Outcome::Failed);
             info!(self.hub.log, "stream broke"; "request" => self.job.name(),
@@ -271,7 +285,7 @@
         let (job, hub) = (self.job.clone(), self.hub.clone());
         self.events.cut();
         loop {
-            let Some(choice) = self.chosen_or_next(&mut chosen).await else {
+            let Some(choice) = self.next_server().await else {
                 return Some(Failure::new(Code::Incomplete, cause));
             };
             self.tried.push(choice.id.clone());
@@ -345,6 +359,10 @@
 /// for the other server to begin.
 const SILENT_PAUSE: f64 = 0.6;
 
+/// Time that another server gets to answer while a silent one still holds the stream: both may work
+/// on it together for less than 400 ms.
+const CHANGE_TIME: Duration = Duration::from_millis(300);
+
 /// Returns how long the server of a stream may be silent when another one can go on.
 fn silence(job: &Job, trail: Trail, chunks: u64) -> Option<Duration> {
     let may_go_on = job.route.repeat.is_repeatable() && trail.runs < job.route.attempts;
