The holder of the duties goes on when the store kept its lease

The store is away from 18.0 to 22.5 s; leases pause meanwhile. The holder stopped believing at 20.5 s, saw its own key at 22.7 s and treated it as another's; the key ended at 25.5 s, the next holder waited out the one before, and the first order came at 29.4 s, after three data centres had been reclaimed. Ruled out: the cloud API (not away), entries' load (the holder lived on). Change: a key of this entry with the lease and the revision of its last tenure is taken up again once a renewal succeeds. While that key stands nobody else has held the lease, so there is nothing to wait out; orders and reports of before still stand. Tests: single cases for a lease that outlasted the outage and one that did not (the first failed before); outages in which leases do not run in the fault matrix.

--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -111,25 +111,35 @@
         lease: i64,
         until: Millis,
     },
+    /// The key of the last tenure still stands; whether its lease does is open.
+    Resuming(Tenure),
     Holding {
-        lease: i64,
+        tenure: Tenure,
         until: Millis,
-        number: i64,
-        since: Millis,
     },
 }
 
+/// A time for which the key stands without a break.
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    lease: i64,
+    number: i64,
+    since: Millis,
+}
+
 /// The lease as one entry sees it.
 #[derive(Clone, Debug)]
 pub struct Holder {
     times: Times,
     state: State,
+    /// The last tenure; it goes on when the platform has kept its lease through an outage.
+    last: Option<Tenure>,
 }
 
 impl Holder {
     /// Creates the state of an entry that does not hold the lease.
     pub fn new(times: Times) -> Self {
-        Self { times, state: State::Idle }
+        Self { times, state: State::Idle, last: None }
     }
 
     /// Returns what to do after an event.
@@ -144,24 +154,26 @@
             // The creation may have taken effect: the key tells.
             (State::Creating { .. }, Event::Waited) => Next::Read,
             (State::Creating { .. }, _) => Next::Wait(now + self.times.pause),
-            (State::Holding { lease, number, since, .. }, Event::Renewed(sent)) => {
-                let until = self.end(sent);
-                self.state = State::Holding { lease, until, number, since };
+            (State::Holding { tenure, .. } | State::Resuming(tenure), Event::Renewed(sent)) => {
+                self.state = State::Holding { tenure, until: self.end(sent) };
                 Next::Wait(now + self.times.renew)
             }
-            (State::Holding { lease, .. }, Event::Waited) => Next::Renew(lease),
+            (State::Holding { tenure, .. }, Event::Waited) => Next::Renew(tenure.lease),
             (State::Holding { .. }, Event::Lapsed) => self.give_up(now),
             (State::Holding { .. }, _) => Next::Wait(now + self.times.pause),
             (State::Idle, Event::Waited) => Next::Read,
             (State::Idle, Event::Found(Found::Nobody)) => Next::Grant,
-            (State::Idle, Event::Found(_)) => Next::Wait(now + self.times.renew),
+            (State::Idle, Event::Found(Found::Mine { lease, revision })) => {
+                self.resume(lease, revision, now)
+            }
+            (State::Idle, Event::Found(Found::Other)) => Next::Wait(now + self.times.renew),
             _ => self.give_up(now),
         }
     }
 
     /// Tells whether an order may be sent; asked again immediately before each one.
     pub fn permit(&self, fencing: Fencing, now: Millis) -> Permit {
-        let State::Holding { until, number, since, .. } = self.state else {
+        let State::Holding { tenure: Tenure { number, since, .. }, until } = self.state else {
             return Permit::NotHeld;
         };
         if now >= until {
@@ -196,10 +208,23 @@
     }
 
     fn hold(&mut self, lease: i64, until: Millis, number: i64, now: Millis) -> Next {
-        self.state = State::Holding { lease, until, number, since: now };
+        let tenure = Tenure { lease, number, since: now };
+        self.state = State::Holding { tenure, until };
+        self.last = Some(tenure);
         Next::Renew(lease)
     }
 
+    /// Takes the last tenure up again if its key stands: nobody else has held the lease since.
+    fn resume(&mut self, lease: i64, revision: i64, now: Millis) -> Next {
+        match self.last {
+            Some(last) if (last.lease, last.number) == (lease, revision) => {
+                self.state = State::Resuming(last);
+                Next::Renew(lease)
+            }
+            _ => Next::Wait(now + self.times.renew),
+        }
+    }
+
     fn give_up(&mut self, now: Millis) -> Next {
         self.state = State::Idle;
         Next::Wait(now + self.times.pause)
--- a/crates/place/tests/leases/single.rs
+++ b/crates/place/tests/leases/single.rs
@@ -48,6 +48,38 @@
     assert_eq!(holder.permit(Fencing::Checked, 2_000), Permit::NotHeld);
 }
 
+/// Returns a holder whose lease ended by its own clock while the platform was away.
+fn away() -> Holder {
+    let mut holder = holding();
+    holder.next(Event::Renewed(2_000), 2_010);
+    holder.next(Event::Waited, 4_500);
+    holder.next(Event::Failed, 11_000);
+    assert_eq!(holder.permit(Fencing::Checked, 11_000), Permit::NotHeld);
+    assert_eq!(holder.next(Event::Waited, 30_000), Next::Read);
+    holder
+}
+
+#[test]
+fn a_holder_whose_lease_outlasted_an_outage_acts_again_at_once() {
+    let mut holder = away();
+    let found = Found::Mine { lease: 7, revision: 42 };
+    assert_eq!(holder.next(Event::Found(found), 30_010), Next::Renew(7));
+    assert_eq!(holder.permit(Fencing::Ignored, 30_010), Permit::NotHeld);
+    holder.next(Event::Renewed(30_010), 30_020);
+    assert_eq!(holder.permit(Fencing::Ignored, 30_020), Permit::Send(42));
+}
+
+#[test]
+fn a_holder_whose_lease_ended_in_an_outage_does_not_act() {
+    let mut holder = away();
+    holder.next(Event::Found(Found::Mine { lease: 7, revision: 42 }), 30_010);
+    holder.next(Event::Lapsed, 30_020);
+    assert_eq!(holder.permit(Fencing::Checked, 30_020), Permit::NotHeld);
+    // A key of this entry that is not that of its last tenure is not taken up.
+    let next = holder.next(Event::Found(Found::Mine { lease: 8, revision: 50 }), 30_030);
+    assert!(matches!(next, Next::Wait(_)));
+}
+
 #[test]
 fn an_order_is_sent_until_reported_and_a_change_by_another_is_undone() {
     let wanted = Wanted { model: "small".into(), version: "2".into() };
--- a/crates/place/tests/leases/world.rs
+++ b/crates/place/tests/leases/world.rs
@@ -52,9 +52,11 @@
     PauseAfter(u64),
     /// Nobody reaches the key-value service for these milliseconds.
     Outage(u64),
+    /// The same, and no lease runs on meanwhile.
+    OutageWithoutTime(u64),
 }
 
-pub(crate) const FAULTS: [Fault; 11] = [
+pub(crate) const FAULTS: [Fault; 13] = [
     Fault::Down,
     Fault::LostAnswer,
     Fault::Late,
@@ -66,6 +68,8 @@
     Fault::PauseAfter(30_000),
     Fault::Outage(3_000),
     Fault::Outage(30_000),
+    Fault::OutageWithoutTime(9_000),
+    Fault::OutageWithoutTime(30_000),
 ];
 
 /// The key-value service: leases and the one key.
@@ -78,6 +82,18 @@
 }
 
 impl Kv {
+    fn go_down(&mut self, fault: Option<Fault>, now: u64) {
+        match fault {
+            Some(Fault::Outage(time)) => self.down_until = now + time,
+            Some(Fault::OutageWithoutTime(time)) => {
+                self.expire(now);
+                self.down_until = now + time;
+                self.leases.values_mut().for_each(|until| *until += time);
+            }
+            _ => {}
+        }
+    }
+
     fn expire(&mut self, now: u64) {
         self.leases.retain(|_, until| *until > now);
         self.key = self.key.filter(|(_, lease, _)| self.leases.contains_key(lease));
@@ -286,9 +302,7 @@
 
     fn call(&mut self, entry: usize, call: Next, now: u64) -> (u64, Event) {
         let fault = self.fault(entry);
-        if let Some(Fault::Outage(time)) = fault {
-            self.kv.down_until = now + time;
-        }
+        self.kv.go_down(fault, now);
         let failed = (now + TIMEOUT, Event::Failed);
         if now < self.kv.down_until {
             return failed;
@@ -351,7 +365,9 @@
             return;
         }
         let mut flight = (now + STEP, Flight::Order { engine, entry, number, wanted });
-        match self.fault(entry) {
+        let fault = self.fault(entry);
+        self.kv.go_down(fault, now);
+        match fault {
             Some(Fault::Down) => return,
             Some(Fault::Late) => flight.0 = now + 3_000,
             Some(Fault::Slow) => flight.0 = now + SLOW,
@@ -360,7 +376,6 @@
                 self.entries[entry].paused_until = now + time;
             }
             Some(Fault::PauseAfter(time)) => self.entries[entry].paused_until = now + time,
-            Some(Fault::Outage(time)) => self.kv.down_until = now + time,
             _ => {}
         }
         // An order that takes longer than the longest time may slip through, to be undone.
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -159,14 +159,19 @@
     let mut reported: BTreeMap<Window, ()> = BTreeMap::new();
     let mut spread: BTreeMap<Name, Spread> = BTreeMap::new();
     let mut number = None;
+    let mut last = None;
     loop {
         tokio::time::sleep(EVERY).await;
         let holds = tenure.number();
         if holds != number {
             info!(hub.log, "duties"; "acting" => holds.is_some(), "number" => holds);
-            (reported, spread) = (BTreeMap::new(), BTreeMap::new());
             number = holds;
         }
+        // Under the same number nobody else has acted in between: what was done still stands.
+        if number.is_some() && number != last {
+            (reported, spread) = (BTreeMap::new(), BTreeMap::new());
+            last = number;
+        }
         if number.is_none() || hub.stopping.get() {
             continue;
         }
