--- a/crates/infra/src/kv.rs
+++ b/crates/infra/src/kv.rs
@@ -73,6 +73,8 @@
     pub key: String,
     /// What stands there now; none when the key was removed.
     pub stored: Option<Stored>,
+    /// Revision of the change.
+    pub revision: i64,
 }
 
 /// What a watch has heard.
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -1,6 +1,7 @@
 //! What one entry believes; every task and request reads and changes it.
 
 use crate::dialect::Dialect;
+use crate::feed::Feed;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use coord::{Purses, RetryShare, RetryTerms, Roster, Sight, Tallies, Terms, Usage};
@@ -78,6 +79,8 @@
     pub(crate) picker: RefCell<Picker>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) missing: RefCell<BTreeSet<Name>>,
+    pub(crate) servers_feed: RefCell<Feed>,
+    pub(crate) live_feed: RefCell<Feed>,
     pub(crate) departures: RefCell<BTreeMap<Name, Instant>>,
     pub(crate) departing: watch::Sender<u64>,
     pub(crate) open: Cell<u32>,
@@ -149,6 +152,8 @@
             picker: RefCell::new(Picker::new(Model::default())),
             demand: RefCell::default(),
             missing: RefCell::default(),
+            servers_feed: RefCell::default(),
+            live_feed: RefCell::default(),
             departures: RefCell::default(),
             departing: watch::Sender::new(0),
             open: Cell::new(0),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod dialect;
 mod directory;
 mod duty;
+mod feed;
 mod hub;
 mod intake;
 mod log;
@@ -23,6 +24,7 @@
 
 pub use attempt::{Class, Ended, Next, Trail, classify, next, without_budget};
 pub use dialect::{Demand, Dialect, Names};
+pub use feed::Feed;
 pub use hub::Hub;
 pub use log::{LogQueue, queue};
 pub use run::{Parts, run, run_until};
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between entries, each a datagram.
 
 use coord::{Counts, Window};
+use infra::{Change, Stored};
 use kernel::{Millis, Name};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -25,6 +26,8 @@
     Vouch {
         /// When it was sent, on the boot clock of the sender; the answer bears it.
         asked_at: Millis,
+        /// Revision up to which the sender knows all changes, by what is followed.
+        known: BTreeMap<Followed, i64>,
     },
     /// How fresh the sender's rules are.
     Vouched {
@@ -34,6 +37,8 @@
         version: u64,
         /// Age of the last confirmation, in milliseconds.
         age: Millis,
+        /// Changes that the receiver did not know.
+        told: Vec<Told>,
     },
     /// A request for units of a quota.
     Ask {
@@ -73,6 +78,53 @@
     },
 }
 
+/// What entries follow in the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) enum Followed {
+    /// The entries and the holder of the duties.
+    Live,
+    /// The backend servers.
+    Servers,
+}
+
+/// All changes under a prefix between two revisions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct Told {
+    /// What they concern.
+    pub(crate) followed: Followed,
+    /// The changes.
+    pub(crate) changes: Vec<ToldChange>,
+    /// The revision that they lead to.
+    pub(crate) through: i64,
+}
+
+/// A change of one key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct ToldChange {
+    /// The key.
+    pub(crate) key: String,
+    /// The value; none when the key was removed, empty when it is no text.
+    pub(crate) value: Option<String>,
+    /// Revision of the change.
+    pub(crate) revision: i64,
+}
+
+impl From<Change> for ToldChange {
+    fn from(change: Change) -> Self {
+        let Change { key, stored, revision } = change;
+        // What is no text cannot be read as a registration either; nor can the empty text.
+        let text = |stored: Stored| String::from_utf8(stored.value.into()).unwrap_or_default();
+        Self { key, value: stored.map(text), revision }
+    }
+}
+
+impl From<ToldChange> for Change {
+    fn from(told: ToldChange) -> Self {
+        let ToldChange { key, value, revision } = told;
+        Self { key, stored: value.map(|text| Stored { value: text.into(), revision }), revision }
+    }
+}
+
 /// What an entry does at present.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(crate) struct State {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,7 +1,8 @@
 //! Talks to the other entries: what each does, and units of quotas.
 
 use crate::hub::{Heard, Hub};
-use crate::message::{Envelope, Message, State};
+use crate::message::{Envelope, Followed, Message, State};
+use crate::sync;
 use coord::{Entry, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -154,9 +155,12 @@
     let Envelope { from, incarnation, message } = envelope;
     match message {
         Message::State(state) => take_state(hub, from, incarnation, state),
-        Message::Vouch { asked_at } => vouch(hub, &from, asked_at),
-        Message::Vouched { asked_at, version, age } => {
-            take_vouch(hub, &from, asked_at, version, age)
+        Message::Vouch { asked_at, known } => vouch(hub, &from, asked_at, &known),
+        Message::Vouched { asked_at, version, age, told } => {
+            take_vouch(hub, &from, asked_at, version, age);
+            for told in told {
+                sync::take_told(hub, told, asked_at.saturating_sub(age));
+            }
         }
         Message::Ask { number, organisation, units } => {
             let rules = hub.rules.borrow().clone();
@@ -192,7 +196,8 @@
     }
 }
 
-/// Asks two of these entries, or of all that are heard, how fresh their rules are.
+/// Asks two of these entries, or of all that are heard, how fresh their rules are and what has
+/// changed in the store.
 pub(crate) fn ask_vouch(hub: &Hub, named: &[Name]) {
     let asked_at = boot_ms();
     let live = live(hub, asked_at, MOST_TOLD);
@@ -200,17 +205,20 @@
     let roster = hub.roster.borrow();
     let readers = roster.present().filter(|entry| named.contains(&entry.name));
     let asked: Vec<&Entry> = live.iter().filter(is_named).chain(readers).collect();
+    let known = sync::known(hub);
     for entry in asked.into_iter().sample(&mut rand::rng(), VOUCHERS) {
-        hub.peers().send(hub, entry, Message::Vouch { asked_at });
+        hub.peers().send(hub, entry, Message::Vouch { asked_at, known: known.clone() });
     }
 }
 
-fn vouch(hub: &Hub, to: &Name, asked_at: Millis) {
+fn vouch(hub: &Hub, to: &Name, asked_at: Millis, asked: &BTreeMap<Followed, i64>) {
     let sight = *hub.sight.borrow();
     let roster = hub.roster.borrow();
     let known = sight.version().zip(sight.age(boot_ms())).zip(roster.get(to));
     if let Some(((version, age), entry)) = known {
-        hub.peers().send(hub, entry, Message::Vouched { asked_at, version, age });
+        let told = asked.iter().filter_map(|(followed, after)| sync::tell(hub, *followed, *after));
+        let message = Message::Vouched { asked_at, version, age, told: told.collect() };
+        hub.peers().send(hub, entry, message);
     }
 }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -4,6 +4,7 @@
 use crate::duty::{self, Tenure};
 use crate::hub::Hub;
 use crate::intake::{Door, accept};
+use crate::message::Followed;
 use crate::peers::{self, Peers};
 use crate::sync;
 use infra::{Duties, Store};
@@ -65,8 +66,8 @@
         "front" => %hub.settings.front, "data_centre" => %hub.settings.data_centre);
     listen(&hub).await?;
     spawn_local(sync::rules(hub.clone()));
-    spawn_local(sync::servers(hub.clone()));
-    spawn_local(sync::entries(hub.clone()));
+    spawn_local(sync::follow(hub.clone(), Followed::Servers));
+    spawn_local(sync::follow(hub.clone(), Followed::Live));
     let registration = spawn_local(sync::register(hub.clone()));
     spawn_local(peers::listen(hub.clone()));
     spawn_local(peers::tell(hub.clone()));
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,13 +1,16 @@
 //! Keeps what the entry believes of rules, servers and entries in step with the store.
 
 use crate::duty;
+use crate::feed::Feed;
 use crate::hub::Hub;
+use crate::message::{Followed, Told, ToldChange};
 use crate::peers;
 use coord::{Confirmed, Entry};
 use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -35,6 +38,17 @@
 /// Part of the time to obey a leaving server that passes after a change before the next call, so
 /// that changes which come together are heard in one.
 const GATHER: f64 = 0.3;
+/// The same for an entry that tells the others, which hear of a change later than it does.
+const READER_GATHER: f64 = 0.1;
+/// Part of the time to obey a leaving server for which an entry goes without word from others
+/// before it asks the store itself; the rest covers that call.
+const UNTOLD: f64 = 0.65;
+/// Time between two looks whether word came.
+const UNTOLD_EVERY: Duration = Duration::from_millis(100);
+/// Time that a watch waits which only fetches what others did not tell, in milliseconds.
+const CATCH_UP_MS: u64 = 10;
+/// About the most changes that one message tells: a few kilobytes.
+const MOST_TOLD: usize = 24;
 /// Time for servers to register again after the store was away, in milliseconds.
 const REGISTER_AGAIN_MS: Millis = 2_200;
 /// Time to live of an entry's registration, in seconds: the shares of an entry that is cut off stay
@@ -123,45 +137,125 @@
     }
 }
 
-/// Follows a prefix: calls `all` with a listing and `one` with each change after it.
-async fn follow(
-    hub: &Rc<Hub>,
-    prefix: &str,
-    wait_ms: u64,
-    all: impl Fn(&Hub, Vec<(String, Stored)>),
-    one: impl Fn(&Hub, Change),
-) {
+impl Followed {
+    const ALL: [Self; 2] = [Self::Live, Self::Servers];
+
+    fn feed(self, hub: &Hub) -> &RefCell<Feed> {
+        match self {
+            Self::Live => &hub.live_feed,
+            Self::Servers => &hub.servers_feed,
+        }
+    }
+
+    fn prefix(self, hub: &Hub) -> &str {
+        match self {
+            Self::Live => LIVE,
+            Self::Servers => hub.dialect.servers_prefix(),
+        }
+    }
+
+    /// Returns the time that one watch waits, in milliseconds.
+    fn wait_ms(self) -> u64 {
+        match self {
+            Self::Live => ENTRIES_WAIT_MS,
+            Self::Servers => SERVERS_WAIT_MS,
+        }
+    }
+
+    fn listed(self, hub: &Hub, items: Vec<(String, Stored)>) {
+        match self {
+            Self::Live => entries_listed(hub, items),
+            Self::Servers => servers_listed(hub, items),
+        }
+    }
+
+    fn changed(self, hub: &Hub, change: Change) {
+        match self {
+            Self::Live => entry_changed(hub, &change),
+            Self::Servers => server_changed(hub, &change),
+        }
+    }
+}
+
+/// Returns the revisions up to which this entry knows all changes.
+pub(crate) fn known(hub: &Hub) -> BTreeMap<Followed, i64> {
+    let known = |followed: Followed| {
+        followed.feed(hub).borrow().through().map(|through| (followed, through))
+    };
+    Followed::ALL.into_iter().filter_map(known).collect()
+}
+
+/// Returns what another entry does not know yet; none when not all of it is kept here.
+pub(crate) fn tell(hub: &Hub, followed: Followed, after: i64) -> Option<Told> {
+    let (changes, through) = followed.feed(hub).borrow().after(after, MOST_TOLD)?;
+    let changes = changes.into_iter().map(ToldChange::from).collect();
+    Some(Told { followed, changes, through })
+}
+
+/// Takes in what another entry told, which was known for certain at `at`.
+pub(crate) fn take_told(hub: &Hub, told: Told, at: Millis) {
+    let Told { followed, changes, through } = told;
+    hear(hub, followed, changes.into_iter().map(Change::from).collect(), through, at);
+}
+
+/// Takes in all changes up to a revision; tells whether any was new.
+fn hear(hub: &Hub, followed: Followed, changes: Vec<Change>, through: i64, at: Millis) -> bool {
+    let new = followed.feed(hub).borrow_mut().hear(changes, through, at);
+    let is_any = !new.is_empty();
+    for change in new {
+        followed.changed(hub, change);
+    }
+    is_any
+}
+
+/// Tells whether other entries follow the store for this one.
+fn is_told(hub: &Hub) -> bool {
+    readers(hub).is_some_and(|readers| !readers.contains(&hub.settings.name))
+}
+
+/// Follows a prefix of the store, by watching it or by what other entries tell.
+pub(crate) async fn follow(hub: Rc<Hub>, followed: Followed) {
+    let prefix = followed.prefix(&hub).to_owned();
+    let drain = hub.settings.promises.drain;
     let mut regained = hub.regained.subscribe();
     loop {
         regained.mark_unchanged();
-        let listed = hub.store.list(prefix).await;
+        let sent = boot_ms();
+        let listed = hub.store.list(&prefix).await;
         hub.note_store("list", listed.as_ref().err());
         let Ok(listing) = listed else {
             tokio::time::sleep(RETRY).await;
             continue;
         };
-        let mut after = listing.revision;
-        all(hub, listing.items);
+        followed.feed(&hub).borrow_mut().restart(listing.revision, sent);
+        followed.listed(&hub, listing.items);
         loop {
+            let told = is_told(&hub);
+            let age = followed.feed(&hub).borrow().age(boot_ms());
+            if told && age < drain.mul_f64(UNTOLD).as_millis() as Millis {
+                tokio::select! {
+                    () = tokio::time::sleep(UNTOLD_EVERY) => continue,
+                    _ = regained.changed() => break,
+                }
+            }
+            let after = followed.feed(&hub).borrow().through().unwrap_or(listing.revision);
+            let wait_ms = if told { CATCH_UP_MS } else { followed.wait_ms() };
+            let sent = boot_ms();
             let watched = tokio::select! {
-                watched = hub.store.watch(prefix, after, wait_ms) => watched,
+                watched = hub.store.watch(&prefix, after, wait_ms) => watched,
                 // A watch from before the store was lost may be silent for good.
                 _ = regained.changed() => break,
             };
             hub.note_store("watch", watched.as_ref().err());
             match watched {
-                Ok(Watched::Changes(changes, revision)) => {
-                    let changed = !changes.is_empty();
-                    for change in changes {
-                        one(hub, change);
-                    }
-                    after = after.max(revision);
-                    if changed {
-                        tokio::time::sleep(hub.settings.promises.drain.mul_f64(GATHER)).await;
+                Ok(Watched::Changes(changes, through)) => {
+                    if hear(&hub, followed, changes, through, sent) && !told {
+                        let gather = if readers(&hub).is_some() { READER_GATHER } else { GATHER };
+                        tokio::time::sleep(drain.mul_f64(gather)).await;
                     }
                 }
                 Ok(Watched::Forgotten) => {
-                    info!(hub.log, "history forgotten"; "prefix" => prefix.to_owned(), "after" => after);
+                    info!(hub.log, "history forgotten"; "prefix" => prefix.clone(), "after" => after);
                     break;
                 }
                 Err(_) => {
@@ -174,26 +268,24 @@
     }
 }
 
-/// Follows the backend servers.
-pub(crate) async fn servers(hub: Rc<Hub>) {
-    let prefix = hub.dialect.servers_prefix().to_owned();
-    let all = |hub: &Hub, items: Vec<(String, Stored)>| {
-        let listed = items.iter().filter_map(|(key, stored)| take_server(hub, key, stored));
-        let listed: BTreeSet<Name> = listed.collect();
-        let gone: Vec<Name> = {
-            let picker = hub.picker.borrow();
-            let ids = picker.servers().map(|server| server.listed.id.clone());
-            ids.filter(|id| !listed.contains(id)).collect()
-        };
-        for id in gone {
-            leave(hub, id);
-        }
+fn servers_listed(hub: &Hub, items: Vec<(String, Stored)>) {
+    let listed = items.iter().filter_map(|(key, stored)| take_server(hub, key, stored));
+    let listed: BTreeSet<Name> = listed.collect();
+    let gone: Vec<Name> = {
+        let picker = hub.picker.borrow();
+        let ids = picker.servers().map(|server| server.listed.id.clone());
+        ids.filter(|id| !listed.contains(id)).collect()
     };
-    let one = |hub: &Hub, change: Change| match change.stored {
-        Some(stored) => drop(take_server(hub, &change.key, &stored)),
+    for id in gone {
+        leave(hub, id);
+    }
+}
+
+fn server_changed(hub: &Hub, change: &Change) {
+    match &change.stored {
+        Some(stored) => drop(take_server(hub, &change.key, stored)),
         None => leave(hub, id_of(hub, &change.key)),
-    };
-    follow(&hub, &prefix, SERVERS_WAIT_MS, all, one).await;
+    }
 }
 
 /// Drops servers that did not register again in time after the store was away.
@@ -250,7 +342,9 @@
 /// While the store was away registrations may have lapsed although their servers live; these have
 /// some time to register again.
 fn leave(hub: &Hub, id: Name) {
-    if boot_ms().saturating_sub(hub.store_back.get()) < REGISTER_AGAIN_MS {
+    // Another entry may tell of them before this one has regained the store.
+    let is_back = boot_ms().saturating_sub(hub.store_back.get()) >= REGISTER_AGAIN_MS;
+    if hub.store_lost.get() || !is_back {
         hub.missing.borrow_mut().insert(id);
     } else {
         forget(hub, &id);
@@ -277,36 +371,33 @@
     data_centre: Name,
 }
 
-/// Follows the entries.
-pub(crate) async fn entries(hub: Rc<Hub>) {
-    let all = |hub: &Hub, items: Vec<(String, Stored)>| {
-        let leader = items.iter().find(|(key, _)| key == LEADER);
-        take_leader(hub, leader.map(|(_, stored)| stored));
-        let entries = items.iter().filter_map(|(key, stored)| read_entry(hub, key, stored));
-        hub.roster.borrow_mut().replace(entries.collect(), boot_ms());
-        hub.share_out();
-    };
-    let one = |hub: &Hub, change: Change| {
-        if change.key == LEADER {
-            take_leader(hub, change.stored.as_ref());
-            return;
-        }
-        match &change.stored {
-            Some(stored) => {
-                if let Some(entry) = read_entry(hub, &change.key, stored) {
-                    info!(hub.log, "entry listed"; "other" => %entry.name, "incarnation" => entry.incarnation);
-                    hub.roster.borrow_mut().add(entry);
-                }
-            }
-            None => {
-                let name = change.key.strip_prefix(ENTRIES).unwrap_or(&change.key);
-                info!(hub.log, "entry gone"; "other" => name.to_owned());
-                hub.roster.borrow_mut().remove(name, boot_ms());
+fn entries_listed(hub: &Hub, items: Vec<(String, Stored)>) {
+    let leader = items.iter().find(|(key, _)| key == LEADER);
+    take_leader(hub, leader.map(|(_, stored)| stored));
+    let entries = items.iter().filter_map(|(key, stored)| read_entry(hub, key, stored));
+    hub.roster.borrow_mut().replace(entries.collect(), boot_ms());
+    hub.share_out();
+}
+
+fn entry_changed(hub: &Hub, change: &Change) {
+    if change.key == LEADER {
+        take_leader(hub, change.stored.as_ref());
+        return;
+    }
+    match &change.stored {
+        Some(stored) => {
+            if let Some(entry) = read_entry(hub, &change.key, stored) {
+                info!(hub.log, "entry listed"; "other" => %entry.name, "incarnation" => entry.incarnation);
+                hub.roster.borrow_mut().add(entry);
             }
         }
-        hub.share_out();
-    };
-    follow(&hub, LIVE, ENTRIES_WAIT_MS, all, one).await;
+        None => {
+            let name = change.key.strip_prefix(ENTRIES).unwrap_or(&change.key);
+            info!(hub.log, "entry gone"; "other" => name.to_owned());
+            hub.roster.borrow_mut().remove(name, boot_ms());
+        }
+    }
+    hub.share_out();
 }
 
 /// Takes in who holds the duties.
