--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -125,6 +125,8 @@
     lease: i64,
     number: i64,
     since: Millis,
+    /// Time from which orders may go to engines that ignore numbers.
+    settled: Millis,
 }
 
 /// The lease as one entry sees it.
@@ -134,12 +136,17 @@
     state: State,
     /// The last tenure; it goes on when the platform has kept its lease through an outage.
     last: Option<Tenure>,
+    /// Time from which orders of this entry cannot come between those of a holder in between.
+    rested: Millis,
 }
 
 impl Holder {
     /// Creates the state of an entry that does not hold the lease.
-    pub fn new(times: Times) -> Self {
-        Self { times, state: State::Idle, last: None }
+    ///
+    /// The process before it may have held the lease until just now.
+    pub fn new(times: Times, now: Millis) -> Self {
+        let rested = now + times.lease + times.order;
+        Self { times, state: State::Idle, last: None, rested }
     }
 
     /// Returns what to do after an event.
@@ -173,7 +180,8 @@
 
     /// Tells whether an order may be sent; asked again immediately before each one.
     pub fn permit(&self, fencing: Fencing, now: Millis) -> Permit {
-        let State::Holding { tenure: Tenure { number, since, .. }, until } = self.state else {
+        let State::Holding { tenure: Tenure { number, since, settled, .. }, until } = self.state
+        else {
             return Permit::NotHeld;
         };
         if now >= until {
@@ -181,7 +189,7 @@
         }
         let from = match fencing {
             Fencing::Checked => since,
-            Fencing::Ignored => since + self.times.lease + self.times.order,
+            Fencing::Ignored => settled,
         };
         if now < from { Permit::NotYet(from) } else { Permit::Send(number) }
     }
@@ -208,7 +216,9 @@
     }
 
     fn hold(&mut self, lease: i64, until: Millis, number: i64, now: Millis) -> Next {
-        let tenure = Tenure { lease, number, since: now };
+        // What the holder before sent at its end has taken effect after the time of an order.
+        let settled = self.rested.max(now + self.times.order);
+        let tenure = Tenure { lease, number, since: now, settled };
         self.state = State::Holding { tenure, until };
         self.last = Some(tenure);
         Next::Renew(lease)
@@ -226,7 +236,7 @@
     }
 
     fn give_up(&mut self, now: Millis) -> Next {
-        self.state = State::Idle;
+        self.leave(now);
         Next::Wait(now + self.times.pause)
     }
 
@@ -234,10 +244,18 @@
         if let State::Creating { until, .. } | State::Holding { until, .. } = self.state
             && now >= until
         {
-            self.state = State::Idle;
+            self.leave(until);
         }
     }
 
+    /// Ends a tenure, in which the last order may have been sent at `end`.
+    fn leave(&mut self, end: Millis) {
+        if let State::Holding { .. } = self.state {
+            self.rested = end + self.times.lease + self.times.order;
+        }
+        self.state = State::Idle;
+    }
+
     /// Returns when this entry stops believing in a lease that runs from `sent`.
     fn end(&self, sent: Millis) -> Millis {
         sent + self.times.lease - self.times.margin
--- a/crates/place/src/spread.rs
+++ b/crates/place/src/spread.rs
@@ -34,8 +34,11 @@
     pub used: f64,
     /// Most servers that are held, as a part of those found at the start.
     pub most: f64,
-    /// Servers that are not reclaimable, in the cheapest data centres.
+    /// Least number of servers that are not reclaimable while no more reclaimable ones can be had.
     pub lasting: u32,
+    /// Time after a refused order for which reclaimable servers count as not to be had, in
+    /// milliseconds.
+    pub scarce_ms: Millis,
     /// Least part of the servers found at the start that is held.
     pub least: f64,
     /// Time in which the expected load follows a rise of the load, in milliseconds.
@@ -54,6 +57,7 @@
             used: 0.7,
             most: 2.0,
             lasting: 1,
+            scarce_ms: 5_000,
             least: 0.5,
             rise_ms: 1_500.0,
             fall_ms: 20_000.0,
@@ -161,7 +165,8 @@
         // Without its largest data centre the rest still holds what is needed.
         let spread = (needed * count).div_ceil((count - 1).max(1));
         let (serving, coming) = self.reclaimable(offers, seen, now);
-        let growing = needed.saturating_sub(serving + coming).max(self.settings.lasting);
+        let missing = needed.saturating_sub(serving + coming);
+        let growing = missing.max(self.least_lasting(now));
         let shrinking = needed.saturating_sub(serving).max(growing);
         let lasting = self.lasting(&centres, seen, most, (growing, shrinking));
         let mut wanted = Vec::new();
@@ -208,6 +213,14 @@
         counts
     }
 
+    /// Returns the least number of lasting servers.
+    ///
+    /// While reclaimable servers can be had, their even spread covers the loss of a data centre.
+    fn least_lasting(&self, now: Millis) -> u32 {
+        let is_scarce = |until: &Millis| now < until + self.settings.scarce_ms;
+        if self.refused_until.values().any(is_scarce) { self.settings.lasting } else { 0 }
+    }
+
     /// Counts the reclaimable servers that serve, and those that were ordered and will soon.
     fn reclaimable(&self, offers: &Offers, seen: &Seen, now: Millis) -> (u32, u32) {
         let serving = seen.serving.iter().filter(|(place, _)| place.reclaimable);
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -58,10 +58,10 @@
             lease,
             margin: lease / 6,
             renew: lease / 4,
-            order: lease / 6,
+            order: lease / 2,
             pause: lease / 10,
         };
-        Self { holder: RefCell::new(Holder::new(times)) }
+        Self { holder: RefCell::new(Holder::new(times, boot_ms())) }
     }
 
     /// Returns the fencing number when this entry may act now.
