--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -169,7 +169,7 @@
             (State::Holding { .. }, Event::Lapsed) => self.give_up(now),
             (State::Holding { .. }, _) => Next::Wait(now + self.times.pause),
             (State::Idle, Event::Waited) => Next::Read,
-            (State::Idle, Event::Found(Found::Nobody)) => Next::Grant,
+            (State::Idle, Event::Found(Found::Nobody)) => self.seek(now),
             (State::Idle, Event::Found(Found::Mine { lease, revision })) => {
                 self.resume(lease, revision, now)
             }
@@ -224,6 +224,22 @@
         Next::Renew(lease)
     }
 
+    /// Seeks the lease, unless it could not be used yet: other entries may be able to.
+    fn seek(&self, now: Millis) -> Next {
+        let from = self.rested.saturating_sub(self.times.order);
+        if now < from { Next::Wait(from) } else { Next::Grant }
+    }
+
+    /// Gives the lease up; returns the number of the tenure that ends with it.
+    ///
+    /// No order may be sent after this.
+    pub fn resign(&mut self, now: Millis) -> Option<i64> {
+        self.drop_lapsed(now);
+        let State::Holding { tenure, .. } = self.state else { return None };
+        self.leave(now);
+        Some(tenure.number)
+    }
+
     /// Takes the last tenure up again if its key stands: nobody else has held the lease since.
     fn resume(&mut self, lease: i64, revision: i64, now: Millis) -> Next {
         match self.last {
--- a/crates/place/tests/leases/single.rs
+++ b/crates/place/tests/leases/single.rs
@@ -69,6 +69,21 @@
     assert_eq!(holder.permit(Fencing::Checked, 2_000), Permit::NotHeld);
 }
 
+#[test]
+fn an_entry_that_could_not_use_the_lease_leaves_it_to_others() {
+    let mut holder = Holder::new(Times::default(), 0);
+    assert_eq!(holder.next(Event::Found(Found::Nobody), 1_000), Next::Wait(10_000));
+    assert_eq!(holder.next(Event::Found(Found::Nobody), 10_000), Next::Grant);
+}
+
+#[test]
+fn a_holder_that_resigns_sends_no_more_orders() {
+    let mut holder = holding();
+    assert_eq!(holder.resign(2_000), Some(42));
+    assert_eq!(holder.permit(Fencing::Checked, 2_000), Permit::NotHeld);
+    assert_eq!(holder.resign(2_000), None);
+}
+
 /// Returns a holder whose lease ended by its own clock while the platform was away.
 fn away() -> Holder {
     let mut holder = holding();
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -99,6 +99,20 @@
     }
 }
 
+/// Frees the lease of an entry that stops, so that another one need not wait for its end.
+pub(crate) async fn resign(hub: Rc<Hub>, tenure: Rc<Tenure>) {
+    let Some(number) = tenure.holder.borrow_mut().resign(boot_ms()) else { return };
+    let commit = Commit {
+        expected: vec![(LEADER.to_owned(), number)],
+        removes: vec![LEADER.to_owned()],
+        ..Commit::default()
+    };
+    let freed = hub.store.commit(&commit).await;
+    hub.note_store("resign", freed.as_ref().err());
+    info!(hub.log, "lease of the duties"; "held" => false, "number" => number,
+        "freed" => format!("{freed:?}"));
+}
+
 async fn perform(hub: &Hub, step: Next) -> Event {
     let now = boot_ms();
     let failed = |failure: Failure| {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -73,12 +73,13 @@
     spawn_local(peers::tell(hub.clone()));
     spawn_local(sync::missing(hub.clone()));
     spawn_local(sweep(hub.clone()));
+    let tenure = Rc::new(Tenure::new(hub.settings.promises.lease));
     if let Some(duties) = hub.duties.clone() {
-        let tenure = Rc::new(Tenure::new(hub.settings.promises.lease));
         spawn_local(duty::hold(hub.clone(), tenure.clone()));
-        spawn_local(duty::act(hub.clone(), duties, tenure));
+        spawn_local(duty::act(hub.clone(), duties, tenure.clone()));
     }
     stopped.await?;
+    spawn_local(duty::resign(hub.clone(), tenure));
     stop(&hub).await;
     registration.abort();
     info!(hub.log, "stop"; "open" => hub.open.get());
