A stream that its server failed counts as begun

Change: a request is counted once, with its first event or with a server's failure. Test: a_stream_that_a_server_failed_is_counted_once; failed before.

--- a/crates/relay/src/deliver.rs
+++ b/crates/relay/src/deliver.rs
@@ -42,6 +42,8 @@
     pub(crate) rank: u8,
     pub(crate) began: Instant,
     pub(crate) deadline: Instant,
+    /// Whether it was counted as begun.
+    pub(crate) counted: Cell<bool>,
 }
 
 impl Job {
@@ -149,8 +151,8 @@
         };
         if matches!(ended, Ended::Broke | Ended::Succeeded | Ended::Failed(_)) {
             trail.runs += 1;
-            // A stream begins to run with its first event.
-            if trail.runs == 1 && !job.route.repeat.is_stream() {
+            // A stream begins to run with its first event, or when its server says that it failed.
+            if !job.route.repeat.is_stream() || matches!(ended, Ended::Failed(_)) {
                 count_usage(hub, &job);
             }
         }
@@ -175,8 +177,11 @@
     hub.demand.borrow_mut().add(&job.service, work_ms, boot_ms());
 }
 
-/// Counts a request that began to run.
+/// Counts a request that began to run, once.
 pub(crate) fn count_usage(hub: &Hub, job: &Job) {
+    if job.counted.replace(true) {
+        return;
+    }
     if let Some(organisation) = &job.organisation {
         hub.usage.borrow_mut().began(&organisation.name, Clock::unix_ms());
     }
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -21,6 +21,7 @@
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rules::Quota;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -215,6 +216,7 @@
         rank,
         began,
         deadline: began + time,
+        counted: Cell::new(false),
         route,
     };
     let (reply, code) = deliver(hub, Rc::new(job)).await;
