--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -36,7 +36,7 @@
 pub struct Fleet {
     /// Part of a server's time that is to be used.
     pub used: f64,
-    /// Servers that are not reclaimable.
+    /// Least number of lasting servers while no more reclaimable ones can be had.
     pub lasting: u32,
     /// Least part of the servers found at the start that is held.
     pub least: f64,
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -48,7 +48,7 @@
 /// Time that a watch waits which only fetches what others did not tell, in milliseconds.
 const CATCH_UP_MS: u64 = 10;
 /// About the most changes that one message tells: a few kilobytes.
-const MOST_TOLD: usize = 24;
+const MOST_CHANGES: usize = 24;
 /// Time for servers to register again after the store was away, in milliseconds.
 const REGISTER_AGAIN_MS: Millis = 2_200;
 /// Time to live of an entry's registration, in seconds: the shares of an entry that is cut off stay
@@ -187,7 +187,7 @@
 
 /// Returns what another entry does not know yet; none when not all of it is kept here.
 pub(crate) fn tell(hub: &Hub, followed: Followed, after: i64) -> Option<Told> {
-    let (changes, through) = followed.feed(hub).borrow().after(after, MOST_TOLD)?;
+    let (changes, through) = followed.feed(hub).borrow().after(after, MOST_CHANGES)?;
     let changes = changes.into_iter().map(ToldChange::from).collect();
     Some(Told { followed, changes, through })
 }
@@ -209,7 +209,7 @@
 }
 
 /// Tells whether other entries follow the store for this one.
-fn is_told(hub: &Hub) -> bool {
+fn hears_from_readers(hub: &Hub) -> bool {
     readers(hub).is_some_and(|readers| !readers.contains(&hub.settings.name))
 }
 
@@ -230,7 +230,7 @@
         followed.feed(&hub).borrow_mut().restart(listing.revision, sent);
         followed.listed(&hub, listing.items);
         loop {
-            let told = is_told(&hub);
+            let told = hears_from_readers(&hub);
             let age = followed.feed(&hub).borrow().age(boot_ms());
             if told && age < drain.mul_f64(UNTOLD).as_millis() as Millis {
                 tokio::select! {
