Each entry follows the store itself again

The servers found at the start leave together, some 200 changes; an answer of a reader bears 24 and yet counted as word of all, so the entry did not ask the store. Change: the part that let others follow the store is taken out; what remains is that an entry which the store turns away hears of changes from others, with its test.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -1,7 +1,6 @@
-//! Changes under a prefix of the store, which entries that follow it tell the others.
+//! Changes under a prefix of the store, which entries tell those that the store turns away.
 
 use infra::Change;
-use kernel::Millis;
 use std::collections::VecDeque;
 
 /// Changes that are kept for entries which ask for them.
@@ -17,14 +16,12 @@
     since: Option<i64>,
     through: i64,
     kept: VecDeque<Change>,
-    confirmed: Millis,
 }
 
 impl Feed {
-    /// Starts anew from a listing at a revision; the call was sent at `sent`.
-    pub fn restart(&mut self, revision: i64, sent: Millis) {
-        *self =
-            Self { since: Some(revision), through: revision, confirmed: sent, ..Self::default() };
+    /// Starts anew from a listing at a revision.
+    pub fn restart(&mut self, revision: i64) {
+        *self = Self { since: Some(revision), through: revision, kept: VecDeque::new() };
     }
 
     /// Returns the revision up to which all changes are known; none before the first listing.
@@ -32,10 +29,10 @@
         self.since.map(|_| self.through)
     }
 
-    /// Takes in all changes up to a revision, known at `at`; returns those that are new here.
+    /// Takes in all changes up to a revision; returns those that are new here.
     ///
     /// The changes begin at or before the revision that is known here.
-    pub fn hear(&mut self, changes: Vec<Change>, through: i64, at: Millis) -> Vec<Change> {
+    pub fn hear(&mut self, changes: Vec<Change>, through: i64) -> Vec<Change> {
         if self.since.is_none() {
             return Vec::new();
         }
@@ -44,9 +41,6 @@
             changes.into_iter().filter(|change| change.revision > known).collect();
         self.kept.extend(new.iter().cloned());
         self.through = known.max(through);
-        if through >= known {
-            self.confirmed = self.confirmed.max(at);
-        }
         while self.kept.len() > KEPT {
             self.since = self.kept.pop_front().map(|oldest| oldest.revision);
         }
@@ -71,9 +65,4 @@
         }
         Some((told, self.through))
     }
-
-    /// Returns the time since all changes were known for certain, in milliseconds.
-    pub fn age(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.confirmed)
-    }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -159,7 +159,7 @@
         Message::Vouched { asked_at, version, age, told } => {
             take_vouch(hub, &from, asked_at, version, age);
             for told in told {
-                sync::take_told(hub, told, asked_at.saturating_sub(age));
+                sync::take_told(hub, told);
             }
         }
         Message::Ask { number, organisation, units } => {
@@ -205,7 +205,8 @@
     let roster = hub.roster.borrow();
     let readers = roster.present().filter(|entry| named.contains(&entry.name));
     let asked: Vec<&Entry> = live.iter().filter(is_named).chain(readers).collect();
-    let known = sync::known(hub);
+    // Whom the store answers hears of changes from it.
+    let known = if hub.store_lost.get() { sync::known(hub) } else { BTreeMap::new() };
     for entry in asked.into_iter().sample(&mut rand::rng(), VOUCHERS) {
         hub.peers().send(hub, entry, Message::Vouch { asked_at, known: known.clone() });
     }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -38,15 +38,6 @@
 /// Part of the time to obey a leaving server that passes after a change before the next call, so
 /// that changes which come together are heard in one.
 const GATHER: f64 = 0.3;
-/// The same for an entry that tells the others, which hear of a change later than it does.
-const READER_GATHER: f64 = 0.1;
-/// Part of the time to obey a leaving server for which an entry goes without word from others
-/// before it asks the store itself; the rest covers that call.
-const UNTOLD: f64 = 0.65;
-/// Time between two looks whether word came.
-const UNTOLD_EVERY: Duration = Duration::from_millis(100);
-/// Time that a watch waits which only fetches what others did not tell, in milliseconds.
-const CATCH_UP_MS: u64 = 10;
 /// About the most changes that one message tells: a few kilobytes.
 const MOST_CHANGES: usize = 24;
 /// Time for servers to register again after the store was away, in milliseconds.
@@ -192,66 +183,49 @@
     Some(Told { followed, changes, through })
 }
 
-/// Takes in what another entry told, which was known for certain at `at`.
-pub(crate) fn take_told(hub: &Hub, told: Told, at: Millis) {
+/// Takes in what another entry told.
+pub(crate) fn take_told(hub: &Hub, told: Told) {
     let Told { followed, changes, through } = told;
-    hear(hub, followed, changes.into_iter().map(Change::from).collect(), through, at);
+    hear(hub, followed, changes.into_iter().map(Change::from).collect(), through);
 }
 
-/// Takes in all changes up to a revision; tells whether any was new.
-fn hear(hub: &Hub, followed: Followed, changes: Vec<Change>, through: i64, at: Millis) -> bool {
-    let new = followed.feed(hub).borrow_mut().hear(changes, through, at);
-    let is_any = !new.is_empty();
+/// Takes in all changes up to a revision.
+fn hear(hub: &Hub, followed: Followed, changes: Vec<Change>, through: i64) {
+    let new = followed.feed(hub).borrow_mut().hear(changes, through);
     for change in new {
         followed.changed(hub, change);
     }
-    is_any
 }
 
-/// Tells whether other entries follow the store for this one.
-fn hears_from_readers(hub: &Hub) -> bool {
-    readers(hub).is_some_and(|readers| !readers.contains(&hub.settings.name))
-}
-
-/// Follows a prefix of the store, by watching it or by what other entries tell.
+/// Follows a prefix of the store; other entries may tell of changes sooner.
 pub(crate) async fn follow(hub: Rc<Hub>, followed: Followed) {
     let prefix = followed.prefix(&hub).to_owned();
     let drain = hub.settings.promises.drain;
     let mut regained = hub.regained.subscribe();
     loop {
         regained.mark_unchanged();
-        let sent = boot_ms();
         let listed = hub.store.list(&prefix).await;
         hub.note_store("list", listed.as_ref().err());
         let Ok(listing) = listed else {
             tokio::time::sleep(RETRY).await;
             continue;
         };
-        followed.feed(&hub).borrow_mut().restart(listing.revision, sent);
+        followed.feed(&hub).borrow_mut().restart(listing.revision);
         followed.listed(&hub, listing.items);
         loop {
-            let told = hears_from_readers(&hub);
-            let age = followed.feed(&hub).borrow().age(boot_ms());
-            if told && age < drain.mul_f64(UNTOLD).as_millis() as Millis {
-                tokio::select! {
-                    () = tokio::time::sleep(UNTOLD_EVERY) => continue,
-                    _ = regained.changed() => break,
-                }
-            }
             let after = followed.feed(&hub).borrow().through().unwrap_or(listing.revision);
-            let wait_ms = if told { CATCH_UP_MS } else { followed.wait_ms() };
-            let sent = boot_ms();
             let watched = tokio::select! {
-                watched = hub.store.watch(&prefix, after, wait_ms) => watched,
+                watched = hub.store.watch(&prefix, after, followed.wait_ms()) => watched,
                 // A watch from before the store was lost may be silent for good.
                 _ = regained.changed() => break,
             };
             hub.note_store("watch", watched.as_ref().err());
             match watched {
                 Ok(Watched::Changes(changes, through)) => {
-                    if hear(&hub, followed, changes, through, sent) && !told {
-                        let gather = if readers(&hub).is_some() { READER_GATHER } else { GATHER };
-                        tokio::time::sleep(drain.mul_f64(gather)).await;
+                    let is_any = !changes.is_empty();
+                    hear(&hub, followed, changes, through);
+                    if is_any {
+                        tokio::time::sleep(drain.mul_f64(GATHER)).await;
                     }
                 }
                 Ok(Watched::Forgotten) => {
