--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -197,7 +197,7 @@
     }
 }
 
-/// Follows a prefix of the store; other entries may tell of changes sooner.
+/// Follows a prefix of the store: a listing, then each change after it.
 pub(crate) async fn follow(hub: Rc<Hub>, followed: Followed) {
     let prefix = followed.prefix(&hub).to_owned();
     let drain = hub.settings.promises.drain;
