relay: a stopping entry accepts only requests that end before it exits

Cause: from SIGTERM until the process ended, 7.6 s with open streams, plain requests were accepted to the last moment. Ruled out: the server (it was at work) and the caller's deadline (1.5 s away). Change: Shutdown, a pure schedule: streams are accepted for a quarter of the grace period as before, any other request only if its timeout passes before the exit; else 503 at once, from where callers go elsewhere.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -4,6 +4,7 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::protocol::Protocol;
+use crate::shutdown::Shutdown;
 use coord::{
     Freshness, QuotaSettings, QuotaShares, RetryBudget, RetrySettings, Roster, UsageCounter,
     UsageReports,
@@ -104,8 +105,8 @@
     pub(crate) departures_changed: watch::Sender<u64>,
     pub(crate) open_requests: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
-    /// Whether new streams are refused because they might still be open when the process exits.
-    pub(crate) refuses_streams: Cell<bool>,
+    /// Schedule and start of the planned stop.
+    pub(crate) shutdown: Cell<Option<(Shutdown, Instant)>>,
     /// Time on the boot clock at which the store last became reachable again, in milliseconds.
     pub(crate) store_regained_at: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
@@ -182,7 +183,7 @@
             departures_changed: watch::Sender::new(0),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
-            refuses_streams: Cell::new(false),
+            shutdown: Cell::default(),
             store_regained_at: Cell::new(0),
             store_lost: Cell::new(false),
             store_regained: watch::Sender::new(0),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod reply;
 mod run;
 mod serve;
+mod shutdown;
 mod stream;
 mod sync;
 
@@ -31,4 +32,5 @@
 pub use log::{LogQueue, queue};
 pub use protocol::{HeaderNames, Protocol, ResolveQuery};
 pub use run::{Parts, run, run_until};
+pub use shutdown::{Shutdown, ShutdownStep};
 pub use stream::EventSplitter;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -6,6 +6,7 @@
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
 use crate::serve::{ListenerKind, accept_connections};
+use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::sync;
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -18,14 +19,8 @@
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
-/// Time after SIGTERM for which new callers are still served, because callers cache the replies of
-/// the directory.
-const NEW_CALLER_GRACE: Duration = Duration::from_millis(3_500);
-/// Fraction of the grace period after which new streams are refused. By then callers know other
-/// entries, and a later stream might not end in time.
-const STREAM_CUTOFF: f64 = 0.25;
-/// Time before the end of the grace period at which the process exits in any case.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Interval between two checks whether a stopping entry may exit.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two sweeps of expired idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -138,15 +133,13 @@
 /// Serves open requests, and new callers for some time. Ends once no request is open, or with the
 /// grace period.
 async fn stop(cx: &Rc<Context>) {
+    let schedule = Shutdown::new(cx.settings.promises.grace);
+    let began = Instant::now();
     cx.stopping.set(true);
+    cx.shutdown.set(Some((schedule, began)));
     info!(cx.log, "stopping"; "open" => cx.open_requests.get());
-    let began = Instant::now();
-    let end = began + cx.settings.promises.grace.saturating_sub(GRACE_MARGIN);
-    let accept_until = began + NEW_CALLER_GRACE.min(cx.settings.promises.grace / 2);
-    while Instant::now() < end && (Instant::now() < accept_until || cx.open_requests.get() > 0) {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        cx.refuses_streams
-            .set(Instant::now() >= began + cx.settings.promises.grace.mul_f64(STREAM_CUTOFF));
+    while schedule.next_step(cx.open_requests.get(), began.elapsed()) == ShutdownStep::Serve {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
     peers::send_state(cx, true);
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -179,7 +179,10 @@
         }
     })?;
     let Admitted { rules, route, organisation, prompt, priority, timeout_ms } = admitted;
-    if cx.refuses_streams.get() && route.retry_policy.is_stream() {
+    let timeout = Duration::from_millis(timeout_ms.min(route.timeout_ms));
+    if cx.shutdown.get().is_some_and(|(shutdown, began)| {
+        !shutdown.accepts(route.retry_policy.is_stream(), timeout, began.elapsed())
+    }) {
         return Err(Failure::new(Code::Leaving, host).retry_after(LEAVING_RETRY_AFTER));
     }
     let body = read_body(body, rules.limits.max_body_bytes).await?;
@@ -215,7 +218,6 @@
     for name in [&names.urgency, &names.moved_from].into_iter().chain(&names.reserved) {
         headers.remove(name);
     }
-    let timeout = Duration::from_millis(timeout_ms.min(route.timeout_ms));
     let target = uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
     let prompt = prompt.filter(|_| route.has_prompt);
     let request = AdmittedRequest {
