place, relay: faster handover of the duties, and a reserve while reclaimable servers are scarce

Change: the lease lasts 0.7 of the separation of two leaders; an entry that restarts takes over from its own earlier process (its key is replaced by compare-and-swap); nobody is waited for at the first start. While reclaimable servers are refused, on-demand ones make up what would be missing after the largest loss. The initial number of servers is stored only once no server has registered for 1.5 s (found 4 of 12 before).

--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -23,6 +23,8 @@
     pub peer: SocketAddr,
     /// Listen address of the metrics endpoint.
     pub metrics: SocketAddr,
+    /// Whether the whole deployment starts for the first time, so that no entry ran before.
+    pub first_start: bool,
     /// Addresses of the platform's services.
     pub services: Services,
     /// Guarantees of the deployment to its callers and operators.
@@ -146,6 +148,7 @@
             directory: fields.address("directory"),
             peer: fields.address("peer"),
             metrics: fields.address("metrics"),
+            first_start: fields.flag("first_start", false),
             services,
             promises,
             fleet,
--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -15,6 +15,9 @@
     pub ttl: Millis,
     /// Safety margin before the end of the lease, for clocks that run at different rates.
     pub margin: Millis,
+    /// Minimum time between the orders of two tenures of one entry if another entry may have sent
+    /// orders in between.
+    pub separation: Millis,
     /// Interval between renewals.
     pub renew_interval: Millis,
     /// Maximum time from the check before an order to its effect.
@@ -28,6 +31,7 @@
         Self {
             ttl: 10_000,
             margin: 1_500,
+            separation: 10_000,
             renew_interval: 2_500,
             order_timeout: 2_000,
             retry_delay: 500,
@@ -56,6 +60,12 @@
         /// Revision of the write that created the key.
         revision: i64,
     },
+    /// An earlier process of this entry created the key. It has ended, so it sends no more orders,
+    /// and no other entry has held the lease since.
+    EarlierProcess {
+        /// Revision of the write that created the key.
+        revision: i64,
+    },
     /// Another entry created the key.
     OtherEntry,
 }
@@ -89,8 +99,13 @@
 pub enum LeaseAction {
     /// Request a lease from the key-value service.
     Grant,
-    /// Create the key under this lease if it does not exist.
-    Create(i64),
+    /// Create the key, or replace the one that an earlier process of this entry created.
+    Create {
+        /// Identifier of the lease under which the key is created.
+        lease: i64,
+        /// Revision of the key that is replaced; 0 if the key must not exist.
+        replaces: i64,
+    },
     /// Read the key.
     Read,
     /// Renew this lease.
@@ -117,6 +132,8 @@
     Creating {
         lease: i64,
         until: Millis,
+        /// Revision of the key of an earlier process that is replaced, or 0.
+        replaces: i64,
     },
     /// The key of the last held lease still exists; a renewal will show whether the lease does.
     Resuming(HeldLease),
@@ -143,6 +160,8 @@
     state: State,
     /// The last held lease; resumed if the key-value service has kept it through an outage.
     last: Option<HeldLease>,
+    /// Revision of the key of an earlier process of this entry that is to be replaced, or 0.
+    takeover: i64,
     /// Time from which new orders of this entry cannot alternate with those of another leader that
     /// held the lease in the meantime.
     cooldown_end: Millis,
@@ -153,8 +172,14 @@
     ///
     /// The previous process of this entry may have held the lease until `now`.
     pub fn new(times: LeaseTimes, now: Millis) -> Self {
-        let cooldown_end = now + times.ttl + times.order_timeout;
-        Self { times, state: State::Idle, last: None, cooldown_end }
+        let cooldown_end = now + times.separation + times.order_timeout;
+        Self { times, state: State::Idle, last: None, takeover: 0, cooldown_end }
+    }
+
+    /// Creates the state of an entry in a deployment that starts for the first time, so that no
+    /// process can have held the lease before.
+    pub fn at_first_start(times: LeaseTimes, now: Millis) -> Self {
+        Self { cooldown_end: now + times.order_timeout, ..Self::new(times, now) }
     }
 
     /// Returns the next action after an event.
@@ -162,8 +187,8 @@
         self.drop_expired(now);
         match (self.state, event) {
             (_, LeaseEvent::Granted { lease, sent }) => self.on_granted(lease, sent, now),
-            (State::Creating { lease, until }, LeaseEvent::Created(revision)) => {
-                self.hold(lease, until, revision, now)
+            (State::Creating { lease, until, replaces }, LeaseEvent::Created(revision)) => {
+                self.hold(lease, until, revision, replaces, now)
             }
             (State::Creating { .. }, LeaseEvent::Found(owner)) => self.on_found(owner, now),
             // The creation may have taken effect; reading the key shows whether it did.
@@ -181,6 +206,10 @@
             (State::Idle, LeaseEvent::Found(KeyOwner::ThisEntry { lease, revision })) => {
                 self.resume(lease, revision, now)
             }
+            (State::Idle, LeaseEvent::Found(KeyOwner::EarlierProcess { revision })) => {
+                self.takeover = revision;
+                LeaseAction::Grant
+            }
             (State::Idle, LeaseEvent::Found(KeyOwner::OtherEntry)) => {
                 LeaseAction::Wait(now + self.times.renew_interval)
             }
@@ -207,27 +236,45 @@
         if now >= until {
             return self.abandon(now);
         }
-        self.state = State::Creating { lease, until };
-        LeaseAction::Create(lease)
+        let replaces = std::mem::take(&mut self.takeover);
+        self.state = State::Creating { lease, until, replaces };
+        LeaseAction::Create { lease, replaces }
     }
 
     fn on_found(&mut self, owner: KeyOwner, now: Millis) -> LeaseAction {
-        let State::Creating { lease, until } = self.state else {
+        let State::Creating { lease, until, replaces } = self.state else {
             return self.abandon(now);
         };
         match owner {
             KeyOwner::ThisEntry { lease: key_lease, revision } if key_lease == lease => {
-                self.hold(lease, until, revision, now)
+                self.hold(lease, until, revision, replaces, now)
+            }
+            KeyOwner::Nobody => {
+                self.state = State::Creating { lease, until, replaces: 0 };
+                LeaseAction::Create { lease, replaces: 0 }
+            }
+            KeyOwner::EarlierProcess { revision } if revision == replaces => {
+                LeaseAction::Create { lease, replaces }
             }
-            KeyOwner::Nobody => LeaseAction::Create(lease),
             // A key of an earlier attempt disappears with its lease, like that of another entry.
-            KeyOwner::ThisEntry { .. } | KeyOwner::OtherEntry => self.abandon(now),
+            KeyOwner::ThisEntry { .. } | KeyOwner::EarlierProcess { .. } | KeyOwner::OtherEntry => {
+                self.abandon(now)
+            }
         }
     }
 
-    fn hold(&mut self, lease: i64, until: Millis, revision: i64, now: Millis) -> LeaseAction {
-        // The last orders of the previous leader take effect within the order timeout.
-        let unfenced_since = self.cooldown_end.max(now + self.times.order_timeout);
+    fn hold(
+        &mut self,
+        lease: i64,
+        until: Millis,
+        revision: i64,
+        replaces: i64,
+        now: Millis,
+    ) -> LeaseAction {
+        // The last orders of the previous leader take effect within the order timeout. After a
+        // takeover from an earlier process, no other entry can have sent any in between.
+        let cooldown_end = if replaces == 0 { self.cooldown_end } else { now };
+        let unfenced_since = cooldown_end.max(now + self.times.order_timeout);
         let held = HeldLease { lease, fencing_number: revision, since: now, unfenced_since };
         self.state = State::Holding { held, until };
         self.last = Some(held);
@@ -280,7 +327,7 @@
     /// Leaves the current state. If it held the lease, the last order may have been sent at `end`.
     fn stop_holding(&mut self, end: Millis) {
         if let State::Holding { .. } = self.state {
-            self.cooldown_end = end + self.times.ttl + self.times.order_timeout;
+            self.cooldown_end = end + self.times.separation + self.times.order_timeout;
         }
         self.state = State::Idle;
     }
--- a/crates/place/src/scaler.rs
+++ b/crates/place/src/scaler.rs
@@ -36,6 +36,9 @@
     pub max_share: f64,
     /// Minimum number of on-demand servers while reclaimable ones are scarce.
     pub on_demand: u32,
+    /// Minimum number of servers that remain after the loss of the data centre with most reclaimable
+    /// ones while these are scarce, as a fraction of the needed number.
+    pub reserve: f64,
     /// Time for which reclaimable servers still count as scarce after `refused_ms` has passed, in
     /// milliseconds.
     pub scarcity_ms: Millis,
@@ -57,6 +60,7 @@
             target_load: 0.7,
             max_share: 2.0,
             on_demand: 1,
+            reserve: 1.0,
             scarcity_ms: 5_000,
             min_share: 0.5,
             rise_ms: 1_500.0,
@@ -183,7 +187,7 @@
         let total = (needed * count).div_ceil((count - 1).max(1));
         let (serving, booting) = self.reclaimable_counts(offers, observed, now);
         let missing = needed.saturating_sub(serving + booting);
-        let min_sum = missing.max(self.min_on_demand(now));
+        let min_sum = missing.max(self.min_on_demand(observed, needed, now));
         let max_sum = needed.saturating_sub(serving).max(min_sum);
         let on_demand = self.on_demand_counts(&centres, observed, max, (min_sum, max_sum));
         let mut wanted = Vec::new();
@@ -237,10 +241,19 @@
     /// Returns the minimum number of on-demand servers.
     ///
     /// It is zero while reclaimable servers are available: their even spread covers the loss of a
-    /// data centre.
-    fn min_on_demand(&self, now: Millis) -> u32 {
+    /// data centre. Reclaims often hit one data centre after the other, faster than servers boot.
+    /// While lost servers cannot be replaced by reclaimable ones, the on-demand servers therefore
+    /// have to be enough without the data centre that would be the largest loss.
+    fn min_on_demand(&self, observed: &Observed, needed: u32, now: Millis) -> u32 {
         let is_scarce = |until: &Millis| now < until + self.settings.scarcity_ms;
-        if self.refused_until.values().any(is_scarce) { self.settings.on_demand } else { 0 }
+        if !self.refused_until.values().any(is_scarce) {
+            return 0;
+        }
+        let reclaimable = || observed.serving.iter().filter(|(placement, _)| placement.reclaimable);
+        let total: u32 = reclaimable().map(|(_, count)| count).sum();
+        let largest = reclaimable().map(|(_, count)| *count).max().unwrap_or(0);
+        let reserve = (f64::from(needed) * self.settings.reserve).ceil() as u32;
+        reserve.saturating_sub(total - largest).max(self.settings.on_demand)
     }
 
     /// Returns the number of reclaimable servers that serve, and of ordered ones that still boot.
--- a/crates/place/tests/leases/single.rs
+++ b/crates/place/tests/leases/single.rs
@@ -147,3 +147,41 @@
     let order = orders.reconcile(&server, &second, None, 42, 10).unwrap();
     assert_eq!((order.desired, order.reason), (second, OrderReason::Differs));
 }
+
+#[test]
+fn restarted_holder_takes_over_from_its_earlier_process_without_waiting_for_the_lease_to_expire() {
+    let mut holder = Holder::new(LeaseTimes::default(), 50_000);
+    let found = LeaseEvent::Found(KeyOwner::EarlierProcess { revision: 42 });
+    assert_eq!(holder.next(found, 50_010), LeaseAction::Grant);
+    let granted = LeaseEvent::Granted { lease: 8, sent: 50_010 };
+    assert_eq!(
+        holder.next(granted, 50_020),
+        LeaseAction::Create { lease: 8, replaces: 42 },
+        "the key is replaced only if it is still the one that was read"
+    );
+    holder.next(LeaseEvent::Created(44), 50_030);
+    assert_eq!(holder.permit(Fencing::Ignored, 50_030), Permit::NotYet(52_030));
+    assert_eq!(holder.permit(Fencing::Ignored, 52_030), Permit::Send(44));
+}
+
+#[test]
+fn takeover_whose_key_expired_meanwhile_waits_like_any_new_tenure() {
+    let mut holder = Holder::new(LeaseTimes::default(), 50_000);
+    holder.next(LeaseEvent::Found(KeyOwner::EarlierProcess { revision: 42 }), 50_010);
+    holder.next(LeaseEvent::Granted { lease: 8, sent: 50_010 }, 50_020);
+    assert_eq!(holder.next(LeaseEvent::Waited, 50_030), LeaseAction::Read);
+    // Another entry may have held the lease and released it in the meantime.
+    let next = holder.next(LeaseEvent::Found(KeyOwner::Nobody), 50_040);
+    assert_eq!(next, LeaseAction::Create { lease: 8, replaces: 0 });
+    holder.next(LeaseEvent::Created(46), 50_050);
+    assert_eq!(holder.permit(Fencing::Ignored, 50_050), Permit::NotYet(62_000));
+}
+
+#[test]
+fn first_start_of_a_deployment_waits_for_no_previous_holder() {
+    let mut holder = Holder::at_first_start(LeaseTimes::default(), 0);
+    assert_eq!(holder.next(LeaseEvent::Found(KeyOwner::Nobody), 10), LeaseAction::Grant);
+    holder.next(LeaseEvent::Granted { lease: 7, sent: 10 }, 20);
+    holder.next(LeaseEvent::Created(42), 30);
+    assert_eq!(holder.permit(Fencing::Ignored, 2_030), Permit::Send(42));
+}
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -93,6 +93,8 @@
     pub(crate) usage_reports: RefCell<UsageReports>,
     pub(crate) picker: RefCell<Picker>,
     pub(crate) demand: RefCell<DemandTracker>,
+    /// Time on the boot clock at which a server was last added, in milliseconds.
+    pub(crate) server_added_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
     /// Recent changes of the servers' registrations.
@@ -176,6 +178,7 @@
             usage_reports: RefCell::default(),
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
+            server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -14,12 +14,16 @@
 use rules::{Scaling, Service};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Prefix of the keys that hold the final counts of a usage window.
 const FINAL_COUNTS_PREFIX: &str = "fennelfold/usage/";
 /// Prefix of the keys that hold the number of servers a service had before any order.
 const INITIAL_COUNT_PREFIX: &str = "fennelfold/found/";
+/// Time without a new registration after which all servers that run at the first start count as
+/// registered, in milliseconds. They register one after the other when they start.
+const REGISTRATION_PAUSE_MS: Millis = 1_500;
 /// Minimum time from the end of a window to its report, in milliseconds. Requests that began just
 /// before the end are counted only when their responses begin.
 const COUNTS_DELAY_MS: u64 = 1_000;
@@ -28,6 +32,8 @@
 const REPORT_RESERVE_MS: u64 = 3_500;
 /// Time after which the last counts received from an entry are dropped, in milliseconds.
 const COUNTS_RETENTION_MS: u64 = 60_000;
+/// Time to live of the lease, as a fraction of the minimum time between two leaders.
+const LEASE_TTL_FRACTION: f64 = 0.7;
 /// Poll interval of an entry that waits for the lease, in milliseconds. The watch of the lease
 /// record also reports the end of the lease.
 const LEASE_POLL_MS: Millis = 15_000;
@@ -46,6 +52,8 @@
 struct LeaseRecord {
     entry: Name,
     incarnation: u64,
+    /// Address for callers, which tells VMs apart that had the same name one after the other.
+    front: Option<SocketAddr>,
     lease: i64,
 }
 
@@ -55,16 +63,20 @@
 }
 
 impl LeaderLease {
-    pub(crate) fn new(lease: Duration) -> Self {
-        let lease = lease.as_millis() as Millis;
+    /// Creates the state of an entry that does not hold the lease. `separation` is the minimum time
+    /// between the orders of two tenures of one entry.
+    pub(crate) fn new(separation: Duration, is_first_start: bool) -> Self {
+        let ttl = 1_000 * ttl_s(separation) as Millis;
         let times = LeaseTimes {
-            ttl: lease,
-            margin: lease / 6,
-            renew_interval: lease / 4,
-            order_timeout: lease / 2,
-            retry_delay: lease / 10,
+            ttl,
+            margin: ttl / 6,
+            separation: separation.as_millis() as Millis,
+            renew_interval: ttl / 4,
+            order_timeout: ttl / 3,
+            retry_delay: ttl / 8,
         };
-        Self { holder: RefCell::new(Holder::new(times, boot_ms())) }
+        let new = if is_first_start { Holder::at_first_start } else { Holder::new };
+        Self { holder: RefCell::new(new(times, boot_ms())) }
     }
 
     /// Returns the fencing number if this entry may act as the leader now.
@@ -76,6 +88,12 @@
     }
 }
 
+/// Returns the time to live of the lease in seconds, the unit of the store. It is shorter than the
+/// separation, so that another entry replaces a lost leader before that time is over.
+fn ttl_s(separation: Duration) -> i64 {
+    ((separation.as_secs_f64() * LEASE_TTL_FRACTION) as i64).max(1)
+}
+
 /// Acquires the leader lease and renews it until the entry stops.
 pub(crate) async fn hold_lease(cx: Rc<Context>, lease: Rc<LeaderLease>) {
     let mut event = LeaseEvent::Waited;
@@ -128,18 +146,19 @@
             tokio::time::sleep(Duration::from_millis(until.saturating_sub(now))).await;
             LeaseEvent::Waited
         }
-        LeaseAction::Grant => {
-            let seconds = cx.settings.promises.lease.as_secs().max(1) as i64;
-            match cx.store.grant(seconds).await {
-                Ok(lease) => LeaseEvent::Granted { lease: lease.0, sent: now },
-                Err(failure) => failed(failure),
-            }
-        }
-        LeaseAction::Create(lease) => {
-            let record =
-                LeaseRecord { entry: cx.settings.name.clone(), incarnation: cx.incarnation, lease };
+        LeaseAction::Grant => match cx.store.grant(ttl_s(cx.settings.promises.lease)).await {
+            Ok(lease) => LeaseEvent::Granted { lease: lease.0, sent: now },
+            Err(failure) => failed(failure),
+        },
+        LeaseAction::Create { lease, replaces } => {
+            let record = LeaseRecord {
+                entry: cx.settings.name.clone(),
+                incarnation: cx.incarnation,
+                front: Some(cx.settings.front),
+                lease,
+            };
             let value = serde_json::to_vec(&record).unwrap_or_default();
-            match cx.store.swap(LEADER_KEY, 0, value.into(), Some(Lease(lease))).await {
+            match cx.store.swap(LEADER_KEY, replaces, value.into(), Some(Lease(lease))).await {
                 Ok(Swap::Done(revision)) => LeaseEvent::Created(revision),
                 Ok(Swap::Other(_)) => LeaseEvent::Waited,
                 Err(failure) => failed(failure),
@@ -168,6 +187,11 @@
         Ok(record) if record.entry == cx.settings.name && record.incarnation == cx.incarnation => {
             KeyOwner::ThisEntry { lease: record.lease, revision: stored.revision }
         }
+        Ok(record)
+            if record.entry == cx.settings.name && record.front == Some(cx.settings.front) =>
+        {
+            KeyOwner::EarlierProcess { revision: stored.revision }
+        }
         _ => KeyOwner::OtherEntry,
     }
 }
@@ -386,7 +410,8 @@
         return serde_json::from_slice(&stored.value).ok();
     }
     let found: u32 = observe(cx, service).serving.values().sum();
-    if found == 0 {
+    let added_at = cx.server_added_at.get();
+    if found == 0 || boot_ms().saturating_sub(added_at) < REGISTRATION_PAUSE_MS {
         return None;
     }
     let put = Put { key: key.clone(), value: found.to_string().into(), lease: None };
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -306,6 +306,9 @@
             let (leaving, service) = (info.leaving, info.service.clone());
             let ends_in = info.reclaimed_in_ms.map(Duration::from_millis);
             let ends_in = ends_in.unwrap_or(cx.settings.promises.drain);
+            if cx.picker.borrow().get(&id).is_none() {
+                cx.server_added_at.set(boot_ms());
+            }
             if cx.picker.borrow_mut().upsert(info) {
                 info!(cx.log, "server listed"; "server" => %id, "service" => %service,
                     "leaving" => leaving, "ends_in_ms" => ends_in.as_millis() as u64,
