pick: shared prompt parts are copied from their owner instead of read again

Change: one owner by rendezvous hashing for all shared parts of 64 tokens or more; another server that takes the request copies from the owner, or its successor from the owner that leaves. Copied tokens cost as much as processed ones in the choice, so that an owner is left only when it is busier by that much.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -114,8 +114,12 @@
     pub address: SocketAddr,
     /// Predicted time to the answer or its first token, in milliseconds.
     pub expected_ms: f64,
-    /// Prompt tokens that are not cached at the server.
+    /// Prompt tokens that the server has to process, because neither it nor the server to copy from
+    /// has them cached.
     pub uncached_tokens: u64,
+    /// Address of another server that is expected to have shared parts of the prompt cached. The
+    /// chosen server copies from there what it lacks.
+    pub copy_from: Option<SocketAddr>,
     /// Number of requests that all entries have open at the server.
     pub open: u32,
     /// Number of servers that were considered.
@@ -124,11 +128,16 @@
     pub reason: ChoiceReason,
 }
 
-/// Minimum number of tokens in the shared parts of a prompt that has affinity servers.
-const MIN_AFFINITY_TOKENS: u64 = 500;
-/// Number of affinity servers of a prompt, which all entries prefer for prompts with the same
-/// shared parts.
-const AFFINITY_SERVERS: usize = 2;
+/// Minimum number of tokens in the shared parts of a prompt that has an affinity server.
+const MIN_AFFINITY_TOKENS: u64 = 64;
+/// Number of servers among which a server that has shared parts of a prompt cached is looked for.
+const PROMPT_OWNERS: usize = 2;
+/// Time to copy cached tokens from another server, as a fraction of the time to process them.
+const COPY_FRACTION: f64 = 0.1;
+
+/// Cost of copied tokens, for the network that they occupy, as a fraction of the time to process
+/// them. A server that has to copy is chosen only if the owner is busier by this much.
+const COPY_COST_FRACTION: f64 = 1.0;
 
 /// A server with its predictions for one request.
 struct Candidate<'a> {
@@ -157,9 +166,9 @@
         let healthy: Vec<&Server> = eligible.iter().filter(is_healthy).copied().collect();
         let (servers, last_resort) =
             if healthy.is_empty() { (&eligible, true) } else { (&healthy, false) };
-        let affinity = affinity_servers(servers, requirements.prompt);
+        let owners = self.prompt_owners(requirements, now);
         let candidates: Vec<Candidate<'_>> =
-            servers.iter().map(|server| self.candidate(server, requirements, &affinity)).collect();
+            servers.iter().map(|server| self.candidate(server, requirements, &owners)).collect();
         let best = lowest_cost(&candidates, requirements.random)?;
         let reason = match (last_resort, best.cached) {
             (true, _) => ChoiceReason::LastResort,
@@ -171,18 +180,43 @@
             address: best.server.info.address,
             expected_ms: best.expected_ms,
             uncached_tokens: best.uncached_tokens,
+            copy_from: owners
+                .iter()
+                .find(|owner| owner.info.id != best.server.info.id)
+                .map(|owner| owner.info.address),
             open: best.server.load().open,
             candidates: candidates.len(),
             reason,
         })
     }
 
+    /// Returns the two servers that most likely have the shared parts of a prompt cached, by
+    /// rendezvous hashing of its last shared part. The first one is the owner.
+    ///
+    /// All entries choose the same ones if they know the same servers. Leaving servers count too:
+    /// their cached parts are copied to the next owner while they still run.
+    fn prompt_owners(&self, requirements: &Requirements<'_>, now: Millis) -> Vec<&Server> {
+        let Some(prompt) = requirements.prompt else { return Vec::new() };
+        let Some(last) = prompt.shared_parts().last() else { return Vec::new() };
+        if shared_tokens(prompt) < MIN_AFFINITY_TOKENS {
+            return Vec::new();
+        }
+        let is_reachable = |server: &&Server| {
+            server.info.service == *requirements.service && now >= server.backoff_until
+        };
+        let weight = |server: &&Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
+        let mut ranked: Vec<&Server> = self.servers().filter(is_reachable).collect();
+        ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
+        ranked.truncate(PROMPT_OWNERS);
+        ranked
+    }
+
     /// Predicts the latency and the cost of a request at a server.
     fn candidate<'a>(
         &self,
         server: &'a Server,
         requirements: &Requirements<'_>,
-        affinity: &[Name],
+        owners: &[&Server],
     ) -> Candidate<'a> {
         let model = self.latency_model();
         let load = server.load();
@@ -205,47 +239,41 @@
                 cached: false,
             };
         };
-        let cached_tokens =
-            cached_tokens(self.prompt_cache(), server, prompt, affinity.contains(&server.info.id));
-        let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens);
+        let is_owner = owners.first().is_some_and(|owner| owner.info.id == server.info.id);
+        let cached_tokens = cached_tokens(self.prompt_cache(), server, prompt, is_owner);
+        let copied_tokens =
+            if owners.is_empty() { 0 } else { shared_tokens(prompt) }.saturating_sub(cached_tokens);
+        let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens + copied_tokens);
         let step_ms = model.step_ms + model.step_ms_per_request * (open + 1.0).min(slots);
         let queued = (open + 1.0 - slots).max(0.0);
-        let prefill_ms =
-            (load.pending_prompt_tokens + uncached_tokens) as f64 / model.prefill_tokens_per_ms;
+        let prompt_tokens = (load.pending_prompt_tokens + uncached_tokens) as f64
+            + COPY_FRACTION * copied_tokens as f64;
+        let prefill_ms = prompt_tokens / model.prefill_tokens_per_ms;
         let expected_ms = prefill_ms + step_ms + queued * step_ms * model.weighted_steps / slots;
-        let cost_ms =
-            expected_ms + model.weighted_steps * model.step_ms_per_request * open + penalty_ms;
+        let copy_cost_ms = COPY_COST_FRACTION * copied_tokens as f64 / model.prefill_tokens_per_ms;
+        let cost_ms = expected_ms
+            + model.weighted_steps * model.step_ms_per_request * open
+            + copy_cost_ms
+            + penalty_ms;
         Candidate { server, expected_ms, cost_ms, uncached_tokens, cached: cached_tokens > 0 }
     }
 }
 
 /// Returns the number of tokens at the start of a prompt that a server is expected to have cached.
 ///
-/// An affinity server is expected to have cached all shared parts.
+/// The owner of a prompt is expected to have cached all shared parts.
 fn cached_tokens(
     index: &PromptCacheIndex,
     server: &Server,
     prompt: &Prompt,
-    has_affinity: bool,
+    is_owner: bool,
 ) -> u64 {
-    let is_cached = |part: &&PromptPart| has_affinity || index.contains(part.id, &server.info.id);
+    let is_cached = |part: &&PromptPart| is_owner || index.contains(part.id, &server.info.id);
     prompt.shared_parts().iter().take_while(is_cached).map(|part| part.tokens).sum()
 }
 
-/// Chooses the affinity servers of a prompt by rendezvous hashing of its last shared part.
-///
-/// All entries choose the same ones if they know the same servers.
-fn affinity_servers(servers: &[&Server], prompt: Option<&Prompt>) -> Vec<Name> {
-    let shared = prompt.map(Prompt::shared_parts).unwrap_or_default();
-    let tokens: u64 = shared.iter().map(|part| part.tokens).sum();
-    let Some(last) = shared.last().filter(|_| tokens >= MIN_AFFINITY_TOKENS) else {
-        return Vec::new();
-    };
-    let weight = |server: &&&Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
-    let mut ranked: Vec<&&Server> = servers.iter().collect();
-    ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
-    ranked.truncate(AFFINITY_SERVERS);
-    ranked.into_iter().map(|server| server.info.id.clone()).collect()
+fn shared_tokens(prompt: &Prompt) -> u64 {
+    prompt.shared_parts().iter().map(|part| part.tokens).sum()
 }
 
 /// Returns the candidate with the lowest cost.
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -5,13 +5,14 @@
     ChoiceReason, LatencyModel, Load, Outcome, Picker, Prompt, PromptPart, Requirements, ServerInfo,
 };
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 fn server_info(id: &str, data_centre: &str) -> ServerInfo {
     ServerInfo {
         id: id.into(),
         started_unix_ms: 1,
         service: "pool".into(),
-        address: "127.0.0.1:9".parse().expect("the address is valid"),
+        address: address(id),
         data_centre: data_centre.into(),
         slots: 64,
         leaving: false,
@@ -21,6 +22,11 @@
     }
 }
 
+/// Returns an address that differs between the servers of a test.
+fn address(id: &str) -> SocketAddr {
+    ([127, 0, 0, 1], id.bytes().map(u16::from).sum()).into()
+}
+
 fn picker(ids: &[&str]) -> Picker {
     let mut picker = Picker::new(LatencyModel::default());
     for id in ids {
@@ -61,6 +67,45 @@
     }
 }
 
+/// Replays prompts of one session that meet a busy owner: they go to another server, which copies
+/// the shared parts instead of processing them again.
+#[test]
+fn a_server_that_takes_a_prompt_from_its_busy_owner_copies_the_shared_parts() {
+    let mut picker = picker(&["s1", "s2", "s3", "s4"]);
+    let prompt = prompt(10);
+    let owner = choose(&picker, Some(&prompt), &[], 1);
+    assert_eq!(owner.uncached_tokens, 900, "the owner has the shared parts");
+    picker.set_remote_loads(
+        &[(owner.id.clone(), Load { open: 20, pending_prompt_tokens: 60_000 })].into(),
+    );
+    let other = choose(&picker, Some(&prompt), &[], 1);
+    assert_ne!(other.id, owner.id);
+    assert_eq!((other.copy_from, other.uncached_tokens), (Some(owner.address), 900));
+}
+
+/// Replays a reclaim: while the owner of a prompt leaves, its successor copies from it.
+#[test]
+fn the_next_owner_of_a_prompt_copies_from_the_one_that_leaves() {
+    let mut picker = picker(&["s1", "s2", "s3", "s4"]);
+    let prompt = prompt(10);
+    let owner = choose(&picker, Some(&prompt), &[], 1);
+    picker.upsert(ServerInfo { leaving: true, ..server_info(&owner.id, "local") });
+    let next = choose(&picker, Some(&prompt), &[], 1);
+    assert_ne!(next.id, owner.id);
+    assert_eq!((next.copy_from, next.uncached_tokens), (Some(owner.address), 900));
+}
+
+#[test]
+fn an_idle_owner_is_preferred_to_a_server_that_would_copy() {
+    let mut picker = picker(&["s1", "s2", "s3", "s4"]);
+    let prompt = prompt(10);
+    let owner = choose(&picker, Some(&prompt), &[], 1).id;
+    picker.set_remote_loads(
+        &[(owner.clone(), Load { open: 3, pending_prompt_tokens: 2_000 })].into(),
+    );
+    assert!((0..20).all(|random| choose(&picker, Some(&prompt), &[], random).id == owner));
+}
+
 #[test]
 fn many_prompts_with_one_shared_part_spread_to_all_servers() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -377,6 +377,9 @@
         headers
             .insert(&names.urgency, HeaderValue::from(u16::from(engine_priority(request, choice))));
     }
+    if let Some(from) = choice.copy_from {
+        headers.insert(&names.copy_from, HeaderValue::from_str(&from.to_string())?);
+    }
     if let Some(organisation) = &request.organisation {
         headers.insert(&names.organisation, HeaderValue::from_str(&organisation.name)?);
     }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -27,6 +27,8 @@
     pub signature: HeaderName,
     /// Priority of a request at an engine.
     pub urgency: HeaderName,
+    /// Address of an engine from which the KV cache of shared prompt parts is copied.
+    pub copy_from: HeaderName,
     /// Location of the copied KV cache of a request that resumes at another engine.
     pub moved_from: HeaderName,
     /// Fields for servers that callers must not set.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -215,7 +215,9 @@
     for name in [&CONTENT_LENGTH, &EXPECT, &names.key, &names.organisation, &names.expected] {
         headers.remove(name);
     }
-    for name in [&names.urgency, &names.moved_from].into_iter().chain(&names.reserved) {
+    for name in
+        [&names.urgency, &names.copy_from, &names.moved_from].into_iter().chain(&names.reserved)
+    {
         headers.remove(name);
     }
     let target = uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -25,6 +25,7 @@
         not_run: name("not-run"),
         signature: name("seal"),
         urgency: name("urgency"),
+        copy_from: name("copy-from"),
         moved_from: name("moved-from"),
         reserved: Vec::new(),
     }
