--- a/crates/pick/src/cache.rs
+++ b/crates/pick/src/cache.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Removes a server that no longer has anything cached.
+    pub(crate) fn remove_server(&mut self, server: &Name) {
+        for servers in self.servers.values_mut() {
+            servers.retain(|other| other != server);
+        }
+    }
+
     /// Whether the part was recently sent to the server.
     pub(crate) fn contains(&self, part: u64, server: &Name) -> bool {
         self.servers.get(&part).is_some_and(|servers| servers.contains(server))
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -128,15 +128,18 @@
     pub reason: ChoiceReason,
 }
 
-/// Minimum number of tokens in the shared parts of a prompt that has an affinity server.
+/// Minimum number of tokens in the shared parts of a prompt that has affinity servers.
 const MIN_AFFINITY_TOKENS: u64 = 64;
-/// Number of servers among which a server that has shared parts of a prompt cached is looked for.
-const PROMPT_OWNERS: usize = 2;
+/// Number of affinity servers of a prompt: the primary, and the one to copy from if the primary is
+/// new.
+const AFFINITY_SERVERS: usize = 2;
+/// Number of servers besides the affinity servers whose costs are compared.
+const SAMPLE_SIZE: usize = 4;
 /// Time to copy cached tokens from another server, as a fraction of the time to process them.
 const COPY_FRACTION: f64 = 0.1;
 
 /// Cost of copied tokens, for the network that they occupy, as a fraction of the time to process
-/// them. A server that has to copy is chosen only if the owner is busier by this much.
+/// them. A server that has to copy is chosen only if the primary is busier by this much.
 const COPY_COST_FRACTION: f64 = 1.0;
 
 /// A server with its predictions for one request.
@@ -166,9 +169,10 @@
         let healthy: Vec<&Server> = eligible.iter().filter(is_healthy).copied().collect();
         let (servers, last_resort) =
             if healthy.is_empty() { (&eligible, true) } else { (&healthy, false) };
-        let owners = self.prompt_owners(requirements, now);
-        let candidates: Vec<Candidate<'_>> =
-            servers.iter().map(|server| self.candidate(server, requirements, &owners)).collect();
+        let affinity = self.affinity_servers(requirements, now);
+        let candidates: Vec<Candidate<'_>> = sample(servers, &affinity, requirements.random)
+            .map(|server| self.candidate(server, requirements, &affinity))
+            .collect();
         let best = lowest_cost(&candidates, requirements.random)?;
         let reason = match (last_resort, best.cached) {
             (true, _) => ChoiceReason::LastResort,
@@ -180,10 +184,10 @@
             address: best.server.info.address,
             expected_ms: best.expected_ms,
             uncached_tokens: best.uncached_tokens,
-            copy_from: owners
+            copy_from: affinity
                 .iter()
-                .find(|owner| owner.info.id != best.server.info.id)
-                .map(|owner| owner.info.address),
+                .find(|other| other.info.id != best.server.info.id)
+                .map(|other| other.info.address),
             open: best.server.load().open,
             candidates: candidates.len(),
             reason,
@@ -191,11 +195,11 @@
     }
 
     /// Returns the two servers that most likely have the shared parts of a prompt cached, by
-    /// rendezvous hashing of its last shared part. The first one is the owner.
+    /// rendezvous hashing of its last shared part. The first one is the primary.
     ///
     /// All entries choose the same ones if they know the same servers. Leaving servers count too:
-    /// their cached parts are copied to the next owner while they still run.
-    fn prompt_owners(&self, requirements: &Requirements<'_>, now: Millis) -> Vec<&Server> {
+    /// while they still run, their successors copy the cached parts from them.
+    fn affinity_servers(&self, requirements: &Requirements<'_>, now: Millis) -> Vec<&Server> {
         let Some(prompt) = requirements.prompt else { return Vec::new() };
         let Some(last) = prompt.shared_parts().last() else { return Vec::new() };
         if shared_tokens(prompt) < MIN_AFFINITY_TOKENS {
@@ -207,7 +211,7 @@
         let weight = |server: &&Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
         let mut ranked: Vec<&Server> = self.servers().filter(is_reachable).collect();
         ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
-        ranked.truncate(PROMPT_OWNERS);
+        ranked.truncate(AFFINITY_SERVERS);
         ranked
     }
 
@@ -216,7 +220,7 @@
         &self,
         server: &'a Server,
         requirements: &Requirements<'_>,
-        owners: &[&Server],
+        affinity: &[&Server],
     ) -> Candidate<'a> {
         let model = self.latency_model();
         let load = server.load();
@@ -239,10 +243,10 @@
                 cached: false,
             };
         };
-        let is_owner = owners.first().is_some_and(|owner| owner.info.id == server.info.id);
-        let cached_tokens = cached_tokens(self.prompt_cache(), server, prompt, is_owner);
-        let copied_tokens =
-            if owners.is_empty() { 0 } else { shared_tokens(prompt) }.saturating_sub(cached_tokens);
+        let is_primary = affinity.first().is_some_and(|primary| primary.info.id == server.info.id);
+        let cached_tokens = cached_tokens(self.prompt_cache(), server, prompt, is_primary);
+        let copied_tokens = if affinity.is_empty() { 0 } else { shared_tokens(prompt) }
+            .saturating_sub(cached_tokens);
         let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens + copied_tokens);
         let step_ms = model.step_ms + model.step_ms_per_request * (open + 1.0).min(slots);
         let queued = (open + 1.0 - slots).max(0.0);
@@ -261,14 +265,14 @@
 
 /// Returns the number of tokens at the start of a prompt that a server is expected to have cached.
 ///
-/// The owner of a prompt is expected to have cached all shared parts.
+/// The primary affinity server is expected to have cached all shared parts.
 fn cached_tokens(
     index: &PromptCacheIndex,
     server: &Server,
     prompt: &Prompt,
-    is_owner: bool,
+    is_primary: bool,
 ) -> u64 {
-    let is_cached = |part: &&PromptPart| is_owner || index.contains(part.id, &server.info.id);
+    let is_cached = |part: &&PromptPart| is_primary || index.contains(part.id, &server.info.id);
     prompt.shared_parts().iter().take_while(is_cached).map(|part| part.tokens).sum()
 }
 
@@ -276,6 +280,23 @@
     prompt.shared_parts().iter().map(|part| part.tokens).sum()
 }
 
+/// Returns the servers whose costs are compared: the affinity servers and a random sample.
+///
+/// The loads of the other entries are known with a delay. If all entries compared all servers, they
+/// would all send to the one that was the least loaded a moment ago, until its slots are full.
+fn sample<'a>(
+    servers: &[&'a Server],
+    affinity: &[&Server],
+    random: u64,
+) -> impl Iterator<Item = &'a Server> {
+    let has_affinity =
+        |server: &&Server| affinity.iter().any(|other| other.info.id == server.info.id);
+    let (preferred, mut others): (Vec<&Server>, Vec<&Server>) =
+        servers.iter().copied().partition(has_affinity);
+    others.sort_by_cached_key(|server| xxh3_64_with_seed(server.info.id.as_bytes(), random));
+    preferred.into_iter().chain(others.into_iter().take(SAMPLE_SIZE))
+}
+
 /// Returns the candidate with the lowest cost.
 ///
 /// Ties are broken by the random number, so that the requests of several entries are spread.
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -31,7 +31,8 @@
 
     /// Adds a server or replaces its registered data; returns whether anything changed.
     ///
-    /// A server that restarted under the same name starts without load, outcomes or backoff.
+    /// A server that restarted under the same name starts without load, outcomes, backoff or cached
+    /// prompts.
     pub fn upsert(&mut self, info: ServerInfo) -> bool {
         match self.servers.get_mut(&info.id) {
             Some(known) if known.info == info => false,
@@ -40,6 +41,7 @@
                 true
             }
             _ => {
+                self.prompt_cache.remove_server(&info.id);
                 self.servers.insert(info.id.clone(), Server::new(info));
                 true
             }
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -67,43 +67,63 @@
     }
 }
 
-/// Replays prompts of one session that meet a busy owner: they go to another server, which copies
+/// Replays prompts of one session whose primary server is busy: they go to another server, which copies
 /// the shared parts instead of processing them again.
 #[test]
-fn a_server_that_takes_a_prompt_from_its_busy_owner_copies_the_shared_parts() {
+fn a_server_that_takes_a_prompt_from_a_busy_primary_copies_the_shared_parts() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
     let prompt = prompt(10);
-    let owner = choose(&picker, Some(&prompt), &[], 1);
-    assert_eq!(owner.uncached_tokens, 900, "the owner has the shared parts");
+    let primary = choose(&picker, Some(&prompt), &[], 1);
+    assert_eq!(primary.uncached_tokens, 900, "the primary has the shared parts");
     picker.set_remote_loads(
-        &[(owner.id.clone(), Load { open: 20, pending_prompt_tokens: 60_000 })].into(),
+        &[(primary.id.clone(), Load { open: 20, pending_prompt_tokens: 60_000 })].into(),
     );
     let other = choose(&picker, Some(&prompt), &[], 1);
-    assert_ne!(other.id, owner.id);
-    assert_eq!((other.copy_from, other.uncached_tokens), (Some(owner.address), 900));
+    assert_ne!(other.id, primary.id);
+    assert_eq!((other.copy_from, other.uncached_tokens), (Some(primary.address), 900));
 }
 
-/// Replays a reclaim: while the owner of a prompt leaves, its successor copies from it.
+/// Replays a reclaim: while the primary server of a prompt leaves, its successor copies from it.
 #[test]
-fn the_next_owner_of_a_prompt_copies_from_the_one_that_leaves() {
+fn the_next_primary_copies_from_the_one_that_leaves() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
     let prompt = prompt(10);
-    let owner = choose(&picker, Some(&prompt), &[], 1);
-    picker.upsert(ServerInfo { leaving: true, ..server_info(&owner.id, "local") });
+    let primary = choose(&picker, Some(&prompt), &[], 1);
+    picker.upsert(ServerInfo { leaving: true, ..server_info(&primary.id, "local") });
     let next = choose(&picker, Some(&prompt), &[], 1);
-    assert_ne!(next.id, owner.id);
-    assert_eq!((next.copy_from, next.uncached_tokens), (Some(owner.address), 900));
+    assert_ne!(next.id, primary.id);
+    assert_eq!((next.copy_from, next.uncached_tokens), (Some(primary.address), 900));
 }
 
 #[test]
-fn an_idle_owner_is_preferred_to_a_server_that_would_copy() {
+fn an_idle_primary_is_preferred_to_a_server_that_would_copy() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
     let prompt = prompt(10);
-    let owner = choose(&picker, Some(&prompt), &[], 1).id;
+    let primary = choose(&picker, Some(&prompt), &[], 1).id;
     picker.set_remote_loads(
-        &[(owner.clone(), Load { open: 3, pending_prompt_tokens: 2_000 })].into(),
+        &[(primary.clone(), Load { open: 3, pending_prompt_tokens: 2_000 })].into(),
     );
-    assert!((0..20).all(|random| choose(&picker, Some(&prompt), &[], random).id == owner));
+    assert!((0..20).all(|random| choose(&picker, Some(&prompt), &[], random).id == primary));
+}
+
+/// Replays a burst at many entries that all know the same loads, from before the burst: they do not
+/// all send to the server that was the least loaded then.
+#[test]
+fn entries_with_the_same_old_loads_spread_a_burst() {
+    let ids: Vec<String> = (0..40).map(|i| format!("s{i}")).collect();
+    let mut picker = picker(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    let load = |i: u32| Load { open: 10 + i, pending_prompt_tokens: 0 };
+    let loads = ids.iter().zip(0..).map(|(id, i)| (Name::from(id.as_str()), load(i)));
+    picker.set_remote_loads(&loads.collect());
+    let mut requests: BTreeMap<Name, u32> = BTreeMap::new();
+    for random in 0..400 {
+        let choice = choose(&picker, Some(&Prompt::default()), &[], random);
+        *requests.entry(choice.id).or_default() += 1;
+    }
+    assert!(requests.values().all(|count| *count <= 60), "{requests:?}");
+    let is_idle = |id: &str| picker.get(id).is_some_and(|server| server.load().open < 30);
+    let to_idle: u32 = requests.iter().filter(|(id, _)| is_idle(id)).map(|(_, count)| count).sum();
+    assert!(to_idle >= 300, "less loaded servers are preferred: {requests:?}");
 }
 
 #[test]
@@ -209,6 +229,21 @@
     assert_eq!((last.id.as_str(), last.reason), ("s1", ChoiceReason::LastResort));
 }
 
+#[test]
+fn a_server_that_restarted_under_its_name_has_no_prompts_cached() {
+    let mut picker = picker(&["s1"]);
+    // Short shared parts have no affinity servers, only those that they were sent to.
+    let short = Prompt {
+        parts: vec![PromptPart { id: 7, tokens: 40 }, PromptPart { id: 8, tokens: 60 }],
+        tokens: 100,
+        answer_tokens: 10,
+    };
+    picker.record_sent(&"s1".into(), 100, Some(&short));
+    assert_eq!(choose(&picker, Some(&short), &[], 0).uncached_tokens, 60);
+    picker.upsert(ServerInfo { started_unix_ms: 2, ..server_info("s1", "local") });
+    assert_eq!(choose(&picker, Some(&short), &[], 0).uncached_tokens, 100);
+}
+
 #[test]
 fn a_server_that_restarted_under_its_name_has_no_load() {
     let mut picker = picker(&["s1"]);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -242,6 +242,7 @@
     debug!(cx.log, "placed"; "request" => request.id_text(), "server" => %choice.id,
         "why" => ?choice.reason, "expected_ms" => choice.expected_ms, "open" => choice.open,
         "unread" => choice.uncached_tokens,
+        "copy_from" => choice.copy_from.map(|address| address.to_string()),
         "candidates" => choice.candidates, "tried" => tried.len());
     Some(choice)
 }
@@ -377,7 +378,8 @@
         headers
             .insert(&names.urgency, HeaderValue::from(u16::from(engine_priority(request, choice))));
     }
-    if let Some(from) = choice.copy_from {
+    // A moved request brings its whole KV cache along.
+    if let Some(from) = choice.copy_from.filter(|_| resume.moved_from.is_none()) {
         headers.insert(&names.copy_from, HeaderValue::from_str(&from.to_string())?);
     }
     if let Some(organisation) = &request.organisation {
