--- a/crates/place/src/scaler.rs
+++ b/crates/place/src/scaler.rs
@@ -60,7 +60,7 @@
             target_load: 0.7,
             max_share: 2.0,
             on_demand: 1,
-            reserve: 1.0,
+            reserve: 0.9,
             scarcity_ms: 5_000,
             min_share: 0.5,
             rise_ms: 1_500.0,
