--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -38,15 +38,13 @@
 pub struct Fleet {
     /// Target utilisation of a server, as a fraction of its time.
     pub used: f64,
-    /// Minimum number of on-demand servers while no more reclaimable ones are available.
-    pub lasting: u32,
     /// Minimum number of servers, as a fraction of the number found at the start.
     pub least: f64,
 }
 
 impl Default for Fleet {
     fn default() -> Self {
-        Self { used: 0.7, lasting: 1, least: 0.5 }
+        Self { used: 0.7, least: 0.5 }
     }
 }
 
@@ -212,7 +210,6 @@
     let default = Fleet::default();
     let fleet = Fleet {
         used: fields.number("used", "fraction of the time", default.used, 0.05..=10.0),
-        lasting: fields.count("lasting", u64::from(default.lasting), 0..=10_000) as u32,
         least: fields.number("least", "fraction of the servers found", default.least, 0.0..=10.0),
     };
     fields.finish();
--- a/crates/place/src/scaler.rs
+++ b/crates/place/src/scaler.rs
@@ -34,8 +34,6 @@
     pub target_load: f64,
     /// Maximum number of servers, as a multiple of the initial number.
     pub max_share: f64,
-    /// Minimum number of on-demand servers while reclaimable ones are scarce.
-    pub on_demand: u32,
     /// Minimum number of servers that remain after the loss of the data centre with most reclaimable
     /// ones while these are scarce, as a fraction of the needed number.
     pub reserve: f64,
@@ -59,7 +57,6 @@
         Self {
             target_load: 0.7,
             max_share: 2.0,
-            on_demand: 1,
             reserve: 0.9,
             scarcity_ms: 5_000,
             min_share: 0.5,
@@ -253,7 +250,7 @@
         let total: u32 = reclaimable().map(|(_, count)| count).sum();
         let largest = reclaimable().map(|(_, count)| *count).max().unwrap_or(0);
         let reserve = (f64::from(needed) * self.settings.reserve).ceil() as u32;
-        reserve.saturating_sub(total - largest).max(self.settings.on_demand)
+        reserve.saturating_sub(total - largest)
     }
 
     /// Returns the number of reclaimable servers that serve, and of ordered ones that still boot.
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -355,7 +355,6 @@
             let fleet = cx.settings.fleet;
             let settings = ScalerSettings {
                 target_load: fleet.used,
-                on_demand: fleet.lasting,
                 min_share: fleet.least,
                 ..ScalerSettings::default()
             };
