relay: log and count each retry with the budget that allowed it

The logs told why a request was sent again, not which budget paid for it, so none of the four hypotheses could be told from another. Line `retry` bears the budget, the retries and requests of the entry's window and the entries that share the slack; line `limits shared` each change of that number; metric fennelfold_retries_total counts by budget. No decision changes.

--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -37,6 +37,17 @@
 /// counts in the window of the entry that granted it, from the time of the grant.
 const GRANT_LIFETIME_MS: Millis = 500;
 
+/// Use of the retry budget of an entry for one service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RetryUsage {
+    /// Number of requests within the last window.
+    pub requests: usize,
+    /// Number of retries within the last window, including those granted to other entries.
+    pub retries: usize,
+    /// Number of entries that share the slack.
+    pub entries: usize,
+}
+
 /// Retry budget of an entry: the recent requests and retries of each service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -92,6 +103,13 @@
         window.granted.pop_front().is_some()
     }
 
+    /// Returns how much of the budget for a service is used.
+    pub fn usage(&mut self, service: &Name, now: Millis) -> RetryUsage {
+        let entries = self.entries;
+        let window = self.window(service, now);
+        RetryUsage { requests: window.requests.len(), retries: window.retries.len(), entries }
+    }
+
     /// Returns the window of a service, without the requests and retries that are too old.
     fn window(&mut self, service: &Name, now: Millis) -> &mut Window {
         let window_start = now.saturating_sub(self.settings.window_ms);
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -60,6 +60,7 @@
 pub(crate) struct Meters {
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    retries: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
@@ -83,6 +84,8 @@
     pub(crate) rules: RefCell<Rc<Rules>>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) roster: RefCell<Roster>,
+    /// Number of entries that share the limits.
+    pub(crate) share_count: Cell<usize>,
     /// Last state received from each peer.
     pub(crate) peer_status: RefCell<BTreeMap<Name, PeerStatus>>,
     pub(crate) quota_shares: RefCell<QuotaShares>,
@@ -151,6 +154,8 @@
         let meters = Meters {
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
             attempts: metrics.counter("attempts", "Requests sent to backend servers, by result"),
+            retries: metrics
+                .counter("retries", "Requests to send again, by the budget that allowed it"),
             first_byte: metrics
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
@@ -171,6 +176,7 @@
             rules: RefCell::default(),
             freshness: RefCell::default(),
             roster: RefCell::new(Roster::new(revoke_ms)),
+            share_count: Cell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
             retry_budget: RefCell::new(RetryBudget::new(retry)),
@@ -266,6 +272,11 @@
         self.meters.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request to send again, by the budget that allowed it.
+    pub(crate) fn count_retry(&self, budget: &'static str) {
+        self.meters.retries.add(1, &[KeyValue::new("budget", budget)]);
+    }
+
     pub(crate) fn record_first_byte(&self, elapsed: Duration) {
         self.meters.first_byte.record(elapsed.as_secs_f64(), &[]);
     }
@@ -302,6 +313,10 @@
     /// Sets the number of entries that share the quotas and the retry budget.
     pub(crate) fn update_shares(&self) {
         let entries = self.roster.borrow_mut().share_count(boot_ms());
+        if self.share_count.replace(entries) != entries {
+            info!(self.log, "limits shared"; "entries" => entries,
+                "registered" => self.roster.borrow().present().count());
+        }
         self.quota_shares.borrow_mut().set_entries(entries);
         self.retry_budget.borrow_mut().set_entries(entries);
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -189,8 +189,7 @@
             request.route.max_attempts,
             request.remaining_ms(),
         );
-        if step == (NextStep::Retry { uses_budget: true })
-            && !peers::take_retry(cx, &request.service).await
+        if step == (NextStep::Retry { uses_budget: true }) && !peers::take_retry(cx, &request).await
         {
             step = next_step_without_budget(result, history);
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,6 +1,7 @@
 //! Exchanges state, freshness of the rules, quota units and retries with the peers.
 
 use crate::context::{Context, PeerStatus};
+use crate::dispatch::AdmittedRequest;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::sync;
 use coord::{Entry, Transfer};
@@ -342,29 +343,62 @@
     pause_requests(cx, organisation);
 }
 
-/// Takes a retry from the retry budget. If this entry's share is used up, requests some from the
-/// peers. Returns whether the retry is allowed.
-pub(crate) async fn take_retry(cx: &Rc<Context>, service: &Name) -> bool {
-    let take = || {
-        let mut retries = cx.retry_budget.borrow_mut();
-        retries.take(service, boot_ms()) || retries.take_granted(service, boot_ms())
-    };
-    if take() {
-        return true;
+/// Takes a retry of a request from the retry budget. If this entry's share is used up, requests some
+/// from the peers. Returns whether the retry is allowed.
+pub(crate) async fn take_retry(cx: &Rc<Context>, request: &AdmittedRequest) -> bool {
+    let service = &request.service;
+    let mut source = take_local_retry(cx, service);
+    if source == RetrySource::None && !is_paused(cx, service) {
+        let live = sample_live_peers(cx, boot_ms(), RETRY_PEERS);
+        let message = |number| Message::RetryRequest {
+            number,
+            service: service.clone(),
+            count: RETRIES_PER_PEER,
+        };
+        if live.is_empty() || request_from_peers(cx, &live, message, 1.0).await < 1.0 {
+            pause_requests(cx, service);
+        }
+        source = take_local_retry(cx, service);
     }
-    if is_paused(cx, service) {
-        return false;
+    cx.count_retry(source.label());
+    let usage = cx.retry_budget.borrow_mut().usage(service, boot_ms());
+    info!(cx.log, "retry"; "request" => request.id_text(), "service" => %service,
+        "budget" => source.label(), "retries" => usage.retries, "requests" => usage.requests,
+        "entries" => usage.entries);
+    source != RetrySource::None
+}
+
+/// Budget that a retry is charged to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RetrySource {
+    /// The share of this entry.
+    Own,
+    /// The share of a peer, which granted the retry.
+    Granted,
+    /// None: the retry is not allowed.
+    None,
+}
+
+impl RetrySource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Granted => "granted",
+            Self::None => "none",
+        }
     }
-    let live = sample_live_peers(cx, boot_ms(), RETRY_PEERS);
-    let message = |number| Message::RetryRequest {
-        number,
-        service: service.clone(),
-        count: RETRIES_PER_PEER,
-    };
-    if live.is_empty() || request_from_peers(cx, &live, message, 1.0).await < 1.0 {
-        pause_requests(cx, service);
+}
+
+/// Takes a retry from the share of this entry, or one that a peer granted.
+fn take_local_retry(cx: &Context, service: &Name) -> RetrySource {
+    let mut retries = cx.retry_budget.borrow_mut();
+    if retries.take(service, boot_ms()) {
+        RetrySource::Own
+    } else if retries.take_granted(service, boot_ms()) {
+        RetrySource::Granted
+    } else {
+        RetrySource::None
     }
-    take()
 }
 
 fn is_paused(cx: &Context, name: &Name) -> bool {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -224,7 +224,7 @@
             return None;
         }
         let choice = choose_server(cx, request, &self.tried)?;
-        peers::take_retry(cx, &request.service).await.then_some(choice)
+        peers::take_retry(cx, request).await.then_some(choice)
     }
 
     /// Moves the stream away from a departing server; if this fails, the stream stays there.
@@ -245,7 +245,7 @@
         };
         self.tried.push(from.clone());
         let Some(choice) = choose_server(&cx, &request, &self.tried) else { return };
-        if !peers::take_retry(&cx, &request.service).await {
+        if !peers::take_retry(&cx, &request).await {
             return;
         }
         let Some(address) = self.response.as_ref().map(|response| response.connection.address())
