--- a/crates/coord/tests/retry.rs
+++ b/crates/coord/tests/retry.rs
@@ -69,3 +69,34 @@
     assert!(budget.take_granted(&service, 100));
     assert!(!budget.take_granted(&service, 600));
 }
+
+/// Returns the budget of an entry that starts at `now` among `entries` entries.
+fn start(entries: usize, _now: u64) -> RetryBudget {
+    let mut budget = RetryBudget::new(SETTINGS);
+    budget.set_entries(entries);
+    budget
+}
+
+#[test]
+fn entries_that_restart_within_a_window_stay_within_the_budget() {
+    const ENTRIES: usize = 9;
+    const REQUEST_INTERVAL_MS: u64 = 100;
+    const RESTART_INTERVAL_MS: u64 = 2_000;
+    let service = Name::from("s");
+    let mut budgets: Vec<RetryBudget> = (0..ENTRIES).map(|_| start(ENTRIES, 0)).collect();
+    let (mut requests, mut retries) = (0_u32, 0_u32);
+    for now in (0..SETTINGS.window_ms).step_by(REQUEST_INTERVAL_MS as usize) {
+        for budget in &mut budgets {
+            if now > 0 && now % RESTART_INTERVAL_MS == 0 {
+                *budget = start(ENTRIES, now);
+            }
+            budget.record_request(&service, now);
+            requests += 1;
+            while budget.take(&service, now) {
+                retries += 1;
+            }
+        }
+    }
+    let allowed = SETTINGS.ratio * f64::from(requests) + SETTINGS.slack;
+    assert!(f64::from(retries) <= allowed, "{retries} retries, {allowed} allowed");
+}
