--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -49,17 +49,26 @@
 }
 
 /// Retry budget of an entry: the recent requests and retries of each service.
+///
+/// A new process knows nothing of the retries that an earlier process of its entry sent, or an entry
+/// that it replaces, and they count until a window has passed.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
     entries: usize,
+    slack_from: Millis,
     services: BTreeMap<Name, Window>,
 }
 
 impl RetryBudget {
-    /// Creates the budget of an entry without any requests.
+    /// Creates the budget of an entry without any requests and without a share of the slack.
     pub fn new(settings: RetrySettings) -> Self {
-        Self { settings, entries: 1, services: BTreeMap::new() }
+        Self { settings, entries: 1, slack_from: Millis::MAX, services: BTreeMap::new() }
+    }
+
+    /// Gives this entry a share of [`RetrySettings::slack`] from the time `slack_from` on.
+    pub fn share_slack_from(&mut self, slack_from: Millis) {
+        self.slack_from = slack_from;
     }
 
     /// Sets the number of entries that share [`RetrySettings::slack`].
@@ -74,7 +83,8 @@
 
     /// Takes a retry from the budget; returns whether one was left.
     pub fn take(&mut self, service: &Name, now: Millis) -> bool {
-        let (ratio, slack) = (self.settings.ratio, self.settings.slack / self.entries as f64);
+        let RetrySettings { ratio, slack, .. } = self.settings;
+        let slack = if now >= self.slack_from { slack / self.entries as f64 } else { 0.0 };
         let window = self.window(service, now);
         let budget = USABLE_FRACTION * (ratio * window.requests.len() as f64 + slack);
         let is_available = (window.retries.len() + 1) as f64 <= budget;
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -150,6 +150,10 @@
             ratio: promises.retry_ratio,
             slack: promises.retry_slack,
         };
+        let mut retry_budget = RetryBudget::new(retry);
+        if settings.first_start {
+            retry_budget.share_slack_from(0);
+        }
         let metrics = Metrics::new()?;
         let meters = Meters {
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
@@ -179,7 +183,7 @@
             share_count: Cell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
-            retry_budget: RefCell::new(RetryBudget::new(retry)),
+            retry_budget: RefCell::new(retry_budget),
             usage: RefCell::new(UsageCounter::new(millis(promises.usage_window))),
             usage_reports: RefCell::default(),
             picker: RefCell::new(Picker::new(LatencyModel::default())),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -59,7 +59,8 @@
     let Parts { settings, protocol, store, duties, log } = parts;
     let cx = Context::new(settings, log, protocol, store, duties)?;
     info!(cx.log, "start"; "incarnation" => cx.incarnation,
-        "front" => %cx.settings.front, "data_centre" => %cx.settings.data_centre);
+        "front" => %cx.settings.front, "data_centre" => %cx.settings.data_centre,
+        "first_start" => cx.settings.first_start);
     listen(&cx).await?;
     spawn_local(sync::poll_rules(cx.clone()));
     spawn_local(sync::watch_prefix(cx.clone(), WatchedPrefix::Servers));
