coord: failing model of retries over restarts and drops of the traffic

The model plays random traffic, failures, restarts and grants at five entries and counts every window as the rule does. A counter-test shows that it fails for entries that restart with a full budget.

--- a/crates/coord/tests/retry.rs
+++ b/crates/coord/tests/retry.rs
@@ -2,6 +2,8 @@
 
 use coord::{RetryBudget, RetrySettings};
 use kernel::Name;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const SETTINGS: RetrySettings = RetrySettings { window_ms: 10_000, ratio: 0.2, slack: 50.0 };
 
@@ -113,3 +115,86 @@
     assert!(!budget.take(&service, 5_000 + SETTINGS.window_ms - 1));
     assert!(budget.take(&service, 5_000 + SETTINGS.window_ms));
 }
+
+/// Returns the largest number of retries in any window beyond those allowed. A window allows the
+/// slack and a part of the requests that arrived in it, in the window before it, or in the one that
+/// begins half a window earlier, whichever has most.
+fn excess(requests: &[u64], retries: &[u64]) -> f64 {
+    let window = SETTINGS.window_ms;
+    let count = |times: &[u64], from: u64| {
+        let to = from + window;
+        times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
+    };
+    let excess = |start: &u64| {
+        let starts = [*start, start.saturating_sub(window / 2), start.saturating_sub(window)];
+        let most = starts.into_iter().map(|from| count(requests, from)).max().unwrap_or(0);
+        count(retries, *start) as f64 - (SETTINGS.ratio * most as f64 + SETTINGS.slack)
+    };
+    retries.iter().map(excess).fold(f64::MIN, f64::max)
+}
+
+/// Plays phases of random traffic, failures and restarts at [`MODEL_ENTRIES`] entries, and returns
+/// the times of all requests and retries.
+fn play(seed: u64, restart: impl Fn(u64) -> RetryBudget) -> (Vec<u64>, Vec<u64>) {
+    const STEP_MS: u64 = 20;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let service = Name::from("s");
+    let mut budgets = vec![budget(MODEL_ENTRIES); MODEL_ENTRIES];
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    let mut now = 2 * SETTINGS.window_ms;
+    let end = now + 4 * SETTINGS.window_ms;
+    while now < end {
+        let phase_end = now + rng.random_range(500..6_000);
+        let requests_per_step: f64 = [0.0, 0.4, 4.0][rng.random_range(0..3)];
+        let fails = rng.random_bool(0.5);
+        if rng.random_bool(0.6) {
+            for _ in 0..rng.random_range(1..=MODEL_ENTRIES) {
+                budgets[rng.random_range(0..MODEL_ENTRIES)] = restart(now);
+            }
+        }
+        while now < phase_end {
+            now += STEP_MS;
+            for _ in 0..(requests_per_step + rng.random::<f64>()) as u64 {
+                let at = rng.random_range(0..MODEL_ENTRIES);
+                budgets[at].record_request(&service, now);
+                requests.push(now);
+                if !fails {
+                    continue;
+                }
+                let other = rng.random_range(0..MODEL_ENTRIES);
+                for _ in 0..2 {
+                    if budgets[at].take(&service, now) || budgets[at].take_granted(&service, now) {
+                        retries.push(now);
+                    } else if other != at {
+                        let granted = budgets[other].grant(&service, 2, now);
+                        budgets[at].receive(&service, granted, now);
+                    }
+                }
+            }
+        }
+    }
+    (requests, retries)
+}
+
+/// Number of entries that [`play`] models.
+const MODEL_ENTRIES: usize = 5;
+
+#[test]
+fn no_window_exceeds_the_budget_when_entries_restart_and_traffic_drops() {
+    for seed in 0..200 {
+        let (requests, retries) = play(seed, |now| restarted(MODEL_ENTRIES, now));
+        assert!(!retries.is_empty(), "seed {seed}: no retry");
+        let excess = excess(&requests, &retries);
+        assert!(excess <= 0.0, "seed {seed}: {excess} retries too many in a window");
+    }
+}
+
+/// Guards against a model that cannot fail: entries that start with a full budget exceed it.
+#[test]
+fn entries_that_restart_with_a_full_budget_exceed_it() {
+    let exceeds = |seed| {
+        let (requests, retries) = play(seed, |_| budget(MODEL_ENTRIES));
+        excess(&requests, &retries) > 0.0
+    };
+    assert!((0..200).any(exceeds));
+}
