coord: retries accrue in buckets that start empty

Cause, of the same class: the budget of a window was reckoned from what one process remembers.

Change: a bucket for each service. At most 0.4 of a window's budget is saved up, the other 0.6 accrues with the requests of the entry and, for the slack, with time. A bucket starts empty, so nothing that an earlier process spent need be known; the hold of the slack after a restart goes. Only the first start of a deployment begins with what a window accrues.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use freshness::{Confirmation, Freshness};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
-pub use retry::{RetryBudget, RetrySettings, RetryUsage};
+pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -20,55 +20,58 @@
     }
 }
 
-/// Fraction of the budget that may be used; the rest covers windows that begin between two
-/// requests.
-const USABLE_FRACTION: f64 = 0.93;
+/// Fraction of the budget that is used; the rest covers granted retries in transit and requests
+/// that callers and entries count in different windows.
+const USED_FRACTION: f64 = 0.93;
 
-/// Requests and retries of a service within the last window.
-#[derive(Clone, Debug, Default)]
-struct Window {
+/// Fraction of the budget of one window that may be saved up. The other part accrues while the
+/// window passes, so that both together stay within the budget of one window.
+const SAVED_FRACTION: f64 = 0.4;
+
+/// Retries of a service that an entry may send.
+#[derive(Clone, Debug)]
+struct Bucket {
+    /// Arrival times of the requests within the last window.
     requests: VecDeque<Millis>,
-    retries: VecDeque<Millis>,
+    /// Number of retries that may be sent now.
+    retries: f64,
+    accrued_at: Millis,
     /// Arrival times of unused retries granted by other entries.
     granted: VecDeque<Millis>,
 }
 
-/// Time in milliseconds after which a granted retry expires. It has to be used soon, because it
-/// counts in the window of the entry that granted it, from the time of the grant.
+/// Time in milliseconds after which a granted retry expires, so that few are in transit.
 const GRANT_LIFETIME_MS: Millis = 500;
 
-/// Use of the retry budget of an entry for one service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RetryUsage {
+/// State of the retry budget of an entry for one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryStatus {
     /// Number of requests within the last window.
     pub requests: usize,
-    /// Number of retries within the last window, including those granted to other entries.
-    pub retries: usize,
+    /// Number of retries that may be sent now.
+    pub available: f64,
     /// Number of entries that share the slack.
     pub entries: usize,
 }
 
-/// Retry budget of an entry: the recent requests and retries of each service.
+/// Retry budget of an entry, by service.
 ///
-/// A new process knows nothing of the retries that an earlier process of its entry sent, or an entry
-/// that it replaces, and they count until a window has passed.
+/// Retries accrue with the requests of the entry itself and with its part of the slack, in buckets
+/// that start empty. What earlier processes of the entry have sent therefore need not be known, and
+/// requests allow retries in the window in which they arrive or in the next one, not in both.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
     entries: usize,
-    slack_from: Millis,
-    services: BTreeMap<Name, Window>,
+    accrues_from: Millis,
+    services: BTreeMap<Name, Bucket>,
 }
 
 impl RetryBudget {
-    /// Creates the budget of an entry without any requests and without a share of the slack.
-    pub fn new(settings: RetrySettings) -> Self {
-        Self { settings, entries: 1, slack_from: Millis::MAX, services: BTreeMap::new() }
-    }
-
-    /// Gives this entry a share of [`RetrySettings::slack`] from the time `slack_from` on.
-    pub fn share_slack_from(&mut self, slack_from: Millis) {
-        self.slack_from = slack_from;
+    /// Creates the budget of an entry whose share of the slack accrues from `accrues_from` on. An
+    /// entry that is not the first process of its name passes the time of its start.
+    pub fn new(settings: RetrySettings, accrues_from: Millis) -> Self {
+        Self { settings, entries: 1, accrues_from, services: BTreeMap::new() }
     }
 
     /// Sets the number of entries that share [`RetrySettings::slack`].
@@ -78,57 +81,68 @@
 
     /// Counts a request of a caller to a service.
     pub fn record_request(&mut self, service: &Name, now: Millis) {
-        self.window(service, now).requests.push_back(now);
+        let accrued = (1.0 - SAVED_FRACTION) * USED_FRACTION * self.settings.ratio;
+        let bucket = self.bucket(service, now);
+        bucket.requests.push_back(now);
+        bucket.retries += accrued;
     }
 
     /// Takes a retry from the budget; returns whether one was left.
     pub fn take(&mut self, service: &Name, now: Millis) -> bool {
-        let RetrySettings { ratio, slack, .. } = self.settings;
-        let slack = if now >= self.slack_from { slack / self.entries as f64 } else { 0.0 };
-        let window = self.window(service, now);
-        let budget = USABLE_FRACTION * (ratio * window.requests.len() as f64 + slack);
-        let is_available = (window.retries.len() + 1) as f64 <= budget;
+        let bucket = self.bucket(service, now);
+        let is_available = bucket.retries >= 1.0;
         if is_available {
-            window.retries.push_back(now);
+            bucket.retries -= 1.0;
         }
         is_available
     }
 
-    /// Grants up to `wanted` retries to another entry, counts them as used here, and returns their
-    /// number.
+    /// Takes up to `wanted` retries from the budget to grant them to another entry, and returns
+    /// their number.
     pub fn grant(&mut self, service: &Name, wanted: u32, now: Millis) -> u32 {
         (0..wanted).take_while(|_| self.take(service, now)).count() as u32
     }
 
     /// Adds retries granted by another entry; unused ones expire after `GRANT_LIFETIME_MS`.
     pub fn receive(&mut self, service: &Name, count: u32, now: Millis) {
-        let window = self.window(service, now);
-        window.granted.extend((0..count).map(|_| now));
+        let bucket = self.bucket(service, now);
+        bucket.granted.extend((0..count).map(|_| now));
     }
 
     /// Uses a retry granted by another entry; returns whether one was available.
     pub fn take_granted(&mut self, service: &Name, now: Millis) -> bool {
-        let window = self.window(service, now);
-        window.granted.retain(|at| now.saturating_sub(*at) < GRANT_LIFETIME_MS);
-        window.granted.pop_front().is_some()
+        let bucket = self.bucket(service, now);
+        bucket.granted.retain(|at| now.saturating_sub(*at) < GRANT_LIFETIME_MS);
+        bucket.granted.pop_front().is_some()
     }
 
-    /// Returns how much of the budget for a service is used.
-    pub fn usage(&mut self, service: &Name, now: Millis) -> RetryUsage {
+    /// Returns the state of the budget for a service.
+    pub fn status(&mut self, service: &Name, now: Millis) -> RetryStatus {
         let entries = self.entries;
-        let window = self.window(service, now);
-        RetryUsage { requests: window.requests.len(), retries: window.retries.len(), entries }
+        let bucket = self.bucket(service, now);
+        RetryStatus { requests: bucket.requests.len(), available: bucket.retries, entries }
     }
 
-    /// Returns the window of a service, without the requests and retries that are too old.
-    fn window(&mut self, service: &Name, now: Millis) -> &mut Window {
-        let window_start = now.saturating_sub(self.settings.window_ms);
-        let window = self.services.entry(service.clone()).or_default();
-        for times in [&mut window.requests, &mut window.retries] {
-            while times.front().is_some_and(|at| *at < window_start) {
-                times.pop_front();
-            }
+    /// Returns the bucket of a service as of `now`.
+    fn bucket(&mut self, service: &Name, now: Millis) -> &mut Bucket {
+        let RetrySettings { window_ms, ratio, slack } = self.settings;
+        let slack = slack / self.entries as f64;
+        let new = || Bucket {
+            requests: VecDeque::new(),
+            retries: 0.0,
+            accrued_at: self.accrues_from,
+            granted: VecDeque::new(),
+        };
+        let bucket = self.services.entry(service.clone()).or_insert_with(new);
+        let window_start = now.saturating_sub(window_ms);
+        while bucket.requests.front().is_some_and(|at| *at < window_start) {
+            bucket.requests.pop_front();
         }
-        window
+        let windows = now.saturating_sub(bucket.accrued_at) as f64 / window_ms.max(1) as f64;
+        let accrued = (1.0 - SAVED_FRACTION) * USED_FRACTION * slack * windows;
+        let budget = USED_FRACTION * (ratio * bucket.requests.len() as f64 + slack);
+        bucket.retries = (bucket.retries + accrued).min(SAVED_FRACTION * budget);
+        bucket.accrued_at = now.max(bucket.accrued_at);
+        bucket
     }
 }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -150,10 +150,9 @@
             ratio: promises.retry_ratio,
             slack: promises.retry_slack,
         };
-        let mut retry_budget = RetryBudget::new(retry);
-        if settings.first_start {
-            retry_budget.share_slack_from(0);
-        }
+        // Before its first start a deployment has sent no retries, so that a whole window has accrued.
+        let idle_ms = if settings.first_start { retry.window_ms } else { 0 };
+        let retry_budget = RetryBudget::new(retry, boot_ms().saturating_sub(idle_ms));
         let metrics = Metrics::new()?;
         let meters = Meters {
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -361,10 +361,10 @@
         source = take_local_retry(cx, service);
     }
     cx.count_retry(source.label());
-    let usage = cx.retry_budget.borrow_mut().usage(service, boot_ms());
+    let status = cx.retry_budget.borrow_mut().status(service, boot_ms());
     info!(cx.log, "retry"; "request" => request.id_text(), "service" => %service,
-        "budget" => source.label(), "retries" => usage.retries, "requests" => usage.requests,
-        "entries" => usage.entries);
+        "budget" => source.label(), "available" => status.available,
+        "requests" => status.requests, "entries" => status.entries);
     source != RetrySource::None
 }
 
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -480,10 +480,6 @@
                 let revoke_ms = cx.settings.promises.revoke.as_millis() as Millis;
                 let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
                 cx.quota_shares.borrow_mut().start_refill_at(from);
-                if !cx.settings.first_start {
-                    let window_ms = cx.settings.promises.retry_window.as_millis() as Millis;
-                    cx.retry_budget.borrow_mut().share_slack_from(boot_ms() + window_ms);
-                }
             }
             Ok(lease)
         }
