relay: read and log the limits that servers name

The adapter decodes the field into requests a second and rejects what is no number; line `server limit` tells each change with the request whose answer bore it. No decision changes.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -96,6 +96,8 @@
     pub(crate) usage_reports: RefCell<UsageReports>,
     pub(crate) picker: RefCell<Picker>,
     pub(crate) demand: RefCell<DemandTracker>,
+    /// Limits that servers stated last, in requests per second.
+    pub(crate) server_limits: RefCell<BTreeMap<Name, f64>>,
     /// Time on the boot clock at which a server was last added, in milliseconds.
     pub(crate) server_added_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
@@ -187,6 +189,7 @@
             usage_reports: RefCell::default(),
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
+            server_limits: RefCell::default(),
             server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
             server_changes: RefCell::default(),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -310,6 +310,7 @@
         }
         Ok(Ok(response)) => response,
     };
+    record_server_limit(cx, request, &choice.id, response.headers());
     let names = cx.protocol.names();
     match classify(response.status(), response.headers(), names, request.id.as_bytes()) {
         ResponseClass::Invalid(cause) => {
@@ -340,6 +341,32 @@
     }
 }
 
+/// Records the limit that a server states in a response.
+fn record_server_limit(
+    cx: &Context,
+    request: &AdmittedRequest,
+    server: &Name,
+    headers: &HeaderMap,
+) {
+    let stated = match cx.protocol.parse_server_limit(headers) {
+        Ok(stated) => stated,
+        Err(failure) => {
+            warn!(cx.log, "server limit unreadable"; "server" => %server,
+                "request" => request.id_text(), "cause" => failure.context);
+            return;
+        }
+    };
+    let mut limits = cx.server_limits.borrow_mut();
+    let known = match stated {
+        Some(per_s) => limits.insert(server.clone(), per_s),
+        None => limits.remove(server),
+    };
+    if known != stated {
+        info!(cx.log, "server limit"; "server" => %server, "request" => request.id_text(),
+            "per_s" => stated, "before" => known);
+    }
+}
+
 /// Returns the time in which a server has to send the headers of its response.
 fn response_timeout(
     request: &AdmittedRequest,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -68,6 +68,13 @@
     /// Parses the description of the prompt in a request head, if there is one.
     fn parse_prompt(&self, headers: &HeaderMap) -> Option<Prompt>;
 
+    /// Parses the limit that a server states in a response: the number of requests per second that
+    /// it accepts from all entries together. `None` if it states no limit.
+    ///
+    /// # Errors
+    /// [`kernel::Code::MalformedHeader`] for a limit that is not a number of at least 0.
+    fn parse_server_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, Failure>;
+
     /// Builds the call that stops a request and copies its KV cache to the engine at `to`. Returns
     /// the path to post to and the body.
     fn move_request(&self, request: &str, to: SocketAddr) -> (PathAndQuery, Vec<u8>);
