coord, relay: entries keep the limit that a server names, together

Cause: no entry read the field.

Change: coord::ServerLimits. A limit may allow less than one request an entry and window, so a few entries, the holders, share it: they come first by rendezvous hashing among the registered entries, as many as can save up one request each. Buckets start empty and refill at the limit. News of a limit, and of its end, go with the state messages, newest first; a success whose request was sent after the last answer that named a limit lifts it. A server that names less than 0.25 a second still gets that, or nobody would learn of the end.

What an entry may spend accrues from nothing, so that a restart cannot spend twice.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,4 +1,5 @@
-//! State shared by entries: rules freshness, quota and retry shares, usage and membership.
+//! State shared by entries: rules freshness, quota and retry shares, limits of servers, usage and
+//! membership.
 //!
 //! The crate does no I/O and reads no clock. Times are milliseconds on a clock that keeps running
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
@@ -8,10 +9,12 @@
 mod quota;
 mod retry;
 mod roster;
+mod server_limit;
 mod usage;
 
 pub use freshness::{Confirmation, Freshness};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
+pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -45,6 +45,8 @@
     pub data_centre: &'a Name,
     /// Servers that the request was already sent to.
     pub tried: &'a [Name],
+    /// Servers that accept no further request from this entry now, because of their limits.
+    pub exhausted: &'a [Name],
     /// Random number that breaks ties.
     pub random: u64,
 }
@@ -160,6 +162,7 @@
             server.info.service == *requirements.service
                 && !server.info.leaving
                 && !requirements.tried.contains(&server.info.id)
+                && !requirements.exhausted.contains(&server.info.id)
         };
         let eligible: Vec<&Server> = self.servers().filter(is_eligible).collect();
         let outcomes = self.service_outcomes(requirements.service, now);
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -49,8 +49,14 @@
 
 fn choose(picker: &Picker, prompt: Option<&Prompt>, tried: &[Name], random: u64) -> pick::Choice {
     let (service, data_centre) = (Name::from("pool"), Name::from("local"));
-    let requirements =
-        Requirements { service: &service, prompt, data_centre: &data_centre, tried, random };
+    let requirements = Requirements {
+        service: &service,
+        prompt,
+        data_centre: &data_centre,
+        tried,
+        exhausted: &[],
+        random,
+    };
     picker.choose(&requirements, 0).expect("a server is available")
 }
 
@@ -180,11 +186,30 @@
         prompt: None,
         data_centre: &data_centre,
         tried: &tried,
+        exhausted: &[],
         random: 0,
     };
     assert_eq!(picker.choose(&requirements, 0), None);
 }
 
+#[test]
+fn a_server_whose_limit_is_used_up_is_not_chosen() {
+    let picker = picker(&["s1", "s2"]);
+    let (service, data_centre) = (Name::from("pool"), Name::from("local"));
+    let exhausted = [Name::from("s1")];
+    for random in 0..20 {
+        let requirements = Requirements {
+            service: &service,
+            prompt: None,
+            data_centre: &data_centre,
+            tried: &[],
+            exhausted: &exhausted,
+            random,
+        };
+        assert_eq!(picker.choose(&requirements, 0).expect("no server").id, "s2");
+    }
+}
+
 #[test]
 fn a_server_with_a_high_failure_rate_is_avoided_until_the_failures_are_old() {
     let mut picker = picker(&["healthy", "faulty"]);
@@ -200,6 +225,7 @@
             prompt: None,
             data_centre: &data_centre,
             tried: &[],
+            exhausted: &[],
             random,
         };
         picker.choose(&requirements, 30_000).expect("a server is available").id
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -6,8 +6,8 @@
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
-    Freshness, QuotaSettings, QuotaShares, RetryBudget, RetrySettings, Roster, UsageCounter,
-    UsageReports,
+    Freshness, QuotaSettings, QuotaShares, RetryBudget, RetrySettings, Roster, ServerLimitSettings,
+    ServerLimits, UsageCounter, UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -96,8 +96,8 @@
     pub(crate) usage_reports: RefCell<UsageReports>,
     pub(crate) picker: RefCell<Picker>,
     pub(crate) demand: RefCell<DemandTracker>,
-    /// Limits that servers stated last, in requests per second.
-    pub(crate) server_limits: RefCell<BTreeMap<Name, f64>>,
+    /// Limits that servers state.
+    pub(crate) server_limits: RefCell<ServerLimits>,
     /// Time on the boot clock at which a server was last added, in milliseconds.
     pub(crate) server_added_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
@@ -155,6 +155,8 @@
         // Before its first start a deployment has sent no retries, so that a whole window has accrued.
         let idle_ms = if settings.first_start { retry.window_ms } else { 0 };
         let retry_budget = RetryBudget::new(retry, boot_ms().saturating_sub(idle_ms));
+        let server_limits =
+            ServerLimits::new(ServerLimitSettings::default(), settings.name.clone());
         let metrics = Metrics::new()?;
         let meters = Meters {
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
@@ -189,7 +191,7 @@
             usage_reports: RefCell::default(),
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
-            server_limits: RefCell::default(),
+            server_limits: RefCell::new(server_limits),
             server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
             server_changes: RefCell::default(),
@@ -316,7 +318,7 @@
         local + valid.filter_map(|status| status.work.get(service)).sum::<f64>()
     }
 
-    /// Sets the number of entries that share the quotas and the retry budget.
+    /// Sets the entries that share the quotas, the retry budget and the limits of servers.
     pub(crate) fn update_shares(&self) {
         let entries = self.roster.borrow_mut().share_count(boot_ms());
         if self.share_count.replace(entries) != entries {
@@ -325,5 +327,7 @@
         }
         self.quota_shares.borrow_mut().set_entries(entries);
         self.retry_budget.borrow_mut().set_entries(entries);
+        let names = self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
+        self.server_limits.borrow_mut().set_entries(names, boot_ms());
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::reply::error_reply;
 use crate::stream;
 use bytes::Bytes;
+use coord::ServerLimitNews;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -224,20 +225,29 @@
     }
 }
 
-/// Chooses a server that has not been tried yet and logs the choice.
+/// Chooses a server that has not been tried yet, counts the request against the limit that the
+/// server may have stated, and logs the choice.
 pub(crate) fn choose_server(
     cx: &Context,
     request: &AdmittedRequest,
     tried: &[Name],
 ) -> Option<Choice> {
+    let now = boot_ms();
+    let exhausted = cx.server_limits.borrow_mut().exhausted(now);
     let requirements = Requirements {
         service: &request.service,
         prompt: request.prompt.as_ref(),
         data_centre: &cx.settings.data_centre,
         tried,
+        exhausted: &exhausted,
         random: rand::random(),
     };
-    let choice = cx.picker.borrow().choose(&requirements, boot_ms())?;
+    let Some(choice) = cx.picker.borrow().choose(&requirements, now) else {
+        debug!(cx.log, "no server"; "request" => request.id_text(),
+            "service" => %request.service, "limited" => exhausted.len(), "tried" => tried.len());
+        return None;
+    };
+    cx.server_limits.borrow_mut().record_sent(&choice.id, now);
     debug!(cx.log, "placed"; "request" => request.id_text(), "server" => %choice.id,
         "why" => ?choice.reason, "expected_ms" => choice.expected_ms, "open" => choice.open,
         "unread" => choice.uncached_tokens,
@@ -293,6 +303,7 @@
         Err(e) => return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &e.to_string()),
     };
     let timeout = response_timeout(request, choice, history);
+    let sent_at = boot_ms();
     let response = match tokio::time::timeout(timeout, connection.send(req)).await {
         Err(_) => {
             return end(
@@ -310,7 +321,6 @@
         }
         Ok(Ok(response)) => response,
     };
-    record_server_limit(cx, request, &choice.id, response.headers());
     let names = cx.protocol.names();
     match classify(response.status(), response.headers(), names, request.id.as_bytes()) {
         ResponseClass::Invalid(cause) => {
@@ -325,6 +335,7 @@
             )
         }
         ResponseClass::NotRun => {
+            record_server_limit(cx, request, &choice.id, &response, sent_at);
             let status = response.status();
             // The body of a refusal is short; reading it allows the connection to be reused.
             let (head, body) = response.into_parts();
@@ -334,6 +345,7 @@
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
         }
         ResponseClass::Valid => {
+            record_server_limit(cx, request, &choice.id, &response, sent_at);
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
             Attempt::Answered(Box::new(ServerResponse { head, body, connection, guard }))
@@ -341,29 +353,31 @@
     }
 }
 
-/// Records the limit that a server states in a response.
+/// Records the limit that a server states in its response to a request sent at `sent_at`.
+///
+/// Only a success tells that there is no limit any more: a server that refuses a request is still in
+/// need.
 fn record_server_limit(
     cx: &Context,
     request: &AdmittedRequest,
     server: &Name,
-    headers: &HeaderMap,
+    response: &Response<Incoming>,
+    sent_at: Millis,
 ) {
-    let stated = match cx.protocol.parse_server_limit(headers) {
-        Ok(stated) => stated,
+    let now = boot_ms();
+    let news = match cx.protocol.parse_server_limit(response.headers()) {
+        Ok(Some(per_s)) => ServerLimitNews { per_s: Some(per_s), at: now },
+        Ok(None) if response.status().is_success() => ServerLimitNews { per_s: None, at: sent_at },
+        Ok(None) => return,
         Err(failure) => {
             warn!(cx.log, "server limit unreadable"; "server" => %server,
                 "request" => request.id_text(), "cause" => failure.context);
             return;
         }
     };
-    let mut limits = cx.server_limits.borrow_mut();
-    let known = match stated {
-        Some(per_s) => limits.insert(server.clone(), per_s),
-        None => limits.remove(server),
-    };
-    if known != stated {
+    if cx.server_limits.borrow_mut().record(server, news, now) {
         info!(cx.log, "server limit"; "server" => %server, "request" => request.id_text(),
-            "per_s" => stated, "before" => known);
+            "per_s" => news.per_s);
     }
 }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -150,4 +150,8 @@
     pub(crate) counts: BTreeMap<Window, Counts>,
     /// Work requested by its callers, in milliseconds of server time per second, by service.
     pub(crate) work: BTreeMap<Name, f64>,
+    /// Limits of servers in requests per second, `None` if lifted, with the age of that news in
+    /// milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) limits: BTreeMap<Name, (Option<f64>, Millis)>,
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::AdmittedRequest;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::sync;
-use coord::{Entry, Transfer};
+use coord::{Entry, ServerLimitNews, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Load;
@@ -138,7 +138,13 @@
         .map(|(id, load)| (id.clone(), (load.open, load.pending_prompt_tokens)));
     let demand = cx.demand.borrow();
     let work = demand.rates(boot_ms()).map(|(service, rate)| (service.clone(), rate));
+    let now = boot_ms();
+    let limits = cx.server_limits.borrow();
+    let limits = limits
+        .news()
+        .map(|(server, news)| (server.clone(), (news.per_s, now.saturating_sub(news.at))));
     EntryState {
+        limits: limits.collect(),
         stopping: cx.stopping.get(),
         rules_age: cx.freshness.borrow().age(boot_ms()),
         open: cx.open_requests.get(),
@@ -272,6 +278,7 @@
         let mut reports = cx.usage_reports.borrow_mut();
         reports.record(&from, incarnation, state.counts, Clock::unix_ms());
     }
+    record_peer_limits(cx, &from, &state.limits);
     let mut peer_status = cx.peer_status.borrow_mut();
     let known = peer_status.entry(from.clone()).or_default();
     if incarnation < known.incarnation {
@@ -306,6 +313,22 @@
     cx.picker.borrow_mut().set_remote_loads(&sum);
 }
 
+/// Takes in the limits of servers that a peer knows of.
+fn record_peer_limits(cx: &Context, from: &Name, limits: &BTreeMap<Name, (Option<f64>, Millis)>) {
+    let now = boot_ms();
+    for (server, (per_s, age)) in limits {
+        // A peer may not have noticed yet that a server is gone.
+        if cx.picker.borrow().get(server).is_none() {
+            continue;
+        }
+        let news = ServerLimitNews { per_s: *per_s, at: now.saturating_sub(*age) };
+        if cx.server_limits.borrow_mut().record(server, news, now) {
+            info!(cx.log, "server limit"; "server" => %server, "other" => %from,
+                "per_s" => *per_s, "age_ms" => *age);
+        }
+    }
+}
+
 /// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
 /// their replies.
 pub(crate) async fn request_quota(
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -346,6 +346,7 @@
 
 fn remove_server(cx: &Context, id: &Name) {
     let was_leaving = cx.picker.borrow().get(id).is_some_and(|server| server.info.leaving);
+    cx.server_limits.borrow_mut().remove(id);
     if cx.picker.borrow_mut().remove(id) {
         if !was_leaving {
             // Some servers remove their registration without notice and keep serving for the drain
