relay: bound what is read of a server's refusal, event and move reply

Servers in trouble may send bytes without end, in a head or a body, until the caller closes. Seen by tests of our own with a server that does: a refusal with an endless body held its request past every deadline (its body was read without a time limit), and one endless event filled the memory (59 MB taken in a 4 s request; entries have 260 MB). Heads without end and plain bodies without end were bounded before.

Now a refusal's body is read for 50 ms and 64 KiB at most, an event may have 1 MiB, a move reply 64 KiB; past that the connection is closed.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -27,6 +27,10 @@
 
 /// Maximum size of a response that is read completely before it is forwarded, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 << 20;
+/// Maximum size of the body of a refusal that is read to reuse its connection, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Maximum time to read the body of a refusal, before another server is tried.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Multiple of the target latency, or of the expected latency if that is longer, after which an
 /// attempt times out when a further attempt is allowed.
 const TIMEOUT_FACTOR: u32 = 2;
@@ -339,7 +343,8 @@
             let status = response.status();
             // The body of a refusal is short; reading it allows the connection to be reused.
             let (head, body) = response.into_parts();
-            if Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect().await.is_ok() {
+            let read = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+            if matches!(tokio::time::timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
                 cx.pool.release(connection, &head.headers);
             }
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
@@ -22,6 +22,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Splits a stream of bytes at the ends of its events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -50,6 +53,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether the buffered part of an event is larger than any valid event.
+    pub fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the ID of the last complete event.
     pub fn last_event_id(&self) -> Option<HeaderValue> {
         self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok())
@@ -131,6 +139,12 @@
                     if !complete.is_empty() {
                         return Some(Ok(complete));
                     }
+                    if self.events.is_oversized()
+                        && let Some(failure) =
+                            self.resume_elsewhere("event is larger than the limit".into()).await
+                    {
+                        return Some(Err(failure));
+                    }
                 }
                 StreamInput::ServerDeparting => self.move_stream().await,
                 // A silent server may still send data, so its response is kept until another
@@ -376,6 +390,9 @@
 /// Maximum time for an engine to stop a run and copy its KV cache.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Maximum size of the reply to a move request, in bytes.
+const MAX_MOVE_REPLY_BYTES: usize = 64 << 10;
+
 /// Requests an engine to stop a run and copy its KV cache to another engine.
 async fn request_move(
     cx: &Context,
@@ -394,7 +411,8 @@
         let mut connection = cx.pool.connection(at).await.map_err(|failure| failure.context)?;
         let response = connection.send(req).await.map_err(|e| format!("{e:?}"))?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+        let body = Limited::new(body, MAX_MOVE_REPLY_BYTES).collect().await;
+        let body = body.map_err(|e| e.to_string())?.to_bytes();
         cx.pool.release(connection, &head.headers);
         if !head.status.is_success() {
             return Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body)));
