--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -6,12 +6,12 @@
 };
 use crate::body::{Reply, full_body};
 use crate::context::Context;
+use crate::limits::record_stated_limit;
 use crate::peers;
 use crate::pool::{Connection, SendError, ServerRequest};
 use crate::reply::error_reply;
 use crate::stream;
 use bytes::Bytes;
-use coord::ServerLimitNews;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -339,7 +339,7 @@
             )
         }
         ResponseClass::NotRun => {
-            record_server_limit(cx, request, &choice.id, &response, sent_at);
+            record_stated_limit(cx, request, &choice.id, &response, sent_at);
             let status = response.status();
             // The body of a refusal is short; reading it allows the connection to be reused.
             let (head, body) = response.into_parts();
@@ -350,7 +350,7 @@
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
         }
         ResponseClass::Valid => {
-            record_server_limit(cx, request, &choice.id, &response, sent_at);
+            record_stated_limit(cx, request, &choice.id, &response, sent_at);
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
             Attempt::Answered(Box::new(ServerResponse { head, body, connection, guard }))
@@ -358,34 +358,6 @@
     }
 }
 
-/// Records the limit that a server states in its response to a request sent at `sent_at`.
-///
-/// Only a success tells that there is no limit any more: a server that refuses a request is still in
-/// need.
-fn record_server_limit(
-    cx: &Context,
-    request: &AdmittedRequest,
-    server: &Name,
-    response: &Response<Incoming>,
-    sent_at: Millis,
-) {
-    let now = boot_ms();
-    let news = match cx.protocol.parse_server_limit(response.headers()) {
-        Ok(Some(per_s)) => ServerLimitNews { per_s: Some(per_s), at: now },
-        Ok(None) if response.status().is_success() => ServerLimitNews { per_s: None, at: sent_at },
-        Ok(None) => return,
-        Err(failure) => {
-            warn!(cx.log, "server limit unreadable"; "server" => %server,
-                "request" => request.id_text(), "cause" => failure.context);
-            return;
-        }
-    };
-    if cx.server_limits.borrow_mut().record(server, news, now) {
-        info!(cx.log, "server limit"; "server" => %server, "request" => request.id_text(),
-            "per_s" => news.per_s);
-    }
-}
-
 /// Returns the time in which a server has to send the headers of its response.
 fn response_timeout(
     request: &AdmittedRequest,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod dispatch;
 mod duty;
+mod limits;
 mod log;
 mod message;
 mod peers;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,9 +2,10 @@
 
 use crate::context::{Context, PeerStatus};
 use crate::dispatch::AdmittedRequest;
+use crate::limits::record_peer_limits;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::sync;
-use coord::{Entry, ServerLimitNews, Transfer};
+use coord::{Entry, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Load;
@@ -313,22 +314,6 @@
     cx.picker.borrow_mut().set_remote_loads(&sum);
 }
 
-/// Takes in the limits of servers that a peer knows of.
-fn record_peer_limits(cx: &Context, from: &Name, limits: &BTreeMap<Name, (Option<f64>, Millis)>) {
-    let now = boot_ms();
-    for (server, (per_s, age)) in limits {
-        // A peer may not have noticed yet that a server is gone.
-        if cx.picker.borrow().get(server).is_none() {
-            continue;
-        }
-        let news = ServerLimitNews { per_s: *per_s, at: now.saturating_sub(*age) };
-        if cx.server_limits.borrow_mut().record(server, news, now) {
-            info!(cx.log, "server limit"; "server" => %server, "other" => %from,
-                "per_s" => *per_s, "age_ms" => *age);
-        }
-    }
-}
-
 /// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
 /// their replies.
 pub(crate) async fn request_quota(
