relay: logs tell which prompt parts ran at a server that ended

The logs could not tell them apart: no line bore the parts of a prompt, how long an answer had begun when its stream broke, or whether the server had ended.

Lines placed and stream broke name the shared parts, stream broke also the time since the head of the response. After a connection breaks, an entry opens one connection to the server and logs the result (server checked): refused means that no process listens there. No decision reads it.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -28,6 +28,13 @@
 }
 
 impl Prompt {
+    /// Returns the identifiers of the shared parts for logs, in hexadecimal.
+    pub fn shared_ids(&self) -> String {
+        let ids: Vec<String> =
+            self.shared_parts().iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Returns the parts that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         &self.parts[..self.parts.len().saturating_sub(1)]
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -102,6 +102,8 @@
     pub(crate) server_added_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
+    /// Servers for which a check is under way whether they have ended.
+    pub(crate) servers_checked: RefCell<BTreeSet<Name>>,
     /// Recent changes of the servers' registrations.
     pub(crate) server_changes: RefCell<ChangeLog>,
     /// Recent changes of the entries' registrations and of the lease record.
@@ -194,6 +196,7 @@
             server_limits: RefCell::new(server_limits),
             server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
+            servers_checked: RefCell::default(),
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
             departures: RefCell::default(),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::peers;
 use crate::pool::{Connection, SendError, ServerRequest};
 use crate::reply::error_reply;
+use crate::server_check::check_server;
 use crate::stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -61,6 +62,11 @@
         self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
     }
 
+    /// Returns the shared parts of the prompt for logs.
+    pub(crate) fn prompt_parts(&self) -> Option<String> {
+        self.prompt.as_ref().map(Prompt::shared_ids)
+    }
+
     /// Returns the request ID for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
@@ -108,6 +114,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) guard: AttemptGuard,
+    /// Time at which the head of the response arrived.
+    pub(crate) answered_at: Instant,
 }
 
 /// Position from which another server resumes a stream.
@@ -256,7 +264,8 @@
         "why" => ?choice.reason, "expected_ms" => choice.expected_ms, "open" => choice.open,
         "unread" => choice.uncached_tokens,
         "copy_from" => choice.copy_from.map(|address| address.to_string()),
-        "candidates" => choice.candidates, "tried" => tried.len());
+        "candidates" => choice.candidates, "tried" => tried.len(),
+        "parts" => request.prompt_parts());
     Some(choice)
 }
 
@@ -321,6 +330,7 @@
             return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &failure.context);
         }
         Ok(Err(SendError::Broke(failure))) => {
+            check_server(cx, &choice.id, choice.address);
             return end(Outcome::Failed, AttemptResult::ResponseLost, "broke", &failure.context);
         }
         Ok(Ok(response)) => response,
@@ -353,7 +363,14 @@
             record_stated_limit(cx, request, &choice.id, &response, sent_at);
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
-            Attempt::Answered(Box::new(ServerResponse { head, body, connection, guard }))
+            let answered_at = Instant::now();
+            Attempt::Answered(Box::new(ServerResponse {
+                head,
+                body,
+                connection,
+                guard,
+                answered_at,
+            }))
         }
     }
 }
@@ -433,7 +450,7 @@
     request: &AdmittedRequest,
     response: ServerResponse,
 ) -> Option<Reply> {
-    let ServerResponse { head, body, connection, guard } = response;
+    let ServerResponse { head, body, connection, guard, .. } = response;
     guard.mark_prompt_read();
     let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let read = tokio::time::timeout_at(request.deadline, read).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod reply;
 mod run;
 mod serve;
+mod server_check;
 mod shutdown;
 mod stream;
 mod sync;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -10,6 +10,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -52,6 +53,17 @@
     until: Instant,
 }
 
+/// Whether a server accepts connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reachability {
+    /// The server accepted a connection.
+    Listening,
+    /// The VM refused the connection: no process listens at the address.
+    Refused,
+    /// The connection failed in another way, which shows nothing about the server.
+    Unknown,
+}
+
 /// Idle connections by server.
 #[derive(Default)]
 pub(crate) struct Pool {
@@ -126,6 +138,15 @@
     }
 }
 
+/// Opens a connection to find out whether a server still runs, and closes it again.
+pub(crate) async fn probe(address: SocketAddr) -> Reachability {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reachability::Listening,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reachability::Refused,
+        Ok(Err(_)) | Err(_) => Reachability::Unknown,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
     let failed = |e: String| Failure::new(Code::NotDispatched, format!("{address}: {e}"));
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,6 +8,7 @@
     record_usage, try_server,
 };
 use crate::peers;
+use crate::server_check::check_server;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream;
@@ -338,7 +339,10 @@
             info!(self.cx.log, "stream broke"; "request" => self.request.id_text(),
                 "server" => %response.guard.server, "cause" => cause.clone(),
                 "chunks" => self.chunks, "runs" => self.history.runs,
-                "left_ms" => self.request.remaining_ms());
+                "left_ms" => self.request.remaining_ms(),
+                "answered_ms" => response.answered_at.elapsed().as_millis() as u64,
+                "parts" => self.request.prompt_parts());
+            check_server(&self.cx, &response.guard.server, response.connection.address());
         }
         let (request, cx) = (self.request.clone(), self.cx.clone());
         self.events.discard_incomplete();
