coord, relay: prompt parts under which servers crash are kept from servers

Cause: no entry related the end of a server to the prompts that it had just begun to answer, so such requests were placed and resumed like any other. Class: evidence that is split over entries and lost with each of them, needed for one decision.

Now entries share, with their state messages, which parts were in answers that began at most 500 ms before a crash, and which parts servers survived for 2 s. Three crashes in a row without a survival, or five that no other part explains, put a part into quarantine: refused at once with code 2011, also as a retry, a resumed or a moved stream, and taken back where it waits at a server. A crash counts only for an answer that began after the crash before, so servers that crash together accuse nobody.

Tests of platform, relay, coord, kernel and conf pass.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,18 +1,24 @@
-//! State shared by entries: rules freshness, quota and retry shares, limits of servers, usage and
-//! membership.
+//! State shared by entries: rules freshness, quota and retry shares, limits of servers, quarantine of
+//! prompt parts, usage and membership.
 //!
 //! The crate does no I/O and reads no clock. Times are milliseconds on a clock that keeps running
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
 //! would still consider its rules fresh after a suspension.
 
 mod freshness;
+mod quarantine;
 mod quota;
+mod rendezvous;
 mod retry;
 mod roster;
 mod server_limit;
 mod usage;
 
 pub use freshness::{Confirmation, Freshness};
+pub use quarantine::{
+    CrashNews, HoldNews, PromptCheck, Quarantine, QuarantineChange, QuarantineNews,
+    QuarantineSettings, ServerRun,
+};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
--- a/crates/coord/src/server_limit.rs
+++ b/crates/coord/src/server_limit.rs
@@ -4,6 +4,7 @@
 //! each entry to send even one request in a window. All entries that know the same entries agree on
 //! the holders.
 
+use crate::rendezvous;
 use kernel::{Millis, Name};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -239,12 +240,6 @@
     per_s: Option<f64>,
 ) -> Option<Part> {
     let holders = settings.holder_count(per_s?, entries.len());
-    if !entries.contains(own_name) {
-        return None;
-    }
-    let server_hash = xxh3_64_with_seed(server.as_bytes(), 0);
-    let weight = |entry: &Name| xxh3_64_with_seed(entry.as_bytes(), server_hash);
-    let own_weight = weight(own_name);
-    let rank = entries.iter().filter(|entry| weight(entry) > own_weight).count();
+    let rank = rendezvous::rank(own_name, entries, xxh3_64_with_seed(server.as_bytes(), 0))?;
     Some(Part { holders, rank, entries: entries.len() })
 }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -6,8 +6,8 @@
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
-    Freshness, QuotaSettings, QuotaShares, RetryBudget, RetrySettings, Roster, ServerLimitSettings,
-    ServerLimits, UsageCounter, UsageReports,
+    Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, RetryBudget,
+    RetrySettings, Roster, ServerLimitSettings, ServerLimits, UsageCounter, UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -65,6 +65,7 @@
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
     entries: Gauge<u64>,
+    quarantined: Gauge<u64>,
     open: Gauge<u64>,
     freshness: Gauge<u64>,
 }
@@ -98,6 +99,10 @@
     pub(crate) demand: RefCell<DemandTracker>,
     /// Limits that servers state.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Prompt parts under which servers crash.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Signals a change of the parts in quarantine.
+    pub(crate) quarantine_changed: watch::Sender<u64>,
     /// Time on the boot clock at which a server was last added, in milliseconds.
     pub(crate) server_added_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
@@ -159,6 +164,7 @@
         let retry_budget = RetryBudget::new(retry, boot_ms().saturating_sub(idle_ms));
         let server_limits =
             ServerLimits::new(ServerLimitSettings::default(), settings.name.clone());
+        let quarantine = Quarantine::new(QuarantineSettings::default(), settings.name.clone());
         let metrics = Metrics::new()?;
         let meters = Meters {
             requests: metrics.counter("requests", "Requests of callers, by status and result code"),
@@ -169,6 +175,8 @@
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
             entries: metrics.gauge("entries_known", "Entries that share limits"),
+            quarantined: metrics
+                .gauge("prompt_parts_quarantined", "Prompt parts under which servers crash"),
             open: metrics.gauge("requests_open", "Requests of callers that are open"),
             freshness: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store_calls: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
@@ -194,6 +202,8 @@
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
             server_limits: RefCell::new(server_limits),
+            quarantine: RefCell::new(quarantine),
+            quarantine_changed: watch::Sender::new(0),
             server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
             servers_checked: RefCell::default(),
@@ -267,6 +277,7 @@
         let servers = self.picker.borrow().servers().filter(|server| !server.info.leaving).count();
         self.meters.servers.record(servers as u64, &[]);
         self.meters.entries.record(self.roster.borrow_mut().share_count(now) as u64, &[]);
+        self.meters.quarantined.record(self.quarantine.borrow().held_count() as u64, &[]);
         self.meters.open.record(u64::from(self.open_requests.get()), &[]);
         self.meters.freshness.record(self.freshness.borrow().age(now).unwrap_or(u64::MAX), &[]);
         self.metrics.render()
@@ -321,7 +332,8 @@
         local + valid.filter_map(|status| status.work.get(service)).sum::<f64>()
     }
 
-    /// Sets the entries that share the quotas, the retry budget and the limits of servers.
+    /// Sets the entries that share the quotas, the retry budget, the limits of servers and the trials
+    /// of prompt parts in quarantine.
     pub(crate) fn update_shares(&self) {
         let entries = self.roster.borrow_mut().share_count(boot_ms());
         if self.share_count.replace(entries) != entries {
@@ -330,7 +342,9 @@
         }
         self.quota_shares.borrow_mut().set_entries(entries);
         self.retry_budget.borrow_mut().set_entries(entries);
-        let names = self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
+        let names: Vec<Name> =
+            self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
+        self.quarantine.borrow_mut().set_entries(names.clone());
         self.server_limits.borrow_mut().set_entries(names, boot_ms());
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -9,10 +9,12 @@
 use crate::limits::record_stated_limit;
 use crate::peers;
 use crate::pool::{Connection, SendError, ServerRequest};
+use crate::quarantine;
 use crate::reply::error_reply;
 use crate::server_check::check_server;
 use crate::stream;
 use bytes::Bytes;
+use coord::PromptCheck;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -35,8 +37,8 @@
 /// Multiple of the target latency, or of the expected latency if that is longer, after which an
 /// attempt times out when a further attempt is allowed.
 const TIMEOUT_FACTOR: u32 = 2;
-/// Value of the retry-after header for a request that could not be dispatched, in milliseconds.
-const RETRY_AFTER_MS: u64 = 250;
+/// Retry-after time for a request that could not be dispatched.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// A request that passed admission.
 pub(crate) struct AdmittedRequest {
@@ -62,6 +64,11 @@
         self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
     }
 
+    /// Returns the identifiers of the parts of the prompt that other requests may share.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        self.prompt.iter().flat_map(Prompt::shared_parts).map(|part| part.id)
+    }
+
     /// Returns the shared parts of the prompt for logs.
     pub(crate) fn prompt_parts(&self) -> Option<String> {
         self.prompt.as_ref().map(Prompt::shared_ids)
@@ -145,7 +152,12 @@
     loop {
         if request.remaining_ms() == 0 {
             let code = if history.runs > 0 { Code::DeadlinePassed } else { Code::Expired };
-            return failure_reply(cx, &request, code, history);
+            return failure_reply(cx, &request, code, history, RETRY_AFTER);
+        }
+        if let PromptCheck::Quarantined { retry_after_ms, .. } = quarantine::check(cx, &request) {
+            let code = if history.runs > 0 { Code::BackendBroke } else { Code::PromptQuarantined };
+            let retry_after = Duration::from_millis(retry_after_ms);
+            return failure_reply(cx, &request, code, history, retry_after);
         }
         let Some(choice) = choose_server(cx, &request, &tried) else {
             if tried.is_empty() {
@@ -156,7 +168,7 @@
                 );
             }
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::NoServer };
-            return failure_reply(cx, &request, code, history);
+            return failure_reply(cx, &request, code, history, RETRY_AFTER);
         };
         if tried.is_empty() {
             record_demand(cx, &request, choice.uncached_tokens);
@@ -202,7 +214,8 @@
             request.route.max_attempts,
             request.remaining_ms(),
         );
-        if step == (NextStep::Retry { uses_budget: true }) && !peers::take_retry(cx, &request).await
+        if step == (NextStep::Retry { uses_budget: true })
+            && (quarantine::is_held(cx, &request) || !peers::take_retry(cx, &request).await)
         {
             step = next_step_without_budget(result, history);
         }
@@ -210,10 +223,10 @@
             (NextStep::Retry { .. }, _) => {}
             (NextStep::Forward, Some(reply)) => return (reply, None),
             (NextStep::Forward, None) => {
-                return failure_reply(cx, &request, Code::BackendBroke, history);
+                return failure_reply(cx, &request, Code::BackendBroke, history, RETRY_AFTER);
             }
             (NextStep::Refuse(code) | NextStep::Fail(code), _) => {
-                return failure_reply(cx, &request, code, history);
+                return failure_reply(cx, &request, code, history, RETRY_AFTER);
             }
         }
     }
@@ -274,9 +287,10 @@
     request: &AdmittedRequest,
     code: Code,
     history: AttemptHistory,
+    retry_after: Duration,
 ) -> (Reply, Option<Code>) {
     let mut failure = Failure::new(code, request.id_text());
-    failure.retry_after = failure.retry_after.map(|_| Duration::from_millis(RETRY_AFTER_MS));
+    failure.retry_after = failure.retry_after.map(|_| retry_after);
     info!(cx.log, "request failed"; "request" => request.id_text(), "code" => code.number(),
         "cause" => code.title(), "service" => %request.service, "sends" => history.sends,
         "runs" => history.runs, "left_ms" => request.remaining_ms());
@@ -317,7 +331,18 @@
     };
     let timeout = response_timeout(request, choice, history);
     let sent_at = boot_ms();
-    let response = match tokio::time::timeout(timeout, connection.send(req)).await {
+    let response = tokio::select! {
+        response = tokio::time::timeout(timeout, connection.send(req)) => response,
+        () = quarantine::wait_until_held(cx, request) => {
+            return end(
+                Outcome::Unknown,
+                AttemptResult::ResponseLost,
+                "quarantined",
+                "a part of the prompt was put into quarantine",
+            );
+        }
+    };
+    let response = match response {
         Err(_) => {
             return end(
                 Outcome::Failed,
@@ -364,6 +389,9 @@
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
             let answered_at = Instant::now();
+            if head.status().is_success() {
+                quarantine::record_answer(cx, request, &choice.id);
+            }
             Attempt::Answered(Box::new(ServerResponse {
                 head,
                 body,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod pool;
 mod protocol;
+mod quarantine;
 mod reply;
 mod run;
 mod serve;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between entries. Each is one datagram of JSON.
 
-use coord::{Counts, Window};
+use coord::{Counts, QuarantineNews, Window};
 use infra::{Change, Stored};
 use kernel::{Millis, Name};
 use serde::{Deserialize, Serialize};
@@ -154,4 +154,7 @@
     /// milliseconds.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) limits: BTreeMap<Name, (Option<f64>, Millis)>,
+    /// Crashes of servers, and prompt parts in quarantine.
+    #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
+    pub(crate) quarantine: QuarantineNews,
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::AdmittedRequest;
 use crate::limits::record_peer_limits;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
+use crate::quarantine;
 use crate::sync;
 use coord::{Entry, Transfer};
 use kernel::boot_ms;
@@ -102,6 +103,7 @@
 pub(crate) async fn broadcast_state(cx: Rc<Context>) {
     for round in 0_u64.. {
         tokio::time::sleep(STATE_INTERVAL).await;
+        quarantine::update(&cx);
         send_state(&cx, round % COUNTS_PERIOD == 0);
     }
 }
@@ -146,6 +148,7 @@
         .map(|(server, news)| (server.clone(), (news.per_s, now.saturating_sub(news.at))));
     EntryState {
         limits: limits.collect(),
+        quarantine: cx.quarantine.borrow().news(now),
         stopping: cx.stopping.get(),
         rules_age: cx.freshness.borrow().age(boot_ms()),
         open: cx.open_requests.get(),
@@ -280,6 +283,7 @@
         reports.record(&from, incarnation, state.counts, Clock::unix_ms());
     }
     record_peer_limits(cx, &from, &state.limits);
+    quarantine::record_peer_news(cx, state.quarantine);
     let mut peer_status = cx.peer_status.borrow_mut();
     let known = peer_status.entry(from.clone()).or_default();
     if incarnation < known.incarnation {
--- /dev/null
+++ b/crates/relay/src/quarantine.rs
@@ -0,0 +1,78 @@
+//! Keeps prompt parts under which servers crash away from servers.
+
+use crate::context::Context;
+use crate::dispatch::AdmittedRequest;
+use crate::peers;
+use coord::{PromptCheck, QuarantineChange, QuarantineNews, ServerRun};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use std::rc::Rc;
+
+/// Decides whether a request may be sent to a server, as far as the parts of its prompt tell.
+pub(crate) fn check(cx: &Context, request: &AdmittedRequest) -> PromptCheck {
+    let checked = cx.quarantine.borrow_mut().check(request.shared_parts(), boot_ms());
+    if let PromptCheck::Quarantined { part, retry_after_ms } = checked {
+        debug!(cx.log, "prompt in quarantine"; "request" => request.id_text(),
+            "part" => format!("{part:x}"), "retry_after_ms" => retry_after_ms);
+    }
+    checked
+}
+
+/// Whether a part of the request's prompt is in quarantine.
+pub(crate) fn is_held(cx: &Context, request: &AdmittedRequest) -> bool {
+    cx.quarantine.borrow().is_held(request.shared_parts())
+}
+
+/// Waits until a part of the request's prompt is put into quarantine.
+pub(crate) async fn wait_until_held(cx: &Context, request: &AdmittedRequest) {
+    let mut changed = cx.quarantine_changed.subscribe();
+    // The sender lives as long as the context.
+    while changed.changed().await.is_ok() && !is_held(cx, request) {}
+}
+
+/// Records that a server began to answer a request.
+pub(crate) fn record_answer(cx: &Context, request: &AdmittedRequest, server: &Name) {
+    let parts: Vec<u64> = request.shared_parts().collect();
+    if !parts.is_empty() {
+        cx.quarantine.borrow_mut().record_answer(server, parts, boot_ms());
+    }
+}
+
+/// Records that a server crashed at this time on the boot clock, and tells the peers.
+pub(crate) fn record_crash(cx: &Rc<Context>, run: ServerRun, at: Millis) {
+    let suspects = cx.quarantine.borrow_mut().record_crash(run.clone(), at);
+    if suspects.is_empty() {
+        return;
+    }
+    let suspects: Vec<String> = suspects.iter().map(|part| format!("{part:x}")).collect();
+    info!(cx.log, "server crashed"; "server" => %run.server, "suspects" => suspects.join(","));
+    update(cx);
+    peers::send_state(cx, false);
+}
+
+/// Takes in the evidence of a peer.
+pub(crate) fn record_peer_news(cx: &Context, news: QuarantineNews) {
+    if !news.is_empty() {
+        cx.quarantine.borrow_mut().record_news(news, boot_ms());
+        update(cx);
+    }
+}
+
+/// Applies new evidence and the time that has passed, and logs what changed.
+pub(crate) fn update(cx: &Context) {
+    let changes = cx.quarantine.borrow_mut().update(boot_ms());
+    for change in &changes {
+        match change {
+            QuarantineChange::Held(part, crashes) => {
+                warn!(cx.log, "prompt part quarantined"; "part" => format!("{part:x}"),
+                    "crashes" => crashes);
+            }
+            QuarantineChange::Released(part) => {
+                info!(cx.log, "prompt part released"; "part" => format!("{part:x}"));
+            }
+        }
+    }
+    if !changes.is_empty() {
+        cx.quarantine_changed.send_modify(|count| *count += 1);
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,6 +8,7 @@
     record_usage, try_server,
 };
 use crate::peers;
+use crate::quarantine;
 use crate::server_check::check_server;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
@@ -235,7 +236,7 @@
             request.route.max_attempts,
             request.remaining_ms(),
         );
-        if !matches!(step, NextStep::Retry { .. }) {
+        if !matches!(step, NextStep::Retry { .. }) || quarantine::is_held(cx, request) {
             return None;
         }
         let choice = choose_server(cx, request, &self.tried)?;
@@ -258,6 +259,9 @@
         let Some(last_event_id) = self.events.last_event_id().filter(|_| supports_moves) else {
             return;
         };
+        if quarantine::is_held(&cx, &request) {
+            return;
+        }
         self.tried.push(from.clone());
         let Some(choice) = choose_server(&cx, &request, &self.tried) else { return };
         if !peers::take_retry(&cx, &request).await {
