coord: crashes count against a prompt part for two minutes

Found by a test of our own: a part that crashes a server every 35 s was never put into quarantine, as each crash was forgotten after 30 s; the rule knows no shortest interval. Crashes now count for two minutes, and a quarantine lasts two minutes beyond the last request with the part. coord/tests/quarantine.rs a_part_is_held_although_its_crashes_are_far_apart failed before and passes.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -43,10 +43,10 @@
             survival_ms: 2_000,
             crashes: 3,
             crashes_after_survival: 5,
-            crash_memory_ms: 30_000,
+            crash_memory_ms: 120_000,
             survival_memory_ms: 60_000,
             news_ms: 3_000,
-            idle_ms: 60_000,
+            idle_ms: 120_000,
             trial_interval_ms: 120_000,
         }
     }
