coord, relay: the quarantine spares parts for which another one accounts

Cause: after the restart no survival of the first part was known, so it was put into quarantine with the bad one, and then no request could show that servers survive it. Now a part is spared if another one was in all of its crashes and in more, or in the same ones and later in the prompts; any survival of the last 30 s disproves a suspicion; an entry accuses its own answers also when it only hears of a crash. A survival needs an answer that went on: one on a connection that fell silent shows nothing.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use freshness::{Confirmation, Freshness};
 pub use quarantine::{
-    CrashNews, HoldNews, PromptCheck, Quarantine, QuarantineChange, QuarantineNews,
+    AnswerId, CrashNews, HoldNews, PromptCheck, Quarantine, QuarantineChange, QuarantineNews,
     QuarantineSettings, ServerRun,
 };
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A crash breaks all answers of a server, so that the parts of every prompt there become suspects. An
 //! innocent part is told from the one to blame by the servers that live on after they began to
-//! answer a prompt with it.
+//! answer a prompt with it. Under the latter, every server crashes.
 
 use crate::rendezvous;
 use kernel::{Millis, Name};
@@ -15,14 +15,13 @@
     /// Time from the beginning of an answer in which a crash makes its prompt suspect, in
     /// milliseconds.
     pub suspect_ms: Millis,
-    /// Time from the beginning of an answer after which its server has survived it, in milliseconds.
+    /// Time from the beginning of an answer after which its server has survived it, if the answer went
+    /// on, in milliseconds.
     pub survival_ms: Millis,
     /// Number of crashes in a row that put a part into quarantine which no server is known to have
     /// survived. A crash counts if the answer began after the crash before: servers that crash
     /// together do so for another reason.
     pub crashes: usize,
-    /// Number of crashes since the last survival that put any other part into quarantine.
-    pub crashes_after_survival: usize,
     /// Time for which a crash counts, in milliseconds.
     pub crash_memory_ms: Millis,
     /// Time for which a survival counts, in milliseconds.
@@ -42,9 +41,8 @@
             suspect_ms: 500,
             survival_ms: 2_000,
             crashes: 3,
-            crashes_after_survival: 5,
             crash_memory_ms: 120_000,
-            survival_memory_ms: 60_000,
+            survival_memory_ms: 30_000,
             news_ms: 3_000,
             idle_ms: 120_000,
             trial_interval_ms: 120_000,
@@ -91,8 +89,8 @@
     /// Age of the crash, in milliseconds.
     pub age: Millis,
     /// Parts of the prompts that the server had just begun to answer, with the time from the beginning
-    /// of the last such answer to the crash, in milliseconds.
-    pub suspects: BTreeMap<u64, Millis>,
+    /// of the last such answer to the crash, in milliseconds, and the index of the part in its prompt.
+    pub suspects: BTreeMap<u64, (Millis, usize)>,
 }
 
 /// A quarantine, for other entries.
@@ -131,19 +129,34 @@
     Released(u64),
 }
 
+/// Identifies an answer that began recently.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AnswerId(u64);
+
 /// A prompt that a server began to answer.
 #[derive(Clone, Debug)]
 struct Answer {
+    id: AnswerId,
     server: Name,
     parts: Vec<u64>,
     began_at: Millis,
+    /// Whether the server went on with the answer after it could have crashed under it.
+    went_on: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Crash {
     at: Millis,
-    /// Time at which the last answer with a part began, by suspect part.
-    suspects: BTreeMap<u64, Millis>,
+    suspects: BTreeMap<u64, Suspect>,
+}
+
+/// A part of a prompt that a server had just begun to answer when it crashed.
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    /// Time at which the last such answer began.
+    began_at: Millis,
+    /// Index of the part in its prompt.
+    index: usize,
 }
 
 /// Quarantine of a part. Times are in milliseconds.
@@ -163,6 +176,7 @@
     entries: Vec<Name>,
     /// Answers that began recently, in order.
     answers: VecDeque<Answer>,
+    last_answer_id: u64,
     /// Time at which the last survived answer with a part began.
     survived: HashMap<u64, Millis>,
     /// Survivals in order, with those that were replaced.
@@ -181,6 +195,7 @@
             own_name,
             entries: Vec::new(),
             answers: VecDeque::new(),
+            last_answer_id: 0,
             survived: HashMap::new(),
             survivals: VecDeque::new(),
             crashes: BTreeMap::new(),
@@ -195,35 +210,72 @@
     }
 
     /// Records that a server began to answer a prompt with these parts.
-    pub fn record_answer(&mut self, server: &Name, parts: Vec<u64>, now: Millis) {
-        self.answers.push_back(Answer { server: server.clone(), parts, began_at: now });
+    pub fn record_answer(&mut self, server: &Name, parts: Vec<u64>, now: Millis) -> AnswerId {
+        self.last_answer_id += 1;
+        let id = AnswerId(self.last_answer_id);
+        let answer = Answer { id, server: server.clone(), parts, began_at: now, went_on: false };
+        self.answers.push_back(answer);
+        id
+    }
+
+    /// Records that more of an answer arrived. It went on if a crash would no longer make it suspect.
+    pub fn record_progress(&mut self, id: AnswerId, now: Millis) {
+        let suspect_ms = self.settings.suspect_ms;
+        if let Some(answer) = self.answer_mut(id) {
+            answer.went_on |= now.saturating_sub(answer.began_at) > suspect_ms;
+        }
+    }
+
+    /// Records that an answer is complete.
+    pub fn record_completion(&mut self, id: AnswerId) {
+        if let Some(answer) = self.answer_mut(id) {
+            answer.went_on = true;
+        }
+    }
+
+    fn answer_mut(&mut self, id: AnswerId) -> Option<&mut Answer> {
+        let index = self.answers.binary_search_by_key(&id, |answer| answer.id).ok()?;
+        self.answers.get_mut(index)
+    }
+
+    /// Forgets the answers of a server that may have crashed, without accusing their parts.
+    pub fn discard_answers(&mut self, server: &Name) {
+        self.answers.retain(|answer| answer.server != *server);
     }
 
     /// Records that a server crashed; returns the parts that are suspect.
     pub fn record_crash(&mut self, run: ServerRun, now: Millis) -> Vec<u64> {
+        let suspects = self.take_suspects(&run.server, now);
+        let parts = suspects.keys().copied().collect();
+        if !suspects.is_empty() {
+            self.add_crash(run, now, suspects);
+        }
+        parts
+    }
+
+    /// Forgets the answers of a server that crashed, and returns the parts of those that had just begun.
+    fn take_suspects(&mut self, server: &Name, crashed_at: Millis) -> BTreeMap<u64, Suspect> {
         let mut suspects = BTreeMap::new();
         let suspect_ms = self.settings.suspect_ms;
         self.answers.retain(|answer| {
-            let is_broken = answer.server == run.server && answer.began_at <= now;
-            if is_broken && now - answer.began_at <= suspect_ms {
+            let is_broken = answer.server == *server && answer.began_at <= crashed_at;
+            if is_broken && crashed_at - answer.began_at <= suspect_ms {
                 // Answers are in the order of their beginning.
-                suspects.extend(answer.parts.iter().map(|part| (*part, answer.began_at)));
+                for (index, part) in answer.parts.iter().enumerate() {
+                    suspects.insert(*part, Suspect { began_at: answer.began_at, index });
+                }
             }
             !is_broken
         });
-        let parts = suspects.keys().copied().collect();
-        if !suspects.is_empty() {
-            self.add_crash(run, now, suspects);
-        }
-        parts
+        suspects
     }
 
-    fn add_crash(&mut self, run: ServerRun, at: Millis, suspects: BTreeMap<u64, Millis>) {
+    fn add_crash(&mut self, run: ServerRun, at: Millis, suspects: BTreeMap<u64, Suspect>) {
         let crash = self.crashes.entry(run).or_insert(Crash { at, ..Crash::default() });
         crash.at = crash.at.min(at);
-        for (part, began_at) in suspects {
-            let last = crash.suspects.entry(part).or_insert(began_at);
-            *last = began_at.max(*last);
+        for (part, suspect) in suspects {
+            let known = crash.suspects.entry(part).or_insert(suspect);
+            known.began_at = suspect.began_at.max(known.began_at);
         }
     }
 
@@ -235,11 +287,19 @@
         for CrashNews { run, age, suspects } in news.crashes {
             self.doubt(suspects.keys().copied(), now);
             let at = now.saturating_sub(age);
-            let suspects = suspects.into_iter().map(|(part, time)| (part, at.saturating_sub(time)));
-            self.add_crash(run, at, suspects.collect());
+            let suspects = suspects.into_iter().map(|(part, (time, index))| {
+                (part, Suspect { began_at: at.saturating_sub(time), index })
+            });
+            let mut suspects: BTreeMap<u64, Suspect> = suspects.collect();
+            // An answer that was already complete tells nothing of the crash.
+            suspects.extend(self.take_suspects(&run.server, at));
+            self.add_crash(run, at, suspects);
         }
         self.doubt(news.held.keys().copied(), now);
         for (part, told) in news.held {
+            if self.survived.contains_key(&part) || self.is_explained(part) {
+                continue;
+            }
             let told = Hold {
                 crashes: told.crashes,
                 crashed_at: now.saturating_sub(told.crash_age),
@@ -281,7 +341,8 @@
         let is_survived = |answer: &Answer| now.saturating_sub(answer.began_at) >= survival_ms;
         while self.answers.front().is_some_and(is_survived) {
             let Some(answer) = self.answers.pop_front() else { return };
-            for part in answer.parts {
+            let survived = if answer.went_on { answer.parts } else { Vec::new() };
+            for part in survived {
                 self.add_survival(part, answer.began_at);
             }
         }
@@ -304,19 +365,16 @@
 
     /// Ends quarantines that no request needs any more, or that survivals have disproved.
     fn release(&mut self, now: Millis) -> Vec<QuarantineChange> {
-        let (settings, survived) = (&self.settings, &self.survived);
-        let mut released = Vec::new();
-        self.held.retain(|part, hold| {
-            let is_idle = now.saturating_sub(hold.requested_at) >= settings.idle_ms;
-            let is_disproved = survived.get(part).is_some_and(|at| {
-                *at > hold.crashed_at || hold.crashes < settings.crashes_after_survival
-            });
-            if is_idle || is_disproved {
-                released.push(QuarantineChange::Released(*part));
-            }
-            !is_idle && !is_disproved
-        });
-        released
+        let is_over = |(part, hold): &(&u64, &Hold)| {
+            now.saturating_sub(hold.requested_at) >= self.settings.idle_ms
+                || self.survived.contains_key(part)
+                || self.is_explained(**part)
+        };
+        let over: Vec<u64> = self.held.iter().filter(is_over).map(|(part, _)| *part).collect();
+        for part in &over {
+            self.held.remove(part);
+        }
+        over.into_iter().map(QuarantineChange::Released).collect()
     }
 
     /// Puts the parts into quarantine that crashes accuse often enough.
@@ -324,23 +382,16 @@
         let accused: BTreeSet<u64> =
             self.crashes.values().flat_map(|crash| crash.suspects.keys().copied()).collect();
         // All parts are judged by the quarantines of before, so that their order does not matter.
-        let accused: Vec<(u64, usize, Millis)> = accused
+        let guilty: Vec<(u64, usize, Millis)> = accused
             .into_iter()
+            .filter(|part| !self.survived.contains_key(part) && !self.is_explained(*part))
             .filter_map(|part| {
                 let (crashes, crashed_at) = self.crashes_under(part)?;
-                Some((part, crashes, crashed_at))
+                (crashes >= self.settings.crashes).then_some((part, crashes, crashed_at))
             })
             .collect();
         let mut changes = Vec::new();
-        for (part, crashes, crashed_at) in accused {
-            let needed = if self.survived.contains_key(&part) {
-                self.settings.crashes_after_survival
-            } else {
-                self.settings.crashes
-            };
-            if crashes < needed {
-                continue;
-            }
+        for (part, crashes, crashed_at) in guilty {
             if let Some(hold) = self.held.get_mut(&part) {
                 hold.crashes = hold.crashes.max(crashes);
                 hold.crashed_at = hold.crashed_at.max(crashed_at);
@@ -353,21 +404,17 @@
         changes
     }
 
-    /// Returns the number of crashes in a row under a part since its last survival, and the time of
-    /// the last one; `None` without such a crash. Those that another part in quarantine explains do not
-    /// count.
+    /// Returns the number of crashes in a row under a part, and the time of the last one; `None` without
+    /// such a crash. Those under another part in quarantine do not count.
     fn crashes_under(&self, part: u64) -> Option<(usize, Millis)> {
-        let survived_at = self.survived.get(&part);
-        let is_explained = |crash: &Crash| {
+        let has_other = |crash: &Crash| {
             crash.suspects.keys().any(|other| *other != part && self.held.contains_key(other))
         };
-        let accuses =
-            |crash: &&Crash| survived_at.is_none_or(|at| crash.at > *at) && !is_explained(crash);
         let mut crashes: Vec<(Millis, Millis)> = self
             .crashes
             .values()
-            .filter(accuses)
-            .filter_map(|crash| Some((crash.at, *crash.suspects.get(&part)?)))
+            .filter(|crash| !has_other(crash))
+            .filter_map(|crash| Some((crash.at, crash.suspects.get(&part)?.began_at)))
             .collect();
         crashes.sort_unstable();
         let mut counted: Option<(usize, Millis)> = None;
@@ -381,6 +428,26 @@
         counted
     }
 
+    /// Whether another part that no server survived accounts for all crashes under a part: it was in
+    /// each of them and in further ones, or it comes later in the same prompts.
+    ///
+    /// The later a part comes in prompts, the fewer requests share it.
+    fn is_explained(&self, part: u64) -> bool {
+        let under = || self.crashes.values().filter(|crash| crash.suspects.contains_key(&part));
+        let Some(first) = under().next() else { return false };
+        let index = |part: u64| first.suspects.get(&part).map(|suspect| suspect.index);
+        let count = under().count();
+        first.suspects.keys().any(|other| {
+            let count_of_other =
+                self.crashes.values().filter(|crash| crash.suspects.contains_key(other)).count();
+            *other != part
+                && !self.survived.contains_key(other)
+                && count_of_other >= self.settings.crashes
+                && under().all(|crash| crash.suspects.contains_key(other))
+                && (count_of_other > count || index(*other) > index(part))
+        })
+    }
+
     /// Decides whether a prompt with these parts may be sent to a server.
     ///
     /// One entry allows a trial from time to time, so that a part under which servers no longer crash
@@ -423,7 +490,9 @@
                 suspects: crash
                     .suspects
                     .iter()
-                    .map(|(part, began_at)| (*part, crash.at.saturating_sub(*began_at)))
+                    .map(|(part, suspect)| {
+                        (*part, (crash.at.saturating_sub(suspect.began_at), suspect.index))
+                    })
                     .collect(),
             })
             .collect();
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::server_check::check_server;
 use crate::stream;
 use bytes::Bytes;
-use coord::PromptCheck;
+use coord::{AnswerId, PromptCheck};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -123,6 +123,9 @@
     pub(crate) guard: AttemptGuard,
     /// Time at which the head of the response arrived.
     pub(crate) answered_at: Instant,
+    /// The answer among those that may precede a crash; `None` for a failure or a prompt without
+    /// shared parts.
+    pub(crate) answer: Option<AnswerId>,
 }
 
 /// Position from which another server resumes a stream.
@@ -389,15 +392,18 @@
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
             let answered_at = Instant::now();
-            if head.status().is_success() {
-                quarantine::record_answer(cx, request, &choice.id);
-            }
+            let answer = if head.status().is_success() {
+                quarantine::record_answer(cx, request, &choice.id)
+            } else {
+                None
+            };
             Attempt::Answered(Box::new(ServerResponse {
                 head,
                 body,
                 connection,
                 guard,
                 answered_at,
+                answer,
             }))
         }
     }
@@ -478,7 +484,7 @@
     request: &AdmittedRequest,
     response: ServerResponse,
 ) -> Option<Reply> {
-    let ServerResponse { head, body, connection, guard, .. } = response;
+    let ServerResponse { head, body, connection, guard, answer, .. } = response;
     guard.mark_prompt_read();
     let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let read = tokio::time::timeout_at(request.deadline, read).await;
@@ -487,6 +493,7 @@
             let failed = head.status().is_server_error();
             guard.outcome.set(if failed { Outcome::Failed } else { Outcome::Answered });
             cx.count_attempt(if failed { "failed" } else { "answered" });
+            quarantine::record_completion(cx, answer);
             cx.pool.release(connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
         }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::dispatch::AdmittedRequest;
 use crate::peers;
-use coord::{PromptCheck, QuarantineChange, QuarantineNews, ServerRun};
+use coord::{AnswerId, PromptCheck, QuarantineChange, QuarantineNews, ServerRun};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use std::rc::Rc;
@@ -30,11 +30,30 @@
     while changed.changed().await.is_ok() && !is_held(cx, request) {}
 }
 
-/// Records that a server began to answer a request.
-pub(crate) fn record_answer(cx: &Context, request: &AdmittedRequest, server: &Name) {
+/// Records that a server began to answer a request; `None` for a prompt without shared parts.
+pub(crate) fn record_answer(
+    cx: &Context,
+    request: &AdmittedRequest,
+    server: &Name,
+) -> Option<AnswerId> {
     let parts: Vec<u64> = request.shared_parts().collect();
-    if !parts.is_empty() {
-        cx.quarantine.borrow_mut().record_answer(server, parts, boot_ms());
+    if parts.is_empty() {
+        return None;
+    }
+    Some(cx.quarantine.borrow_mut().record_answer(server, parts, boot_ms()))
+}
+
+/// Records that more of an answer arrived.
+pub(crate) fn record_progress(cx: &Context, answer: Option<AnswerId>) {
+    if let Some(answer) = answer {
+        cx.quarantine.borrow_mut().record_progress(answer, boot_ms());
+    }
+}
+
+/// Records that an answer is complete.
+pub(crate) fn record_completion(cx: &Context, answer: Option<AnswerId>) {
+    if let Some(answer) = answer {
+        cx.quarantine.borrow_mut().record_completion(answer);
     }
 }
 
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -32,6 +32,8 @@
             && !leaving
         {
             quarantine::record_crash(&cx, ServerRun { server, started_unix_ms }, broke_at);
+        } else {
+            cx.quarantine.borrow_mut().discard_answers(&server);
         }
     });
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -211,6 +211,7 @@
         self.ignores_stall = false;
         if let Some(response) = &self.response {
             response.guard.mark_prompt_read();
+            quarantine::record_progress(&self.cx, response.answer);
         }
         self.events.push(bytes)
     }
@@ -219,6 +220,7 @@
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
         response.guard.outcome.set(Outcome::Answered);
+        quarantine::record_completion(&self.cx, response.answer);
         self.cx.pool.release(response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
             "server" => %response.guard.server, "chunks" => self.chunks,
