relay: logs tell the software version of servers, and what callers take up again

The logs could not tell streams that an entry took to another version from those that a caller took up there. Lines server listed and placed bear the version of the server's software; a request with Last-Event-Id logs which request it resumes. A registration without a version names no server. No decision reads the new fields.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -121,6 +121,8 @@
     pub id: Name,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Version of the server's software.
+    pub software_version: Name,
     /// Predicted time to the answer or its first token, in milliseconds.
     pub expected_ms: f64,
     /// Prompt tokens that the server has to process, because neither it nor the server to copy from
@@ -192,6 +194,7 @@
         Some(Choice {
             id: best.server.info.id.clone(),
             address: best.server.info.address,
+            software_version: best.server.info.software_version.clone(),
             expected_ms: best.expected_ms,
             uncached_tokens: best.uncached_tokens,
             copy_from: affinity
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -15,6 +15,8 @@
     pub service: Name,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Version of the server's software.
+    pub software_version: Name,
     /// Data centre.
     pub data_centre: Name,
     /// Maximum number of requests that the server processes at the same time.
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -19,6 +19,7 @@
         reclaimable: false,
         reclaimed_in_ms: None,
         warmup_ms: 0,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -277,7 +277,7 @@
     };
     cx.server_limits.borrow_mut().record_sent(&choice.id, now);
     debug!(cx.log, "placed"; "request" => request.id_text(), "server" => %choice.id,
-        "why" => ?choice.reason, "expected_ms" => choice.expected_ms, "open" => choice.open,
+        "software" => %choice.software_version, "why" => ?choice.reason, "expected_ms" => choice.expected_ms, "open" => choice.open,
         "unread" => choice.uncached_tokens,
         "copy_from" => choice.copy_from.map(|address| address.to_string()),
         "candidates" => choice.candidates, "tried" => tried.len(),
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -29,6 +29,8 @@
     pub urgency: HeaderName,
     /// Address of an engine from which the KV cache of shared prompt parts is copied.
     pub copy_from: HeaderName,
+    /// ID of the caller's request whose response began the stream that this request resumes.
+    pub resumes: HeaderName,
     /// Location of the copied KV cache of a request that resumes at another engine.
     pub moved_from: HeaderName,
     /// Fields for servers that callers must not set.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::body::Reply;
 use crate::context::Context;
 use crate::directory;
-use crate::dispatch::{AdmittedRequest, dispatch, strip_hop_by_hop_headers};
+use crate::dispatch::{AdmittedRequest, LAST_EVENT_ID, dispatch, strip_hop_by_hop_headers};
 use crate::peers;
 use crate::pool::set_socket_options;
 use crate::reply::{empty_reply, error_reply};
@@ -220,6 +220,11 @@
     {
         headers.remove(name);
     }
+    if let Some(last_event_id) = headers.get(LAST_EVENT_ID) {
+        let resumes = headers.get(&names.resumes).and_then(|id| id.to_str().ok());
+        info!(cx.log, "stream resumed by its caller"; "request" => id.to_str().unwrap_or(""),
+            "resumes" => resumes, "last_event_id" => last_event_id.to_str().unwrap_or(""));
+    }
     let target = uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
     let prompt = prompt.filter(|_| route.has_prompt);
     let request = AdmittedRequest {
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -304,6 +304,7 @@
             let id = info.id.clone();
             cx.missing_servers.borrow_mut().remove(&id);
             let (leaving, service) = (info.leaving, info.service.clone());
+            let software = info.software_version.clone();
             let ends_in = info.reclaimed_in_ms.map(Duration::from_millis);
             let ends_in = ends_in.unwrap_or(cx.settings.promises.drain);
             if cx.picker.borrow().get(&id).is_none() {
@@ -311,6 +312,7 @@
             }
             if cx.picker.borrow_mut().upsert(info) {
                 info!(cx.log, "server listed"; "server" => %id, "service" => %service,
+                    "software" => %software,
                     "leaving" => leaving, "ends_in_ms" => ends_in.as_millis() as u64,
                     "revision" => stored.revision);
                 if leaving {
--- a/crates/relay/tests/attempt.rs
+++ b/crates/relay/tests/attempt.rs
@@ -26,6 +26,7 @@
         signature: name("seal"),
         urgency: name("urgency"),
         copy_from: name("copy-from"),
+        resumes: name("resumes"),
         moved_from: name("moved-from"),
         reserved: Vec::new(),
     }
