pick, relay: a stream changes servers only within its software version

What callers saw: streams whose events come from two versions of a back end.

Cause: an entry read no version; moved, resumed and replaced streams chose among all servers of the service. Class: a property of the server that a stream depends on and that the later choice of a server does not know. Now a stream remembers the version of the server that wrote the first event which its caller got, and chooses among servers of that version; if none is left it ends at once, cut. Until an event was shown any version will do.

Streams taken up by their callers remain (two entries).

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -48,6 +48,9 @@
     pub service: &'a Name,
     /// Prompt of a request to engines; `None` for a plain service.
     pub prompt: Option<&'a Prompt>,
+    /// Software version that the server must have, because a server of that version began the stream
+    /// that the request resumes.
+    pub software_version: Option<&'a Name>,
     /// Data centre of this entry.
     pub data_centre: &'a Name,
     /// Servers that the request was already sent to.
@@ -170,6 +173,9 @@
         let is_eligible = |server: &&Server| {
             server.info.service == *requirements.service
                 && !server.info.leaving
+                && requirements
+                    .software_version
+                    .is_none_or(|version| *version == server.info.software_version)
                 && !requirements.tried.contains(&server.info.id)
                 && !requirements.exhausted.contains(&server.info.id)
         };
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -53,6 +53,7 @@
     let requirements = Requirements {
         service: &service,
         prompt,
+        software_version: None,
         data_centre: &data_centre,
         tried,
         exhausted: &[],
@@ -185,6 +186,7 @@
     let requirements = Requirements {
         service: &service,
         prompt: None,
+        software_version: None,
         data_centre: &data_centre,
         tried: &tried,
         exhausted: &[],
@@ -202,6 +204,7 @@
         let requirements = Requirements {
             service: &service,
             prompt: None,
+            software_version: None,
             data_centre: &data_centre,
             tried: &[],
             exhausted: &exhausted,
@@ -224,6 +227,7 @@
         let requirements = Requirements {
             service: &service,
             prompt: None,
+            software_version: None,
             data_centre: &data_centre,
             tried: &[],
             exhausted: &[],
@@ -278,3 +282,24 @@
     picker.upsert(ServerInfo { started_unix_ms: 2, ..server_info("s1", "local") });
     assert_eq!(picker.get("s1").expect("the server is known").load(), Load::default());
 }
+
+#[test]
+fn a_stream_goes_on_only_at_a_server_of_the_required_software_version() {
+    let mut picker = picker(&["s1", "s2", "s3"]);
+    picker.upsert(ServerInfo { software_version: "v2".into(), ..server_info("s3", "local") });
+    let (service, data_centre) = (Name::from("pool"), Name::from("local"));
+    let (present, gone) = (Name::from("v2"), Name::from("v3"));
+    for random in 0..20 {
+        let requirements = |version| Requirements {
+            service: &service,
+            prompt: None,
+            software_version: Some(version),
+            data_centre: &data_centre,
+            tried: &[],
+            exhausted: &[],
+            random,
+        };
+        assert_eq!(picker.choose(&requirements(&present), 0).expect("no server").id, "s3");
+        assert_eq!(picker.choose(&requirements(&gone), 0), None);
+    }
+}
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -121,6 +121,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) guard: AttemptGuard,
+    /// Version of the server's software.
+    pub(crate) software_version: Name,
     /// Time at which the head of the response arrived.
     pub(crate) answered_at: Instant,
     /// The answer among those that may precede a crash; `None` for a failure or a prompt without
@@ -162,7 +164,7 @@
             let retry_after = Duration::from_millis(retry_after_ms);
             return failure_reply(cx, &request, code, history, retry_after);
         }
-        let Some(choice) = choose_server(cx, &request, &tried) else {
+        let Some(choice) = choose_server(cx, &request, &tried, None) else {
             if tried.is_empty() {
                 record_demand(
                     cx,
@@ -254,17 +256,20 @@
 }
 
 /// Chooses a server that has not been tried yet, counts the request against the limit that the
-/// server may have stated, and logs the choice.
+/// server may have stated, and logs the choice. With `software_version`, only servers of that version
+/// can go on with the stream.
 pub(crate) fn choose_server(
     cx: &Context,
     request: &AdmittedRequest,
     tried: &[Name],
+    software_version: Option<&Name>,
 ) -> Option<Choice> {
     let now = boot_ms();
     let exhausted = cx.server_limits.borrow_mut().exhausted(now);
     let requirements = Requirements {
         service: &request.service,
         prompt: request.prompt.as_ref(),
+        software_version,
         data_centre: &cx.settings.data_centre,
         tried,
         exhausted: &exhausted,
@@ -272,7 +277,8 @@
     };
     let Some(choice) = cx.picker.borrow().choose(&requirements, now) else {
         debug!(cx.log, "no server"; "request" => request.id_text(),
-            "service" => %request.service, "limited" => exhausted.len(), "tried" => tried.len());
+            "service" => %request.service, "limited" => exhausted.len(), "tried" => tried.len(),
+            "software" => software_version.map(|version| version.to_string()));
         return None;
     };
     cx.server_limits.borrow_mut().record_sent(&choice.id, now);
@@ -402,6 +408,7 @@
                 body,
                 connection,
                 guard,
+                software_version: choice.software_version.clone(),
                 answered_at,
                 answer,
             }))
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -80,6 +80,9 @@
     tried: Vec<Name>,
     events: EventSplitter,
     chunks: u64,
+    /// Software version of the server that wrote the first event which the caller got. The output of
+    /// two versions does not fit together, so that only servers of this version can go on.
+    software_version: Option<Name>,
     departures_changed: watch::Receiver<u64>,
     /// Departing server from which a move was already tried.
     departing_server: Option<Name>,
@@ -120,6 +123,7 @@
         tried,
         events,
         chunks: 0,
+        software_version: None,
         departures_changed,
         departing_server: None,
         ignores_stall: false,
@@ -213,7 +217,12 @@
             response.guard.mark_prompt_read();
             quarantine::record_progress(&self.cx, response.answer);
         }
-        self.events.push(bytes)
+        let complete = self.events.push(bytes);
+        if !complete.is_empty() && self.software_version.is_none() {
+            self.software_version =
+                self.response.as_ref().map(|response| response.software_version.clone());
+        }
+        complete
     }
 
     /// Records the end of the stream and releases the connection.
@@ -241,7 +250,7 @@
         if !matches!(step, NextStep::Retry { .. }) || quarantine::is_held(cx, request) {
             return None;
         }
-        let choice = choose_server(cx, request, &self.tried)?;
+        let choice = choose_server(cx, request, &self.tried, self.software_version.as_ref())?;
         peers::take_retry(cx, request).await.then_some(choice)
     }
 
@@ -265,7 +274,10 @@
             return;
         }
         self.tried.push(from.clone());
-        let Some(choice) = choose_server(&cx, &request, &self.tried) else { return };
+        let software_version = self.software_version.as_ref();
+        let Some(choice) = choose_server(&cx, &request, &self.tried, software_version) else {
+            return;
+        };
         if !peers::take_retry(&cx, &request).await {
             return;
         }
