coord, relay: a stream that its caller takes up goes on at the version that began it

Cause: no entry read Resumes, and none knew what another entry had begun; such a request was placed like a new one. Now the entry that passes on the first event tells the version to two others (rendezvous hashing); an entry that takes the stream up asks six, at most 40 ms, unless the service has had a single version for 30 s. A stream that nobody knows is refused at once with code 2012 and a Retry-After.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,11 +1,12 @@
 //! State shared by entries: rules freshness, quota and retry shares, limits of servers, quarantine of
-//! prompt parts, usage and membership.
+//! prompt parts, origins of streams, usage and membership.
 //!
 //! The crate does no I/O and reads no clock. Times are milliseconds on a clock that keeps running
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
 //! would still consider its rules fresh after a suspension.
 
 mod freshness;
+mod origin;
 mod quarantine;
 mod quota;
 mod rendezvous;
@@ -15,6 +16,7 @@
 mod usage;
 
 pub use freshness::{Confirmation, Freshness};
+pub use origin::StreamOrigins;
 pub use quarantine::{
     AnswerId, CrashNews, HoldNews, PromptCheck, Quarantine, QuarantineChange, QuarantineNews,
     QuarantineSettings, ServerRun,
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -3,13 +3,23 @@
 use kernel::Name;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+fn weight(entry: &Name, key_hash: u64) -> u64 {
+    xxh3_64_with_seed(entry.as_bytes(), key_hash)
+}
+
 /// Returns the number of entries that come before `own_name` for a key with this hash; `None` if it is
 /// not among them.
 pub(crate) fn rank(own_name: &Name, entries: &[Name], key_hash: u64) -> Option<usize> {
     if !entries.contains(own_name) {
         return None;
     }
-    let weight = |entry: &Name| xxh3_64_with_seed(entry.as_bytes(), key_hash);
-    let own_weight = weight(own_name);
-    Some(entries.iter().filter(|entry| weight(entry) > own_weight).count())
+    let own_weight = weight(own_name, key_hash);
+    Some(entries.iter().filter(|entry| weight(entry, key_hash) > own_weight).count())
+}
+
+/// Returns all entries in their order for a key with this hash.
+pub(crate) fn ranked(entries: &[Name], key_hash: u64) -> Vec<&Name> {
+    let mut ranked: Vec<&Name> = entries.iter().collect();
+    ranked.sort_by_cached_key(|entry| std::cmp::Reverse(weight(entry, key_hash)));
+    ranked
 }
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -118,6 +118,18 @@
         self.servers.values()
     }
 
+    /// Returns the software version of all servers of a service, leaving ones included; `None` if they
+    /// differ or there is no server.
+    pub fn sole_software_version(&self, service: &str) -> Option<&Name> {
+        let mut versions = self
+            .servers
+            .values()
+            .filter(|server| server.info.service == *service)
+            .map(|server| &server.info.software_version);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Returns the latency model.
     pub fn latency_model(&self) -> &LatencyModel {
         &self.latency_model
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -1,13 +1,15 @@
 //! Shared state of one entry, read and updated by all of its tasks and requests.
 
 use crate::change_log::ChangeLog;
+use crate::origins::{PendingQuery, ServedVersions};
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
     Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, RetryBudget,
-    RetrySettings, Roster, ServerLimitSettings, ServerLimits, UsageCounter, UsageReports,
+    RetrySettings, Roster, ServerLimitSettings, ServerLimits, StreamOrigins, UsageCounter,
+    UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -99,6 +101,12 @@
     pub(crate) demand: RefCell<DemandTracker>,
     /// Limits that servers state.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Software versions that began streams.
+    pub(crate) origins: RefCell<StreamOrigins>,
+    /// Queries for the versions of streams that wait for replies, by number.
+    pub(crate) origin_queries: RefCell<BTreeMap<u64, Rc<PendingQuery>>>,
+    /// Software versions that serve, by service.
+    pub(crate) served_versions: RefCell<BTreeMap<Name, ServedVersions>>,
     /// Prompt parts under which servers crash.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Signals a change of the parts in quarantine.
@@ -202,6 +210,9 @@
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
             server_limits: RefCell::new(server_limits),
+            origins: RefCell::new(StreamOrigins::new(settings.name.clone())),
+            origin_queries: RefCell::default(),
+            served_versions: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             quarantine_changed: watch::Sender::new(0),
             server_added_at: Cell::default(),
@@ -332,8 +343,8 @@
         local + valid.filter_map(|status| status.work.get(service)).sum::<f64>()
     }
 
-    /// Sets the entries that share the quotas, the retry budget, the limits of servers and the trials
-    /// of prompt parts in quarantine.
+    /// Sets the entries that share the quotas, the retry budget, the limits of servers, the trials of
+    /// prompt parts in quarantine and the origins of streams.
     pub(crate) fn update_shares(&self) {
         let entries = self.roster.borrow_mut().share_count(boot_ms());
         if self.share_count.replace(entries) != entries {
@@ -345,6 +356,7 @@
         let names: Vec<Name> =
             self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
         self.quarantine.borrow_mut().set_entries(names.clone());
+        self.origins.borrow_mut().set_entries(names.clone());
         self.server_limits.borrow_mut().set_entries(names, boot_ms());
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -52,6 +52,8 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) prompt: Option<Prompt>,
     pub(crate) priority: u8,
+    /// Version that began the stream which the request resumes; `None` for a new request.
+    pub(crate) software_version: Option<Name>,
     pub(crate) started: Instant,
     pub(crate) deadline: Instant,
     /// Whether the usage of the organisation includes this request.
@@ -164,7 +166,8 @@
             let retry_after = Duration::from_millis(retry_after_ms);
             return failure_reply(cx, &request, code, history, retry_after);
         }
-        let Some(choice) = choose_server(cx, &request, &tried, None) else {
+        let software_version = request.software_version.as_ref();
+        let Some(choice) = choose_server(cx, &request, &tried, software_version) else {
             if tried.is_empty() {
                 record_demand(
                     cx,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod log;
 mod message;
+mod origins;
 mod peers;
 mod pool;
 mod protocol;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -73,6 +73,27 @@
         /// Number of retries granted.
         count: u32,
     },
+    /// Tells the entries that keep it which software version began a stream.
+    StreamBegan {
+        /// ID of the caller's request.
+        request: Name,
+        /// Version of the server that wrote the first event.
+        software_version: Name,
+    },
+    /// Asks which software version began a stream.
+    StreamQuery {
+        /// Query number; copied into the reply.
+        number: u64,
+        /// ID of the caller's request that began the stream.
+        request: Name,
+    },
+    /// Replies to a query for a stream.
+    StreamOrigin {
+        /// Number of the query.
+        number: u64,
+        /// Version that began the stream; `None` if the sender does not know.
+        software_version: Option<Name>,
+    },
     /// Grants quota units from the sender's share.
     #[serde(rename = "Give")]
     QuotaGrant {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::AdmittedRequest;
 use crate::limits::record_peer_limits;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
+use crate::origins;
 use crate::quarantine;
 use crate::sync;
 use coord::{Entry, Transfer};
@@ -84,7 +85,14 @@
         }
     }
 
-    fn send(&self, cx: &Context, to: &Entry, message: Message) {
+    /// Returns the number for a new request to peers.
+    pub(crate) fn next_number(&self) -> u64 {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        number
+    }
+
+    pub(crate) fn send(&self, cx: &Context, to: &Entry, message: Message) {
         let envelope =
             Envelope { from: cx.settings.name.clone(), incarnation: cx.incarnation, message };
         let (Ok(bytes), Ok(address)) =
@@ -219,6 +227,18 @@
                 cx.peers().send(cx, entry, Message::RetryGrant { number, service, count });
             }
         }
+        Message::StreamBegan { request, software_version } => {
+            cx.origins.borrow_mut().record(&request, &software_version, boot_ms());
+        }
+        Message::StreamQuery { number, request } => {
+            let software_version = cx.origins.borrow().get(&request).cloned();
+            if let Some(entry) = cx.roster.borrow().get(&from) {
+                cx.peers().send(cx, entry, Message::StreamOrigin { number, software_version });
+            }
+        }
+        Message::StreamOrigin { number, software_version } => {
+            origins::record_reply(cx, number, software_version);
+        }
         Message::RetryGrant { number, service, count } => {
             cx.retry_budget.borrow_mut().receive(&service, count, boot_ms());
             cx.peers().record_reply(number, f64::from(count));
@@ -445,8 +465,7 @@
     wanted: f64,
 ) -> f64 {
     let peers = cx.peers();
-    let number = peers.last_number.get() + 1;
-    peers.last_number.set(number);
+    let number = peers.next_number();
     let request = Rc::new(PendingRequest::default());
     peers.pending.borrow_mut().insert(number, request.clone());
     for entry in live {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::directory;
 use crate::dispatch::{AdmittedRequest, LAST_EVENT_ID, dispatch, strip_hop_by_hop_headers};
+use crate::origins;
 use crate::peers;
 use crate::pool::set_socket_options;
 use crate::reply::{empty_reply, error_reply};
@@ -16,11 +17,11 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kernel::boot_ms;
 use kernel::prelude::*;
-use rules::Quota;
+use rules::{Quota, RetryPolicy, Route};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -43,6 +44,9 @@
 /// Retry-after time when the rules of this entry may be out of date.
 const STALE_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry-after time when the version that began a stream is unknown. Another entry may know it.
+const UNKNOWN_ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Kind of requests that a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ListenerKind {
@@ -186,6 +190,9 @@
         return Err(Failure::new(Code::Leaving, host).retry_after(LEAVING_RETRY_AFTER));
     }
     let body = read_body(body, rules.limits.max_body_bytes).await?;
+    let service = route.choose_service(rand::random()).cloned();
+    let service = service.ok_or_else(|| Failure::new(Code::NoServer, route.name.as_str()))?;
+    let software_version = version_to_resume(cx, &route, &service, &headers).await?;
     let quota = organisation.as_ref().and_then(|o| o.quota.map(|quota| (o.name.clone(), quota)));
     let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
     if let Some((organisation_name, quota)) = &quota {
@@ -206,8 +213,6 @@
         refund();
         return Err(Failure::new(Code::RulesStale, host).retry_after(STALE_RULES_RETRY_AFTER));
     }
-    let service = route.choose_service(rand::random()).cloned();
-    let service = service.ok_or_else(|| Failure::new(Code::NoServer, route.name.as_str()))?;
     cx.retry_budget.borrow_mut().record_request(&service, boot_ms());
     let names = cx.protocol.names();
     let id = headers.get(&names.request).cloned().unwrap_or(HeaderValue::from_static(""));
@@ -220,11 +225,6 @@
     {
         headers.remove(name);
     }
-    if let Some(last_event_id) = headers.get(LAST_EVENT_ID) {
-        let resumes = headers.get(&names.resumes).and_then(|id| id.to_str().ok());
-        info!(cx.log, "stream resumed by its caller"; "request" => id.to_str().unwrap_or(""),
-            "resumes" => resumes, "last_event_id" => last_event_id.to_str().unwrap_or(""));
-    }
     let target = uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
     let prompt = prompt.filter(|_| route.has_prompt);
     let request = AdmittedRequest {
@@ -237,6 +237,7 @@
         organisation,
         prompt,
         priority,
+        software_version,
         started,
         deadline: started + timeout,
         usage_counted: Cell::new(false),
@@ -249,6 +250,32 @@
     Ok((reply, code))
 }
 
+/// Returns the software version at which a stream has to go on that its caller resumes; `None` for any
+/// other request.
+async fn version_to_resume(
+    cx: &Rc<Context>,
+    route: &Route,
+    service: &Name,
+    headers: &HeaderMap,
+) -> Result<Option<Name>, Failure> {
+    let Some(last_event_id) = headers.get(LAST_EVENT_ID) else { return Ok(None) };
+    if route.retry_policy != (RetryPolicy::Stream { resumable: true }) {
+        return Ok(None);
+    }
+    let names = cx.protocol.names();
+    let header = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let resumes = header(&names.resumes);
+    let software_version = origins::find(cx, service, resumes).await;
+    info!(cx.log, "stream resumed by its caller"; "request" => header(&names.request).unwrap_or(""),
+        "resumes" => resumes, "last_event_id" => last_event_id.to_str().unwrap_or(""),
+        "software" => software_version.as_deref());
+    match software_version {
+        Some(version) => Ok(Some(version)),
+        None => Err(Failure::new(Code::OriginUnknown, resumes.unwrap_or("no request is named"))
+            .retry_after(UNKNOWN_ORIGIN_RETRY_AFTER)),
+    }
+}
+
 /// Returns the size of the target and the headers of a request.
 fn header_bytes(uri: &hyper::Uri, headers: &hyper::HeaderMap) -> usize {
     // Colon, space and CR LF.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
     AdmittedRequest, Attempt, ResumePoint, ServerResponse, choose_server, forwarded_reply,
     record_usage, try_server,
 };
+use crate::origins;
 use crate::peers;
 use crate::quarantine;
 use crate::server_check::check_server;
@@ -113,6 +114,7 @@
     head.headers_mut().remove(CONTENT_LENGTH);
     let tried = vec![response.guard.server.clone()];
     let history = AttemptHistory { runs: history.runs + 1, ..history };
+    let software_version = request.software_version.clone();
     let events = EventSplitter::default();
     let departures_changed = cx.departures_changed.subscribe();
     let relay = StreamRelay {
@@ -123,7 +125,7 @@
         tried,
         events,
         chunks: 0,
-        software_version: None,
+        software_version,
         departures_changed,
         departing_server: None,
         ignores_stall: false,
@@ -219,8 +221,11 @@
         }
         let complete = self.events.push(bytes);
         if !complete.is_empty() && self.software_version.is_none() {
-            self.software_version =
-                self.response.as_ref().map(|response| response.software_version.clone());
+            let version = self.response.as_ref().map(|response| response.software_version.clone());
+            if let Some(version) = &version {
+                origins::record_began(&self.cx, &self.request, version);
+            }
+            self.software_version = version;
         }
         complete
     }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::duty;
 use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
+use crate::origins;
 use crate::peers;
 use coord::{Confirmation, Entry};
 use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
@@ -311,6 +312,7 @@
                 cx.server_added_at.set(boot_ms());
             }
             if cx.picker.borrow_mut().upsert(info) {
+                origins::observe_versions(cx, &service);
                 info!(cx.log, "server listed"; "server" => %id, "service" => %service,
                     "software" => %software,
                     "leaving" => leaving, "ends_in_ms" => ends_in.as_millis() as u64,
@@ -349,7 +351,11 @@
 fn remove_server(cx: &Context, id: &Name) {
     let was_leaving = cx.picker.borrow().get(id).is_some_and(|server| server.info.leaving);
     cx.server_limits.borrow_mut().remove(id);
+    let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
     if cx.picker.borrow_mut().remove(id) {
+        if let Some(service) = service {
+            origins::observe_versions(cx, &service);
+        }
         if !was_leaving {
             // Some servers remove their registration without notice and keep serving for the drain
             // time.
