pick: cached prompt parts are copied only between servers of one software version

What one version has cached is of no use to the other, so the chosen server read the prompt again although its cost was reckoned as copied, and the copy was paid for. Each version now has affinity servers of its own; with one version nothing changes. pick/tests/choice.rs cached_parts_are_copied_only_from_servers_of_the_same_software_version and a_server_that_is_alone_with_its_software_version_copies_nothing failed before and pass.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -4,6 +4,7 @@
 use crate::picker::Picker;
 use crate::server::Server;
 use kernel::{Millis, Name};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -144,8 +145,8 @@
 
 /// Minimum number of tokens in the shared parts of a prompt that has affinity servers.
 const MIN_AFFINITY_TOKENS: u64 = 64;
-/// Number of affinity servers of a prompt: the primary, and the one to copy from if the primary is
-/// new.
+/// Number of affinity servers of a prompt in each software version: the primary, and the one to copy
+/// from if the primary is new.
 const AFFINITY_SERVERS: usize = 2;
 /// Number of servers besides the affinity servers whose costs are compared.
 const SAMPLE_SIZE: usize = 4;
@@ -203,8 +204,7 @@
             software_version: best.server.info.software_version.clone(),
             expected_ms: best.expected_ms,
             uncached_tokens: best.uncached_tokens,
-            copy_from: affinity
-                .iter()
+            copy_from: of_same_version(&affinity, best.server)
                 .find(|other| other.info.id != best.server.info.id)
                 .map(|other| other.info.address),
             open: best.server.load().open,
@@ -213,8 +213,9 @@
         })
     }
 
-    /// Returns the two servers that most likely have the shared parts of a prompt cached, by
-    /// rendezvous hashing of its last shared part. The first one is the primary.
+    /// Returns the two servers of each software version that most likely have the shared parts of a
+    /// prompt cached, by rendezvous hashing of its last shared part. The first one of a version is its
+    /// primary. What one version has cached is of no use to another.
     ///
     /// All entries choose the same ones if they know the same servers. Leaving servers count too:
     /// while they still run, their successors copy the cached parts from them.
@@ -230,7 +231,12 @@
         let weight = |server: &&Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
         let mut ranked: Vec<&Server> = self.servers().filter(is_reachable).collect();
         ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
-        ranked.truncate(AFFINITY_SERVERS);
+        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+        ranked.retain(|server| {
+            let count = counts.entry(&server.info.software_version).or_default();
+            *count += 1;
+            *count <= AFFINITY_SERVERS
+        });
         ranked
     }
 
@@ -262,10 +268,11 @@
                 cached: false,
             };
         };
-        let is_primary = affinity.first().is_some_and(|primary| primary.info.id == server.info.id);
+        let primary = of_same_version(affinity, server).next();
+        let is_primary = primary.is_some_and(|primary| primary.info.id == server.info.id);
         let cached_tokens = cached_tokens(self.prompt_cache(), server, prompt, is_primary);
-        let copied_tokens = if affinity.is_empty() { 0 } else { shared_tokens(prompt) }
-            .saturating_sub(cached_tokens);
+        let copied_tokens =
+            if primary.is_some() { shared_tokens(prompt) } else { 0 }.saturating_sub(cached_tokens);
         let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens + copied_tokens);
         let step_ms = model.step_ms + model.step_ms_per_request * (open + 1.0).min(slots);
         let queued = (open + 1.0 - slots).max(0.0);
@@ -282,6 +289,15 @@
     }
 }
 
+/// Returns the affinity servers that have the software version of a server, the primary first.
+fn of_same_version<'a>(
+    affinity: &[&'a Server],
+    server: &Server,
+) -> impl Iterator<Item = &'a Server> {
+    let version = &server.info.software_version;
+    affinity.iter().copied().filter(move |other| other.info.software_version == *version)
+}
+
 /// Returns the number of tokens at the start of a prompt that a server is expected to have cached.
 ///
 /// The primary affinity server is expected to have cached all shared parts.
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -303,3 +303,29 @@
         assert_eq!(picker.choose(&requirements(&gone), 0), None);
     }
 }
+
+#[test]
+fn cached_parts_are_copied_only_from_servers_of_the_same_software_version() {
+    let mut picker = picker(&["s1", "s2", "s3", "s4"]);
+    for id in ["s3", "s4"] {
+        picker.upsert(ServerInfo { software_version: "v2".into(), ..server_info(id, "local") });
+    }
+    for shared_id in 10..40 {
+        let prompt = prompt(shared_id);
+        for random in 0..10 {
+            let choice = choose(&picker, Some(&prompt), &[], random);
+            let others = if choice.software_version == "v1" { ["s1", "s2"] } else { ["s3", "s4"] };
+            let from = choice.copy_from.expect("no server to copy from");
+            assert!(others.iter().any(|id| *id != choice.id && address(id) == from), "{choice:?}");
+        }
+    }
+}
+
+#[test]
+fn a_server_that_is_alone_with_its_software_version_copies_nothing() {
+    let mut picker = picker(&["s1", "s2"]);
+    picker.upsert(ServerInfo { software_version: "v2".into(), ..server_info("s3", "local") });
+    let tried = [Name::from("s1"), Name::from("s2")];
+    let choice = choose(&picker, Some(&prompt(7)), &tried, 0);
+    assert_eq!((choice.id.as_str(), choice.copy_from), ("s3", None));
+}
