pick, relay: a server that states that it leaves gets no new requests

Until now only the registration counted, which an entry that the store turns away learns late or never. The entry does not tell others: the registration does. Open streams move as for a server that is registered as leaving.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -173,7 +173,7 @@
     pub fn choose(&self, requirements: &Requirements<'_>, now: Millis) -> Option<Choice> {
         let is_eligible = |server: &&Server| {
             server.info.service == *requirements.service
-                && !server.info.leaving
+                && !server.is_leaving()
                 && requirements
                     .software_version
                     .is_none_or(|version| *version == server.info.software_version)
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -53,6 +53,14 @@
         self.servers.remove(id).is_some()
     }
 
+    /// Records that a server stated in a response that it leaves; returns whether this is news.
+    pub fn record_leaving(&mut self, id: &str) -> bool {
+        let Some(server) = self.servers.get_mut(id) else { return false };
+        let is_news = !server.is_leaving();
+        server.states_leaving = true;
+        is_news
+    }
+
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, id: &Name, uncached_tokens: u64, prompt: Option<&Prompt>) {
         let Some(server) = self.servers.get_mut(id) else { return };
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -49,6 +49,8 @@
     pub local: Load,
     /// Load from requests of the other entries.
     pub remote: Load,
+    /// Whether the server stated in a response that it leaves. Its registration may say so later.
+    pub(crate) states_leaving: bool,
     /// Recent outcomes of requests of this entry.
     pub(crate) outcomes: OutcomeCounts,
     /// Time before which the server gets no new requests.
@@ -64,12 +66,18 @@
             info,
             local: Load::default(),
             remote: Load::default(),
+            states_leaving: false,
             outcomes: OutcomeCounts::default(),
             backoff_until: 0,
             unreachable_count: 0,
         }
     }
 
+    /// Whether the server gets no new requests because it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.info.leaving || self.states_leaving
+    }
+
     /// Returns the load from requests of all entries.
     pub fn load(&self) -> Load {
         Load {
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -285,7 +285,7 @@
     /// Updates the gauges and renders all metrics.
     pub(crate) fn render(&self) -> String {
         let now = boot_ms();
-        let servers = self.picker.borrow().servers().filter(|server| !server.info.leaving).count();
+        let servers = self.picker.borrow().servers().filter(|server| !server.is_leaving()).count();
         self.meters.servers.record(servers as u64, &[]);
         self.meters.entries.record(self.roster.borrow_mut().share_count(now) as u64, &[]);
         self.meters.quarantined.record(self.quarantine.borrow().held_count() as u64, &[]);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -6,12 +6,12 @@
 };
 use crate::body::{Reply, full_body};
 use crate::context::Context;
-use crate::limits::record_stated_limit;
 use crate::peers;
 use crate::pool::{Connection, SendError, ServerRequest};
 use crate::quarantine;
 use crate::reply::error_reply;
 use crate::server_check::check_server;
+use crate::server_news;
 use crate::stream;
 use bytes::Bytes;
 use coord::{AnswerId, PromptCheck};
@@ -386,7 +386,7 @@
             )
         }
         ResponseClass::NotRun => {
-            record_stated_limit(cx, request, &choice.id, &response, sent_at);
+            server_news::record(cx, request, &choice.id, &response, sent_at);
             let status = response.status();
             // The body of a refusal is short; reading it allows the connection to be reused.
             let (head, body) = response.into_parts();
@@ -397,7 +397,7 @@
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
         }
         ResponseClass::Valid => {
-            record_stated_limit(cx, request, &choice.id, &response, sent_at);
+            server_news::record(cx, request, &choice.id, &response, sent_at);
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
             let answered_at = Instant::now();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod run;
 mod serve;
 mod server_check;
+mod server_news;
 mod shutdown;
 mod stream;
 mod sync;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -77,6 +77,9 @@
     /// [`kernel::Code::MalformedHeader`] for a limit that is not a number of at least 0.
     fn parse_server_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, Failure>;
 
+    /// Returns whether a server states in a response that it leaves.
+    fn states_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Builds the call that stops a request and copies its KV cache to the engine at `to`. Returns
     /// the path to post to and the body.
     fn move_request(&self, request: &str, to: SocketAddr) -> (PathAndQuery, Vec<u8>);
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -6,6 +6,7 @@
 use coord::ServerRun;
 use kernel::boot_ms;
 use kernel::prelude::*;
+use pick::Server;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -24,7 +25,7 @@
         let started_unix_ms =
             cx.picker.borrow().get(&server).map(|known| known.info.started_unix_ms);
         // A server that leaves ends because it was told to.
-        let leaving = cx.picker.borrow().get(&server).is_none_or(|server| server.info.leaving);
+        let leaving = cx.picker.borrow().get(&server).is_none_or(Server::is_leaving);
         info!(cx.log, "server checked"; "server" => %server, "leaving" => leaving,
             "ended" => reachability == Reachability::Refused, "result" => ?reachability);
         if let Some(started_unix_ms) = started_unix_ms
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -10,6 +10,7 @@
 use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
 use kernel::boot_ms;
 use kernel::prelude::*;
+use pick::Server;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -349,7 +350,7 @@
 }
 
 fn remove_server(cx: &Context, id: &Name) {
-    let was_leaving = cx.picker.borrow().get(id).is_some_and(|server| server.info.leaving);
+    let was_leaving = cx.picker.borrow().get(id).is_some_and(Server::is_leaving);
     cx.server_limits.borrow_mut().remove(id);
     let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
     if cx.picker.borrow_mut().remove(id) {
