--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -61,6 +61,23 @@
         is_news
     }
 
+    /// Records that a server wants no requests from this entry until a time.
+    pub fn record_pause(&mut self, id: &str, until: Millis) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.paused_until = server.paused_until.max(until);
+        }
+    }
+
+    /// Returns the time until the first server of a service wants requests from this entry again, in
+    /// milliseconds; 0 if one does now or there is none.
+    pub fn pause_left(&self, service: &str, now: Millis) -> Millis {
+        let staying = self
+            .servers
+            .values()
+            .filter(|server| server.info.service == *service && !server.is_leaving());
+        staying.map(|server| server.paused_until.saturating_sub(now)).min().unwrap_or(0)
+    }
+
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, id: &Name, uncached_tokens: u64, prompt: Option<&Prompt>) {
         let Some(server) = self.servers.get_mut(id) else { return };
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -55,6 +55,8 @@
     pub(crate) outcomes: OutcomeCounts,
     /// Time before which the server gets no new requests.
     pub(crate) backoff_until: Millis,
+    /// Time before which the server wants no requests from this entry, as it stated when it refused one.
+    pub(crate) paused_until: Millis,
     /// Number of times that the server was unreachable since it last answered.
     pub(crate) unreachable_count: u32,
 }
@@ -69,6 +71,7 @@
             states_leaving: false,
             outcomes: OutcomeCounts::default(),
             backoff_until: 0,
+            paused_until: 0,
             unreachable_count: 0,
         }
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -37,7 +37,7 @@
 /// Multiple of the target latency, or of the expected latency if that is longer, after which an
 /// attempt times out when a further attempt is allowed.
 const TIMEOUT_FACTOR: u32 = 2;
-/// Retry-after time for a request that could not be dispatched.
+/// Minimum retry-after time for a request that could not be dispatched.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// A request that passed admission.
@@ -159,7 +159,7 @@
     loop {
         if request.remaining_ms() == 0 {
             let code = if history.runs > 0 { Code::DeadlinePassed } else { Code::Expired };
-            return failure_reply(cx, &request, code, history, RETRY_AFTER);
+            return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         }
         if let PromptCheck::Quarantined { retry_after_ms, .. } = quarantine::check(cx, &request) {
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::PromptQuarantined };
@@ -176,7 +176,7 @@
                 );
             }
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::NoServer };
-            return failure_reply(cx, &request, code, history, RETRY_AFTER);
+            return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         };
         if tried.is_empty() {
             record_demand(cx, &request, choice.uncached_tokens);
@@ -234,7 +234,7 @@
                 return failure_reply(cx, &request, Code::BackendBroke, history, RETRY_AFTER);
             }
             (NextStep::Refuse(code) | NextStep::Fail(code), _) => {
-                return failure_reply(cx, &request, code, history, RETRY_AFTER);
+                return failure_reply(cx, &request, code, history, retry_after(cx, &request));
             }
         }
     }
@@ -294,6 +294,12 @@
     Some(choice)
 }
 
+/// Returns the time after which a request that could not be dispatched may find a server.
+fn retry_after(cx: &Context, request: &AdmittedRequest) -> Duration {
+    let pause_left = cx.picker.borrow().pause_left(&request.service, boot_ms());
+    RETRY_AFTER.max(Duration::from_millis(pause_left))
+}
+
 fn failure_reply(
     cx: &Context,
     request: &AdmittedRequest,
