--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod origin;
 mod quarantine;
+mod quarantine_news;
 mod quota;
 mod rendezvous;
 mod retry;
@@ -17,10 +18,8 @@
 
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
-pub use quarantine::{
-    AnswerId, CrashNews, HoldNews, PromptCheck, Quarantine, QuarantineChange, QuarantineNews,
-    QuarantineSettings, ServerRun,
-};
+pub use quarantine::{AnswerId, PromptCheck, Quarantine, QuarantineChange, QuarantineSettings};
+pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
--- /dev/null
+++ b/crates/relay/src/registration.rs
@@ -0,0 +1,110 @@
+//! Registration of this entry and of its peers in the store.
+
+use crate::context::Context;
+use crate::sync::RETRY_DELAY;
+use coord::Entry;
+use infra::{Commit, Committed, Lease, Put, Stored};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Prefix of the entries' registrations.
+pub(crate) const ENTRIES_PREFIX: &str = "fennelfold/live/entries/";
+/// Interval between two renewals of the registration. Two renewals in a row may be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+/// Time to live of an entry's registration, in seconds. The shares of an entry that is cut off from
+/// the store stay unused for this time plus the time in which it stops serving by itself.
+const REGISTRATION_TTL_S: i64 = 3;
+/// Registration of an entry, as stored under its key.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Registration {
+    incarnation: u64,
+    front: Name,
+    peer: Name,
+    data_centre: Name,
+}
+
+/// Parses the registration of an entry; `None` for another key or an unreadable value.
+pub(crate) fn parse_registration(cx: &Context, key: &str, stored: &Stored) -> Option<Entry> {
+    let name = Name::from(key.strip_prefix(ENTRIES_PREFIX)?);
+    match serde_json::from_slice::<Registration>(&stored.value) {
+        Ok(Registration { incarnation, front, peer, data_centre }) => {
+            Some(Entry { name, incarnation, front, peer, data_centre })
+        }
+        Err(e) => {
+            warn!(cx.log, "registration unreadable"; "other" => %name, "cause" => %e);
+            None
+        }
+    }
+}
+
+/// Keeps this entry registered until it stops, then removes the registration.
+pub(crate) async fn keep_registered(cx: Rc<Context>) {
+    let mut lease: Option<Lease> = None;
+    let mut is_first = true;
+    while !cx.stopping.get() {
+        let registered = match lease {
+            Some(lease) => cx.store.renew(lease).await,
+            None => Ok(false),
+        };
+        cx.record_store_call("renew", registered.as_ref().err());
+        let pause = match registered {
+            Ok(true) => RENEW_INTERVAL,
+            Err(_) => RETRY_DELAY,
+            Ok(false) => match write_registration(&cx, &mut is_first).await {
+                Ok(granted) => {
+                    lease = Some(granted);
+                    RENEW_INTERVAL
+                }
+                Err(failure) => {
+                    debug!(cx.log, "not registered"; "cause" => %failure);
+                    RETRY_DELAY
+                }
+            },
+        };
+        tokio::time::sleep(pause).await;
+    }
+    let commit = Commit { removes: vec![registration_key(&cx)], ..Commit::default() };
+    let removed = cx.store.commit(&commit).await;
+    cx.record_store_call("commit", removed.as_ref().err());
+}
+
+fn registration_key(cx: &Context) -> String {
+    format!("{ENTRIES_PREFIX}{}", cx.settings.name)
+}
+
+async fn write_registration(cx: &Context, is_first: &mut bool) -> Result<Lease, Failure> {
+    let key = registration_key(cx);
+    let earlier = cx.store.get(&key).await?;
+    let lease = cx.store.grant(REGISTRATION_TTL_S).await?;
+    let registration = Registration {
+        incarnation: cx.incarnation,
+        front: Name::from(cx.settings.front.to_string()),
+        peer: Name::from(cx.settings.peer.to_string()),
+        data_centre: cx.settings.data_centre.clone(),
+    };
+    let value = serde_json::to_vec(&registration)
+        .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
+    let put = Put { key, value: value.into(), lease: Some(lease) };
+    let commit = Commit { puts: vec![put], ..Commit::default() };
+    match cx.store.commit(&commit).await? {
+        Committed::Done(revision) => {
+            let was_counted = earlier.is_some();
+            info!(cx.log, "registered"; "revision" => revision, "was_counted" => was_counted);
+            if *is_first {
+                *is_first = false;
+                // The quota shares of this entry refill only once all peers count it. They do so
+                // already if an earlier registration still exists.
+                let revoke_ms = cx.settings.promises.revoke.as_millis() as Millis;
+                let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
+                cx.quota_shares.borrow_mut().start_refill_at(from);
+            }
+            Ok(lease)
+        }
+        Committed::Conflict | Committed::NoLease => Err(Failure::new(
+            Code::PlatformUnreachable,
+            "the store rejected the registration of this entry",
+        )),
+    }
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,7 @@
 use crate::message::WatchedPrefix;
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
+use crate::registration;
 use crate::serve::{ListenerKind, accept_connections};
 use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::sync;
@@ -65,7 +66,7 @@
     spawn_local(sync::poll_rules(cx.clone()));
     spawn_local(sync::watch_prefix(cx.clone(), WatchedPrefix::Servers));
     spawn_local(sync::watch_prefix(cx.clone(), WatchedPrefix::Live));
-    let registration = spawn_local(sync::keep_registered(cx.clone()));
+    let registration = spawn_local(registration::keep_registered(cx.clone()));
     spawn_local(peers::receive(cx.clone()));
     spawn_local(peers::broadcast_state(cx.clone()));
     spawn_local(sync::remove_missing_servers(cx.clone()));
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,9 +4,9 @@
 use crate::body::{Reply, streamed_body};
 use crate::context::Context;
 use crate::dispatch::{
-    AdmittedRequest, Attempt, ResumePoint, ServerResponse, choose_server, forwarded_reply,
-    record_usage, try_server,
+    AdmittedRequest, Attempt, ResumePoint, ServerResponse, choose_server, record_usage, try_server,
 };
+use crate::headers::forwarded_reply;
 use crate::origins;
 use crate::peers;
 use crate::quarantine;
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -6,12 +6,12 @@
 use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
 use crate::origins;
 use crate::peers;
-use coord::{Confirmation, Entry};
-use infra::{Change, Commit, Committed, Lease, Put, Stored, Watched};
+use crate::registration::{ENTRIES_PREFIX, parse_registration};
+use coord::Confirmation;
+use infra::{Change, Stored, Watched};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Server;
-use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
 /// Number of readers, the entries that poll the rules in a larger deployment.
 const READER_COUNT: usize = 8;
 /// Delay before the retry of a failed call to the store.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Duration of one watch of the servers, in milliseconds. Keep-alive probes detect a dead
 /// connection sooner.
 const SERVERS_WATCH_MS: u64 = 6_000;
@@ -49,17 +49,10 @@
 const MAX_CHANGES_PER_MESSAGE: usize = 24;
 /// Time allowed for servers to register again after an outage of the store, in milliseconds.
 const REREGISTRATION_MS: Millis = 2_200;
-/// Time to live of an entry's registration, in seconds. The shares of an entry that is cut off from
-/// the store stay unused for this time plus the time in which it stops serving by itself.
-const REGISTRATION_TTL_S: i64 = 3;
-/// Interval between two renewals of the registration. Two renewals in a row may be lost.
-const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 /// Interval between two checks for servers that did not register again.
 const MISSING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Prefix of the entries' registrations and of the leader's lease record.
 const LIVE_PREFIX: &str = "fennelfold/live/";
-/// Prefix of the entries' registrations.
-const ENTRIES_PREFIX: &str = "fennelfold/live/entries/";
 /// Key of the leader's lease record.
 pub(crate) const LEADER_KEY: &str = "fennelfold/live/leader";
 
@@ -366,15 +359,6 @@
     }
 }
 
-/// Registration of an entry, as stored under its key.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Registration {
-    incarnation: u64,
-    front: Name,
-    peer: Name,
-    data_centre: Name,
-}
-
 fn apply_entry_listing(cx: &Context, items: Vec<(String, Stored)>) {
     let leader = items.iter().find(|(key, _)| key == LEADER_KEY);
     update_leader(cx, leader.map(|(_, stored)| stored));
@@ -416,86 +400,3 @@
         *cx.leader.borrow_mut() = leader;
     }
 }
-
-fn parse_registration(cx: &Context, key: &str, stored: &Stored) -> Option<Entry> {
-    let name = Name::from(key.strip_prefix(ENTRIES_PREFIX)?);
-    match serde_json::from_slice::<Registration>(&stored.value) {
-        Ok(Registration { incarnation, front, peer, data_centre }) => {
-            Some(Entry { name, incarnation, front, peer, data_centre })
-        }
-        Err(e) => {
-            warn!(cx.log, "registration unreadable"; "other" => %name, "cause" => %e);
-            None
-        }
-    }
-}
-
-/// Keeps this entry registered until it stops, then removes the registration.
-pub(crate) async fn keep_registered(cx: Rc<Context>) {
-    let mut lease: Option<Lease> = None;
-    let mut is_first = true;
-    while !cx.stopping.get() {
-        let registered = match lease {
-            Some(lease) => cx.store.renew(lease).await,
-            None => Ok(false),
-        };
-        cx.record_store_call("renew", registered.as_ref().err());
-        let pause = match registered {
-            Ok(true) => RENEW_INTERVAL,
-            Err(_) => RETRY_DELAY,
-            Ok(false) => match write_registration(&cx, &mut is_first).await {
-                Ok(granted) => {
-                    lease = Some(granted);
-                    RENEW_INTERVAL
-                }
-                Err(failure) => {
-                    debug!(cx.log, "not registered"; "cause" => %failure);
-                    RETRY_DELAY
-                }
-            },
-        };
-        tokio::time::sleep(pause).await;
-    }
-    let commit = Commit { removes: vec![registration_key(&cx)], ..Commit::default() };
-    let removed = cx.store.commit(&commit).await;
-    cx.record_store_call("commit", removed.as_ref().err());
-}
-
-fn registration_key(cx: &Context) -> String {
-    format!("{ENTRIES_PREFIX}{}", cx.settings.name)
-}
-
-async fn write_registration(cx: &Context, is_first: &mut bool) -> Result<Lease, Failure> {
-    let key = registration_key(cx);
-    let earlier = cx.store.get(&key).await?;
-    let lease = cx.store.grant(REGISTRATION_TTL_S).await?;
-    let registration = Registration {
-        incarnation: cx.incarnation,
-        front: Name::from(cx.settings.front.to_string()),
-        peer: Name::from(cx.settings.peer.to_string()),
-        data_centre: cx.settings.data_centre.clone(),
-    };
-    let value = serde_json::to_vec(&registration)
-        .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
-    let put = Put { key, value: value.into(), lease: Some(lease) };
-    let commit = Commit { puts: vec![put], ..Commit::default() };
-    match cx.store.commit(&commit).await? {
-        Committed::Done(revision) => {
-            let was_counted = earlier.is_some();
-            info!(cx.log, "registered"; "revision" => revision, "was_counted" => was_counted);
-            if *is_first {
-                *is_first = false;
-                // The quota shares of this entry refill only once all peers count it. They do so
-                // already if an earlier registration still exists.
-                let revoke_ms = cx.settings.promises.revoke.as_millis() as Millis;
-                let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
-                cx.quota_shares.borrow_mut().start_refill_at(from);
-            }
-            Ok(lease)
-        }
-        Committed::Conflict | Committed::NoLease => Err(Failure::new(
-            Code::PlatformUnreachable,
-            "the store rejected the registration of this entry",
-        )),
-    }
-}
