relay: a response that breaks while it is read completely shows a crash too

Found by reading: only broken streams and responses without a head led to a check of the server, so a crash under a buffered response of an engine was evidence for nobody.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -461,7 +461,10 @@
             cx.pool.release(connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
         }
-        Ok(Err(e)) => e.to_string(),
+        Ok(Err(e)) => {
+            check_server(cx, &guard.server, connection.address());
+            e.to_string()
+        }
         Err(_) => "response incomplete at the deadline".to_owned(),
     };
     guard.outcome.set(Outcome::Failed);
