--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -39,7 +39,7 @@
     fn default() -> Self {
         Self {
             suspect_ms: 500,
-            survival_ms: 2_000,
+            survival_ms: 1_000,
             crashes: 3,
             crash_memory_ms: 120_000,
             survival_memory_ms: 30_000,
--- a/crates/coord/tests/quarantine.rs
+++ b/crates/coord/tests/quarantine.rs
@@ -103,6 +103,16 @@
     }
 }
 
+#[test]
+fn a_server_has_survived_an_answer_after_a_second() {
+    let mut quarantine = quarantine("a");
+    survive(&mut quarantine, &[FIRST], 9_000);
+    for number in 0..3 {
+        crash_under(&mut quarantine, number, &[FIRST], 10_000 + 200 * number);
+    }
+    assert!(is_allowed(&mut quarantine, &[FIRST], 10_600));
+}
+
 #[test]
 fn an_answer_that_did_not_go_on_is_no_survival() {
     let mut quarantine = quarantine("a");
