relay: a stream that ends with its connection may hide a crash

Found by reading: a response with neither a length nor chunks looks complete when its server ends in order between two events, so a crash under it counted as an answer that went on, and cleared the part to blame. connection_ends:: a_server_that_ends_between_two_events_is_a_crash_of_the_part_that_it_answered failed before (all 12 servers got such a request, 8 allowed) and passes. The end of such a stream now leads to a check of the server as a break does; answers of a server that still listens are kept.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -18,7 +18,7 @@
 use coord::{AnswerId, PromptCheck};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Response};
 use kernel::boot_ms;
@@ -128,6 +128,8 @@
     pub(crate) software_version: Name,
     /// Time at which the head of the response arrived.
     pub(crate) answered_at: Instant,
+    /// Whether only the end of the connection ends the body.
+    pub(crate) ends_with_connection: bool,
     /// The answer among those that may precede a crash; `None` for a failure or a prompt without
     /// shared parts.
     pub(crate) answer: Option<AnswerId>,
@@ -407,6 +409,8 @@
             server_news::record(cx, request, &choice.id, &response, sent_at);
             let (head, body) = response.into_parts();
             let head = Response::from_parts(head, ());
+            let ends_with_connection = !head.headers().contains_key(CONTENT_LENGTH)
+                && !head.headers().contains_key(TRANSFER_ENCODING);
             let answered_at = Instant::now();
             let answer = if head.status().is_success() {
                 quarantine::record_answer(cx, request, &choice.id)
@@ -420,6 +424,7 @@
                 guard,
                 software_version: choice.software_version.clone(),
                 answered_at,
+                ends_with_connection,
                 answer,
             }))
         }
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -33,7 +33,7 @@
             && !leaving
         {
             quarantine::record_crash(&cx, ServerRun { server, started_unix_ms }, broke_at);
-        } else {
+        } else if reachability != Reachability::Listening {
             cx.quarantine.borrow_mut().discard_answers(&server);
         }
     });
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -235,6 +235,11 @@
         let Some(response) = self.response.take() else { return };
         response.guard.outcome.set(Outcome::Answered);
         quarantine::record_completion(&self.cx, response.answer);
+        if response.ends_with_connection {
+            // A server that crashed between two events looks like one that has completed its stream.
+            let (server, address) = (&response.guard.server, response.connection.address());
+            check_server(&self.cx, server, address);
+        }
         self.cx.pool.release(response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
             "server" => %response.guard.server, "chunks" => self.chunks,
