coord: the quarantine keeps only what it decides by

Number and time of the crashes of a part in quarantine decided nothing; suspects in the news have a type; a survival that is told again is not stored a second time.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -19,7 +19,7 @@
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
 pub use quarantine::{AnswerId, PromptCheck, Quarantine, QuarantineChange, QuarantineSettings};
-pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun};
+pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! innocent part is told from the one to blame by the servers that live on after they began to
 //! answer a prompt with it. Under the latter, every server crashes.
 
-use crate::quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun};
+use crate::quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 use crate::rendezvous;
 use kernel::{Millis, Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -109,9 +109,9 @@
 /// Quarantine of a part. Times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Hold {
-    crashes: usize,
-    crashed_at: Millis,
+    /// Time of the last request that was refused.
     requested_at: Millis,
+    /// Time of the last trial, or of the beginning.
     tried_at: Millis,
 }
 
@@ -234,9 +234,10 @@
         for CrashNews { run, age, suspects } in news.crashes {
             self.doubt(suspects.keys().copied(), now);
             let at = now.saturating_sub(age);
-            let suspects = suspects.into_iter().map(|(part, (time, index))| {
-                (part, Suspect { began_at: at.saturating_sub(time), index })
-            });
+            let suspects =
+                suspects.into_iter().map(|(part, SuspectNews { answered_ms, index })| {
+                    (part, Suspect { began_at: at.saturating_sub(answered_ms), index })
+                });
             let mut suspects: BTreeMap<u64, Suspect> = suspects.collect();
             // An answer that was already complete tells nothing of the crash.
             suspects.extend(self.take_suspects(&run.server, at));
@@ -248,14 +249,10 @@
                 continue;
             }
             let told = Hold {
-                crashes: told.crashes,
-                crashed_at: now.saturating_sub(told.crash_age),
                 requested_at: now.saturating_sub(told.request_age),
                 tried_at: now.saturating_sub(told.trial_age),
             };
             let hold = self.held.entry(part).or_insert(told);
-            hold.crashes = hold.crashes.max(told.crashes);
-            hold.crashed_at = hold.crashed_at.max(told.crashed_at);
             hold.requested_at = hold.requested_at.max(told.requested_at);
             hold.tried_at = hold.tried_at.max(told.tried_at);
         }
@@ -268,9 +265,11 @@
     }
 
     fn add_survival(&mut self, part: u64, at: Millis) {
-        let last = self.survived.entry(part).or_insert(at);
-        *last = at.max(*last);
-        self.survivals.push_back((*last, part));
+        let is_newer = self.survived.get(&part).is_none_or(|known| at > *known);
+        if is_newer {
+            self.survived.insert(part, at);
+            self.survivals.push_back((at, part));
+        }
     }
 
     /// Applies the evidence and the time that has passed; returns what changed.
@@ -329,31 +328,21 @@
         let accused: BTreeSet<u64> =
             self.crashes.values().flat_map(|crash| crash.suspects.keys().copied()).collect();
         // All parts are judged by the quarantines of before, so that their order does not matter.
-        let guilty: Vec<(u64, usize, Millis)> = accused
+        let guilty: Vec<(u64, usize)> = accused
             .into_iter()
-            .filter(|part| !self.survived.contains_key(part) && !self.is_explained(*part))
-            .filter_map(|part| {
-                let (crashes, crashed_at) = self.crashes_under(part)?;
-                (crashes >= self.settings.crashes).then_some((part, crashes, crashed_at))
-            })
+            .filter(|part| !self.held.contains_key(part) && !self.survived.contains_key(part))
+            .filter(|part| !self.is_explained(*part))
+            .map(|part| (part, self.crashes_under(part)))
+            .filter(|(_, crashes)| *crashes >= self.settings.crashes)
             .collect();
-        let mut changes = Vec::new();
-        for (part, crashes, crashed_at) in guilty {
-            if let Some(hold) = self.held.get_mut(&part) {
-                hold.crashes = hold.crashes.max(crashes);
-                hold.crashed_at = hold.crashed_at.max(crashed_at);
-            } else {
-                let hold = Hold { crashes, crashed_at, requested_at: now, tried_at: now };
-                self.held.insert(part, hold);
-                changes.push(QuarantineChange::Held(part, crashes));
-            }
-        }
-        changes
+        let hold = Hold { requested_at: now, tried_at: now };
+        self.held.extend(guilty.iter().map(|(part, _)| (*part, hold)));
+        guilty.into_iter().map(|(part, crashes)| QuarantineChange::Held(part, crashes)).collect()
     }
 
-    /// Returns the number of crashes in a row under a part, and the time of the last one; `None` without
-    /// such a crash. Those under another part in quarantine do not count.
-    fn crashes_under(&self, part: u64) -> Option<(usize, Millis)> {
+    /// Returns the number of crashes in a row under a part. Those under another part in quarantine do
+    /// not count.
+    fn crashes_under(&self, part: u64) -> usize {
         let has_other = |crash: &Crash| {
             crash.suspects.keys().any(|other| *other != part && self.held.contains_key(other))
         };
@@ -364,15 +353,15 @@
             .filter_map(|crash| Some((crash.at, crash.suspects.get(&part)?.began_at)))
             .collect();
         crashes.sort_unstable();
-        let mut counted: Option<(usize, Millis)> = None;
+        let mut count = 0;
+        let mut last_counted: Option<Millis> = None;
         for (at, began_at) in crashes {
-            match counted {
-                None => counted = Some((1, at)),
-                Some((count, last)) if began_at > last => counted = Some((count + 1, at)),
-                Some(_) => {}
+            if last_counted.is_none_or(|last| began_at > last) {
+                count += 1;
+                last_counted = Some(at);
             }
         }
-        counted
+        count
     }
 
     /// Whether another part that no server survived accounts for all crashes under a part: it was in
@@ -438,7 +427,8 @@
                     .suspects
                     .iter()
                     .map(|(part, suspect)| {
-                        (*part, (crash.at.saturating_sub(suspect.began_at), suspect.index))
+                        let answered_ms = crash.at.saturating_sub(suspect.began_at);
+                        (*part, SuspectNews { answered_ms, index: suspect.index })
                     })
                     .collect(),
             })
@@ -451,15 +441,10 @@
             .filter_map(|part| Some((*part, age(*self.survived.get(part)?))))
             .collect();
         let held = self.held.iter().map(|(part, hold)| {
-            let news = HoldNews {
-                crashes: hold.crashes,
-                crash_age: age(hold.crashed_at),
-                request_age: age(hold.requested_at),
-                trial_age: age(hold.tried_at),
-            };
+            let news =
+                HoldNews { request_age: age(hold.requested_at), trial_age: age(hold.tried_at) };
             (*part, news)
         });
-        let held = held.collect();
-        QuarantineNews { crashes, survived, held }
+        QuarantineNews { crashes, survived, held: held.collect() }
     }
 }
--- a/crates/coord/src/quarantine_news.rs
+++ b/crates/coord/src/quarantine_news.rs
@@ -39,18 +39,22 @@
     pub run: ServerRun,
     /// Age of the crash, in milliseconds.
     pub age: Millis,
-    /// Parts of the prompts that the server had just begun to answer, with the time from the beginning
-    /// of the last such answer to the crash, in milliseconds, and the index of the part in its prompt.
-    pub suspects: BTreeMap<u64, (Millis, usize)>,
+    /// Parts of the prompts that the server had just begun to answer.
+    pub suspects: BTreeMap<u64, SuspectNews>,
+}
+
+/// A part of a prompt that a server had just begun to answer when it crashed, for other entries.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SuspectNews {
+    /// Time from the beginning of the last such answer to the crash, in milliseconds.
+    pub answered_ms: Millis,
+    /// Index of the part in its prompt.
+    pub index: usize,
 }
 
 /// A quarantine, for other entries.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HoldNews {
-    /// Number of crashes that led to it.
-    pub crashes: usize,
-    /// Age of the last of them, in milliseconds.
-    pub crash_age: Millis,
     /// Age of the last request that was refused, in milliseconds.
     pub request_age: Millis,
     /// Age of the last trial, or of the quarantine, in milliseconds.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -166,7 +166,7 @@
         }
         if let PromptCheck::Quarantined { retry_after_ms, .. } = quarantine::check(cx, &request) {
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::PromptQuarantined };
-            let retry_after = Duration::from_millis(retry_after_ms);
+            let retry_after = RETRY_AFTER.max(Duration::from_millis(retry_after_ms));
             return failure_reply(cx, &request, code, history, retry_after);
         }
         let software_version = request.software_version.as_ref();
