--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -407,30 +407,41 @@
         }
         ResponseClass::Valid => {
             server_news::record(cx, request, &choice.id, &response, sent_at);
-            let (head, body) = response.into_parts();
-            let head = Response::from_parts(head, ());
-            let ends_with_connection = !head.headers().contains_key(CONTENT_LENGTH)
-                && !head.headers().contains_key(TRANSFER_ENCODING);
-            let answered_at = Instant::now();
-            let answer = if head.status().is_success() {
-                quarantine::record_answer(cx, request, &choice.id)
-            } else {
-                None
-            };
-            Attempt::Answered(Box::new(ServerResponse {
-                head,
-                body,
-                connection,
-                guard,
-                software_version: choice.software_version.clone(),
-                answered_at,
-                ends_with_connection,
-                answer,
-            }))
+            let response = begin_answer(cx, request, choice, response, connection, guard);
+            Attempt::Answered(Box::new(response))
         }
     }
 }
 
+/// Records that a server began to answer a request, and returns its response.
+fn begin_answer(
+    cx: &Context,
+    request: &AdmittedRequest,
+    choice: &Choice,
+    response: Response<Incoming>,
+    connection: Connection,
+    guard: AttemptGuard,
+) -> ServerResponse {
+    let (head, body) = response.into_parts();
+    let head = Response::from_parts(head, ());
+    let answer = if head.status().is_success() {
+        quarantine::record_answer(cx, request, &choice.id)
+    } else {
+        None
+    };
+    ServerResponse {
+        ends_with_connection: !head.headers().contains_key(CONTENT_LENGTH)
+            && !head.headers().contains_key(TRANSFER_ENCODING),
+        head,
+        body,
+        connection,
+        guard,
+        software_version: choice.software_version.clone(),
+        answered_at: Instant::now(),
+        answer,
+    }
+}
+
 /// Returns the time in which a server has to send the headers of its response.
 fn response_timeout(
     request: &AdmittedRequest,
