--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -132,6 +132,8 @@
     /// Time on the boot clock at which the store last became reachable again, in milliseconds.
     pub(crate) store_regained_at: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
+    /// Number of restores of the store from an older copy, as of its newest answer.
+    pub(crate) restores: Cell<u64>,
     /// Signals that the store has become reachable again.
     pub(crate) store_regained: watch::Sender<u64>,
     pub(crate) leader: RefCell<Option<Name>>,
@@ -227,6 +229,7 @@
             shutdown: Cell::default(),
             store_regained_at: Cell::new(0),
             store_lost: Cell::new(false),
+            restores: Cell::new(0),
             store_regained: watch::Sender::new(0),
             leader: RefCell::default(),
             leader_vacant: Notify::new(),
@@ -269,6 +272,7 @@
         self.meters
             .store_calls
             .add(1, &[KeyValue::new("call", call), KeyValue::new("result", result)]);
+        self.observe_restores();
         match failure {
             Some(failure) if !self.store_lost.replace(true) => {
                 warn!(self.log, "store lost"; "call" => call, "cause" => %failure);
@@ -282,6 +286,15 @@
         }
     }
 
+    /// Notes whether the store has been restored from an older copy.
+    fn observe_restores(&self) {
+        let restores = self.store.restores();
+        let before = self.restores.replace(restores);
+        if restores != before {
+            warn!(self.log, "store restored"; "restores" => restores, "before" => before);
+        }
+    }
+
     /// Updates the gauges and renders all metrics.
     pub(crate) fn render(&self) -> String {
         let now = boot_ms();
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -274,7 +274,7 @@
         match duties.report_usage(&leader, window, &counts).await {
             Ok(()) => {
                 info!(cx.log, "usage reported"; "window" => window, "number" => number,
-                    "requests" => counts.values().sum::<u64>());
+                    "requests" => counts.values().sum::<u64>(), "counts" => format!("{counts:?}"));
                 reported.insert(window, ());
             }
             Err(failure) => {
@@ -325,6 +325,7 @@
     let committed = cx.store.commit(&commit).await;
     cx.record_store_call("decide", committed.as_ref().err());
     info!(cx.log, "usage decided"; "window" => window, "number" => number,
+        "restores" => cx.restores.get(), "counts" => format!("{counts:?}"),
         "result" => format!("{committed:?}"));
     matches!(committed, Ok(Committed::Done(_)))
 }
