--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -3,7 +3,8 @@
 
 use crate::context::Context;
 use crate::sync::LEADER_KEY;
-use coord::{Counts, Window};
+use crate::usage_report::report_usage;
+use coord::Window;
 use infra::{Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Swap};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -17,21 +18,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Prefix of the keys that hold the final counts of a usage window.
-const FINAL_COUNTS_PREFIX: &str = "fennelfold/usage/";
 /// Prefix of the keys that hold the number of servers a service had before any order.
 const INITIAL_COUNT_PREFIX: &str = "fennelfold/found/";
 /// Time without a new registration after which all servers that run at the first start count as
 /// registered, in milliseconds. They register one after the other when they start.
 const REGISTRATION_PAUSE_MS: Millis = 1_500;
-/// Minimum time from the end of a window to its report, in milliseconds. Requests that began just
-/// before the end are counted only when their responses begin.
-const COUNTS_DELAY_MS: u64 = 1_000;
-/// Time reserved before a report is due, for storing the final counts and sending the report, in
-/// milliseconds.
-const REPORT_RESERVE_MS: u64 = 3_500;
-/// Time after which the last counts received from an entry are dropped, in milliseconds.
-const COUNTS_RETENTION_MS: u64 = 60_000;
 /// Time to live of the lease, as a fraction of the minimum time between two leaders.
 const LEASE_TTL_FRACTION: f64 = 0.7;
 /// Poll interval of an entry that waits for the lease, in milliseconds. The watch of the lease
@@ -39,13 +30,6 @@
 const LEASE_POLL_MS: Millis = 15_000;
 /// Interval between two checks for due duties.
 const DUTY_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the end of a window for which its final counts stay stored, in milliseconds. During
-/// this time a new leader can send exactly the same report again.
-const FINAL_COUNTS_RETENTION_MS: u64 = 60_000;
-/// Span of recent windows that a new leader reports again, in milliseconds.
-const REREPORT_MS: u64 = 15_000;
-/// Maximum number of changes in one commit.
-const MAX_COMMIT_CHANGES: usize = 30;
 
 /// The value that the leader stores under [`LEADER_KEY`].
 #[derive(Deserialize, Serialize)]
@@ -80,7 +64,7 @@
     }
 
     /// Returns the fencing number if this entry may act as the leader now.
-    fn fencing_number(&self) -> Option<i64> {
+    pub(crate) fn fencing_number(&self) -> Option<i64> {
         match self.holder.borrow().permit(Fencing::Ignored, boot_ms()) {
             Permit::Send(number) => Some(number),
             Permit::NotHeld | Permit::NotYet(_) => None,
@@ -227,117 +211,6 @@
     }
 }
 
-/// Determines and stores the final counts of the usage windows that are due, and reports them.
-async fn report_usage(
-    cx: &Context,
-    duties: &dyn Duties,
-    lease: &LeaderLease,
-    reported: &mut BTreeMap<Window, ()>,
-) {
-    let unix_ms = Clock::unix_ms();
-    cx.usage_reports.borrow_mut().prune(unix_ms.saturating_sub(COUNTS_RETENTION_MS));
-    let window_ms = cx.settings.promises.usage_window.as_millis() as u64;
-    let last = (unix_ms.saturating_sub(COUNTS_DELAY_MS) / window_ms).saturating_sub(1);
-    let first = last.saturating_sub(REREPORT_MS / window_ms);
-    let due: Vec<Window> = (first..=last).filter(|window| !reported.contains_key(window)).collect();
-    let is_complete = |window: &Window| is_complete(cx, (window + 1) * window_ms, unix_ms);
-    if !due.iter().any(is_complete) {
-        return;
-    }
-    let listed = cx.store.list(FINAL_COUNTS_PREFIX).await;
-    cx.record_store_call("decided", listed.as_ref().err());
-    let Ok(listing) = listed else { return };
-    let mut final_counts: BTreeMap<Window, Counts> = BTreeMap::new();
-    let mut expired = Vec::new();
-    for (key, stored) in &listing.items {
-        let window = key.strip_prefix(FINAL_COUNTS_PREFIX).and_then(|window| window.parse().ok());
-        let counts = serde_json::from_slice(&stored.value);
-        let (Some(window), Ok(counts)) = (window, counts) else { continue };
-        if (window + 1) * window_ms + FINAL_COUNTS_RETENTION_MS < unix_ms {
-            expired.push(key.clone());
-        }
-        final_counts.insert(window, counts);
-    }
-    for window in due.into_iter().filter(is_complete) {
-        let counts = match final_counts.get(&window) {
-            Some(counts) => counts.clone(),
-            None => {
-                let counts = sum_counts(cx, window);
-                if !store_final_counts(cx, lease, window, &counts).await {
-                    return;
-                }
-                counts
-            }
-        };
-        let Some(number) = lease.fencing_number() else { return };
-        let leader = Leader { entry: cx.settings.name.clone(), number };
-        match duties.report_usage(&leader, window, &counts).await {
-            Ok(()) => {
-                info!(cx.log, "usage reported"; "window" => window, "number" => number,
-                    "requests" => counts.values().sum::<u64>(), "counts" => format!("{counts:?}"));
-                reported.insert(window, ());
-            }
-            Err(failure) => {
-                warn!(cx.log, "usage not reported"; "window" => window, "cause" => %failure);
-            }
-        }
-    }
-    delete_keys(cx, expired).await;
-}
-
-/// Returns whether all entries have reported their counts of a window, or the report cannot wait
-/// any longer.
-fn is_complete(cx: &Context, end_ms: u64, unix_ms: u64) -> bool {
-    let due_ms = cx.settings.promises.usage_due.as_millis() as u64;
-    if unix_ms + REPORT_RESERVE_MS >= end_ms + due_ms {
-        return true;
-    }
-    let reports = cx.usage_reports.borrow();
-    cx.roster.borrow().present().all(|entry| {
-        entry.name == cx.settings.name
-            || reports.reported_after(&entry.name, entry.incarnation, end_ms + COUNTS_DELAY_MS / 2)
-    })
-}
-
-fn sum_counts(cx: &Context, window: Window) -> Counts {
-    let mut reports = cx.usage_reports.borrow().clone();
-    let own = cx.usage.borrow().recent().clone();
-    reports.record(&cx.settings.name, cx.incarnation, own, Clock::unix_ms());
-    reports.total(window)
-}
-
-/// Stores the final counts of a window unless they are stored already. Returns whether the commit
-/// succeeded.
-async fn store_final_counts(
-    cx: &Context,
-    lease: &LeaderLease,
-    window: Window,
-    counts: &Counts,
-) -> bool {
-    let Some(number) = lease.fencing_number() else { return false };
-    let key = format!("{FINAL_COUNTS_PREFIX}{window}");
-    let value = serde_json::to_vec(counts).unwrap_or_default();
-    let commit = Commit {
-        expected: vec![(LEADER_KEY.to_owned(), number), (key.clone(), 0)],
-        puts: vec![Put { key, value: value.into(), lease: None }],
-        removes: Vec::new(),
-    };
-    let committed = cx.store.commit(&commit).await;
-    cx.record_store_call("decide", committed.as_ref().err());
-    info!(cx.log, "usage decided"; "window" => window, "number" => number,
-        "restores" => cx.restores.get(), "counts" => format!("{counts:?}"),
-        "result" => format!("{committed:?}"));
-    matches!(committed, Ok(Committed::Done(_)))
-}
-
-async fn delete_keys(cx: &Context, keys: Vec<String>) {
-    for part in keys.chunks(MAX_COMMIT_CHANGES) {
-        let commit = Commit { removes: part.to_vec(), ..Commit::default() };
-        let cleared = cx.store.commit(&commit).await;
-        cx.record_store_call("clear", cleared.as_ref().err());
-    }
-}
-
 /// Orders backend servers for each scaled service where an order is due.
 async fn order_servers(
     cx: &Context,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod shutdown;
 mod stream;
 mod sync;
+mod usage_report;
 
 pub use attempt::{
     AttemptHistory, AttemptResult, NextStep, ResponseClass, classify, next_step,
