coord, relay: a usage window decided before a restore of the store is not decided anew

Cause: the counts that were decided for a window were kept by the store alone, and a missing record was read as "not decided". A store that comes back from an older copy has lost the record, not the report. Class: a decision with an effect outside is remembered only where it can be undone.

Now a window whose counts the store lacks is reported with the counts that the leader's process remembers, stored again first, or not at all if it could be decided before the last restore that the process has heard of, with 4 s for clocks that differ. A process that starts takes its first answer of the store for the time of the restore.

Ruled out: a record in the store of when it was restored. Cost: up to two windows around a restore are missing.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -15,6 +15,7 @@
 mod roster;
 mod server_limit;
 mod usage;
+mod usage_step;
 
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
@@ -25,3 +26,4 @@
 pub use roster::{Entry, Roster};
 pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
+pub use usage_step::{DueWindow, ReportStep, Restore, next_report_step};
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -7,7 +7,7 @@
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
-    Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, RetryBudget,
+    Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, Restore, RetryBudget,
     RetrySettings, Roster, ServerLimitSettings, ServerLimits, StreamOrigins, UsageCounter,
     UsageReports,
 };
@@ -132,8 +132,9 @@
     /// Time on the boot clock at which the store last became reachable again, in milliseconds.
     pub(crate) store_regained_at: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
-    /// Number of restores of the store from an older copy, as of its newest answer.
-    pub(crate) restores: Cell<u64>,
+    /// The last restore of the store from an older copy, as far as this entry knows; the time is that
+    /// at which it heard of it.
+    pub(crate) restore: Cell<Option<Restore>>,
     /// Signals that the store has become reachable again.
     pub(crate) store_regained: watch::Sender<u64>,
     pub(crate) leader: RefCell<Option<Name>>,
@@ -229,7 +230,7 @@
             shutdown: Cell::default(),
             store_regained_at: Cell::new(0),
             store_lost: Cell::new(false),
-            restores: Cell::new(0),
+            restore: Cell::new(None),
             store_regained: watch::Sender::new(0),
             leader: RefCell::default(),
             leader_vacant: Notify::new(),
@@ -288,13 +289,19 @@
 
     /// Notes whether the store has been restored from an older copy.
     fn observe_restores(&self) {
-        let restores = self.store.restores();
-        let before = self.restores.replace(restores);
-        if restores != before {
-            warn!(self.log, "store restored"; "restores" => restores, "before" => before);
+        let number = self.store.restores();
+        let before = self.restores();
+        if number != before {
+            self.restore.set(Some(Restore { number, over_by_unix_ms: Clock::unix_ms() }));
+            warn!(self.log, "store restored"; "restores" => number, "before" => before);
         }
     }
 
+    /// Returns how often the store has been restored, as far as this entry knows.
+    pub(crate) fn restores(&self) -> u64 {
+        self.restore.get().map_or(0, |restore| restore.number)
+    }
+
     /// Updates the gauges and renders all metrics.
     pub(crate) fn render(&self) -> String {
         let now = boot_ms();
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -3,8 +3,7 @@
 
 use crate::context::Context;
 use crate::sync::LEADER_KEY;
-use crate::usage_report::report_usage;
-use coord::Window;
+use crate::usage_report::UsageDuty;
 use infra::{Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Swap};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -182,7 +181,7 @@
 
 /// Performs the duties while this entry holds the lease.
 pub(crate) async fn run_duties(cx: Rc<Context>, duties: Arc<dyn Duties>, lease: Rc<LeaderLease>) {
-    let mut reported: BTreeMap<Window, ()> = BTreeMap::new();
+    let mut usage = UsageDuty::default();
     let mut scalers: BTreeMap<Name, Scaler> = BTreeMap::new();
     let mut number = None;
     let mut last_number = None;
@@ -196,7 +195,8 @@
         // An unchanged fencing number means that no other leader has acted in between, so the
         // results so far are still valid.
         if number.is_some() && number != last_number {
-            (reported, scalers) = (BTreeMap::new(), BTreeMap::new());
+            usage.report_again();
+            scalers = BTreeMap::new();
             last_number = number;
         }
         if number.is_none() || cx.stopping.get() {
@@ -206,7 +206,7 @@
             order_servers(&cx, &*duties, &lease, &mut scalers).await;
         }
         if !cx.settings.promises.usage_window.is_zero() {
-            report_usage(&cx, &*duties, &lease, &mut reported).await;
+            usage.report(&cx, &*duties, &lease).await;
         }
     }
 }
--- a/crates/relay/src/usage_report.rs
+++ b/crates/relay/src/usage_report.rs
@@ -3,12 +3,15 @@
 use crate::context::Context;
 use crate::duty::LeaderLease;
 use crate::sync::LEADER_KEY;
-use coord::{Counts, Window};
-use infra::{Commit, Committed, Duties, Holder as Leader, Put};
+use coord::{Counts, DueWindow, ReportStep, Window, next_report_step};
+use infra::{Commit, Committed, Duties, Holder as Leader, Put, Stored};
 use kernel::prelude::*;
+use std::collections::BTreeSet;
 
 /// Prefix of the keys that hold the final counts of a usage window.
 const FINAL_COUNTS_PREFIX: &str = "fennelfold/usage/";
+/// Maximum difference between the clocks of two entries, in milliseconds. Each may be two seconds off.
+const CLOCK_TOLERANCE_MS: u64 = 4_000;
 /// Minimum time from the end of a window to its report, in milliseconds. Requests that began just
 /// before the end are counted only when their responses begin.
 const COUNTS_DELAY_MS: u64 = 1_000;
@@ -25,62 +28,123 @@
 /// Maximum number of changes in one commit.
 const MAX_COMMIT_CHANGES: usize = 30;
 
-/// Determines and stores the final counts of the usage windows that are due, and reports them.
-pub(crate) async fn report_usage(
-    cx: &Context,
-    duties: &dyn Duties,
-    lease: &LeaderLease,
-    reported: &mut BTreeMap<Window, ()>,
-) {
-    let unix_ms = Clock::unix_ms();
-    cx.usage_reports.borrow_mut().prune(unix_ms.saturating_sub(COUNTS_RETENTION_MS));
-    let window_ms = cx.settings.promises.usage_window.as_millis() as u64;
-    let last = (unix_ms.saturating_sub(COUNTS_DELAY_MS) / window_ms).saturating_sub(1);
-    let first = last.saturating_sub(REREPORT_MS / window_ms);
-    let due: Vec<Window> = (first..=last).filter(|window| !reported.contains_key(window)).collect();
-    let is_complete = |window: &Window| is_complete(cx, (window + 1) * window_ms, unix_ms);
-    if !due.iter().any(is_complete) {
-        return;
+/// Reports of usage windows by this entry.
+#[derive(Debug, Default)]
+pub(crate) struct UsageDuty {
+    /// Windows reported in this tenure.
+    reported: BTreeSet<Window>,
+    /// Final counts that this entry stored or found stored, in any tenure.
+    remembered: BTreeMap<Window, Counts>,
+}
+
+/// What the store holds under [`FINAL_COUNTS_PREFIX`].
+#[derive(Default)]
+struct StoredUsage {
+    final_counts: BTreeMap<Window, Counts>,
+    /// Keys of windows that are no longer reported.
+    expired: Vec<String>,
+}
+
+impl UsageDuty {
+    /// Forgets which windows were reported, because another leader may have acted since.
+    pub(crate) fn report_again(&mut self) {
+        self.reported.clear();
     }
-    let listed = cx.store.list(FINAL_COUNTS_PREFIX).await;
-    cx.record_store_call("decided", listed.as_ref().err());
-    let Ok(listing) = listed else { return };
-    let mut final_counts: BTreeMap<Window, Counts> = BTreeMap::new();
-    let mut expired = Vec::new();
-    for (key, stored) in &listing.items {
-        let window = key.strip_prefix(FINAL_COUNTS_PREFIX).and_then(|window| window.parse().ok());
-        let counts = serde_json::from_slice(&stored.value);
-        let (Some(window), Ok(counts)) = (window, counts) else { continue };
-        if (window + 1) * window_ms + FINAL_COUNTS_RETENTION_MS < unix_ms {
-            expired.push(key.clone());
+
+    /// Determines and stores the final counts of the usage windows that are due, and reports them.
+    pub(crate) async fn report(&mut self, cx: &Context, duties: &dyn Duties, lease: &LeaderLease) {
+        let unix_ms = Clock::unix_ms();
+        cx.usage_reports.borrow_mut().prune(unix_ms.saturating_sub(COUNTS_RETENTION_MS));
+        let window_ms = cx.settings.promises.usage_window.as_millis() as u64;
+        let last = (unix_ms.saturating_sub(COUNTS_DELAY_MS) / window_ms).saturating_sub(1);
+        let first = last.saturating_sub(REREPORT_MS / window_ms);
+        let end_ms = |window: Window| (window + 1) * window_ms;
+        let due: Vec<Window> = (first..=last)
+            .filter(|window| !self.reported.contains(window))
+            .filter(|window| is_complete(cx, end_ms(*window), unix_ms))
+            .collect();
+        if due.is_empty() {
+            return;
         }
-        final_counts.insert(window, counts);
-    }
-    for window in due.into_iter().filter(is_complete) {
-        let counts = match final_counts.get(&window) {
-            Some(counts) => counts.clone(),
-            None => {
-                let counts = sum_counts(cx, window);
-                if !store_final_counts(cx, lease, window, &counts).await {
-                    return;
+        let listed = cx.store.list(FINAL_COUNTS_PREFIX).await;
+        cx.record_store_call("decided", listed.as_ref().err());
+        let Ok(listing) = listed else { return };
+        let is_expired = |window| end_ms(window) + FINAL_COUNTS_RETENTION_MS < unix_ms;
+        let stored = parse_listing(cx, listing.items, is_expired);
+        self.remembered.retain(|window, _| !is_expired(*window));
+        self.remembered.extend(stored.final_counts.clone());
+        for window in due {
+            let step = next_report_step(
+                DueWindow {
+                    decidable_at_unix_ms: end_ms(window) + COUNTS_DELAY_MS,
+                    stored: stored.final_counts.get(&window),
+                    remembered: self.remembered.get(&window),
+                },
+                cx.restore.get(),
+                CLOCK_TOLERANCE_MS,
+            );
+            let (counts, is_stored) = match step {
+                ReportStep::Report(counts) => (counts, true),
+                ReportStep::StoreAgain(counts) => (counts, false),
+                ReportStep::Decide => (sum_counts(cx, window), false),
+                ReportStep::Skip => {
+                    warn!(cx.log, "usage window skipped"; "window" => window,
+                        "cause" => "a restore of the store may have undone its decision",
+                        "restores" => cx.restores());
+                    self.reported.insert(window);
+                    continue;
                 }
-                counts
+            };
+            if !is_stored && !store_final_counts(cx, lease, window, &counts).await {
+                return;
             }
-        };
+            self.remembered.insert(window, counts.clone());
+            self.send(cx, duties, lease, window, &counts).await;
+        }
+        delete_keys(cx, stored.expired).await;
+    }
+
+    async fn send(
+        &mut self,
+        cx: &Context,
+        duties: &dyn Duties,
+        lease: &LeaderLease,
+        window: Window,
+        counts: &Counts,
+    ) {
         let Some(number) = lease.fencing_number() else { return };
         let leader = Leader { entry: cx.settings.name.clone(), number };
-        match duties.report_usage(&leader, window, &counts).await {
+        match duties.report_usage(&leader, window, counts).await {
             Ok(()) => {
                 info!(cx.log, "usage reported"; "window" => window, "number" => number,
                     "requests" => counts.values().sum::<u64>(), "counts" => format!("{counts:?}"));
-                reported.insert(window, ());
+                self.reported.insert(window);
             }
             Err(failure) => {
                 warn!(cx.log, "usage not reported"; "window" => window, "cause" => %failure);
             }
         }
     }
-    delete_keys(cx, expired).await;
+}
+
+fn parse_listing(
+    cx: &Context,
+    items: Vec<(String, Stored)>,
+    is_expired: impl Fn(Window) -> bool,
+) -> StoredUsage {
+    let mut usage = StoredUsage::default();
+    for (key, stored) in items {
+        let window = key.strip_prefix(FINAL_COUNTS_PREFIX).and_then(|text| text.parse().ok());
+        let (Some(window), Ok(counts)) = (window, serde_json::from_slice(&stored.value)) else {
+            warn!(cx.log, "final counts unreadable"; "key" => key);
+            continue;
+        };
+        if is_expired(window) {
+            usage.expired.push(key);
+        }
+        usage.final_counts.insert(window, counts);
+    }
+    usage
 }
 
 /// Returns whether all entries have reported their counts of a window, or the report cannot wait
@@ -123,7 +187,7 @@
     let committed = cx.store.commit(&commit).await;
     cx.record_store_call("decide", committed.as_ref().err());
     info!(cx.log, "usage decided"; "window" => window, "number" => number,
-        "restores" => cx.restores.get(), "counts" => format!("{counts:?}"),
+        "restores" => cx.restores(), "counts" => format!("{counts:?}"),
         "result" => format!("{committed:?}"));
     matches!(committed, Ok(Committed::Done(_)))
 }
