place, relay: after a restore of the store, leases of before are left the time in which their holders believe in them

Cause: a restore of the store ends leases before their time. A new leader relied on the store alone to tell that the lease was free, while the leader of before believed in its own until its next renewal was answered. An entry could also take over a key from the copy as that of its own earlier process, although another entry had held the lease since.

--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -162,6 +162,9 @@
     last: Option<HeldLease>,
     /// Revision of the key of an earlier process of this entry that is to be replaced, or 0.
     takeover: i64,
+    /// Time until which another entry may still believe in a lease that a restore of the key-value
+    /// service ended early.
+    vacant_from: Millis,
     /// Time from which new orders of this entry cannot alternate with those of another leader that
     /// held the lease in the meantime.
     cooldown_end: Millis,
@@ -173,7 +176,7 @@
     /// The previous process of this entry may have held the lease until `now`.
     pub fn new(times: LeaseTimes, now: Millis) -> Self {
         let cooldown_end = now + times.separation + times.order_timeout;
-        Self { times, state: State::Idle, last: None, takeover: 0, cooldown_end }
+        Self { times, state: State::Idle, last: None, takeover: 0, vacant_from: 0, cooldown_end }
     }
 
     /// Creates the state of an entry in a deployment that starts for the first time, so that no
@@ -182,6 +185,18 @@
         Self { cooldown_end: now + times.order_timeout, ..Self::new(times, now) }
     }
 
+    /// Notes that the key-value service has come back from an older copy, with which all leases of
+    /// before ended.
+    ///
+    /// Their holders may not know yet, so a new lease is requested only when the old ones would have
+    /// ended by themselves.
+    pub fn record_restore(&mut self, now: Millis) {
+        self.drop_expired(now);
+        self.stop_holding(now);
+        (self.last, self.takeover) = (None, 0);
+        self.vacant_from = now + self.times.ttl;
+    }
+
     /// Returns the next action after an event.
     pub fn next(&mut self, event: LeaseEvent, now: Millis) -> LeaseAction {
         self.drop_expired(now);
@@ -206,6 +221,11 @@
             (State::Idle, LeaseEvent::Found(KeyOwner::ThisEntry { lease, revision })) => {
                 self.resume(lease, revision, now)
             }
+            (State::Idle, LeaseEvent::Found(KeyOwner::EarlierProcess { .. }))
+                if now < self.vacant_from =>
+            {
+                LeaseAction::Wait(self.vacant_from)
+            }
             (State::Idle, LeaseEvent::Found(KeyOwner::EarlierProcess { revision })) => {
                 self.takeover = revision;
                 LeaseAction::Grant
@@ -233,7 +253,7 @@
 
     fn on_granted(&mut self, lease: i64, sent: Millis, now: Millis) -> LeaseAction {
         let until = self.held_until(sent);
-        if now >= until {
+        if now >= until || now < self.vacant_from {
             return self.abandon(now);
         }
         let replaces = std::mem::take(&mut self.takeover);
@@ -284,7 +304,8 @@
     /// Requests a lease once this entry can use it. Until then, another entry that can use it
     /// sooner may take it.
     fn request_lease(&self, now: Millis) -> LeaseAction {
-        let from = self.cooldown_end.saturating_sub(self.times.order_timeout);
+        let cooldown_end = self.cooldown_end.saturating_sub(self.times.order_timeout);
+        let from = cooldown_end.max(self.vacant_from);
         if now < from { LeaseAction::Wait(from) } else { LeaseAction::Grant }
     }
 
--- a/crates/place/tests/leases/matrix.rs
+++ b/crates/place/tests/leases/matrix.rs
@@ -86,3 +86,8 @@
 fn checker_reports_missing_reconciliation() {
     assert_reported(Disabled::Reconciling, "ignores: ends with");
 }
+
+#[test]
+fn checker_reports_a_restore_that_entries_ignore() {
+    assert_reported(Disabled::Restores, "both entries may send");
+}
--- a/crates/place/tests/leases/single.rs
+++ b/crates/place/tests/leases/single.rs
@@ -80,6 +80,27 @@
     assert_eq!(holder.next(LeaseEvent::Found(KeyOwner::Nobody), 10_000), LeaseAction::Grant);
 }
 
+#[test]
+fn after_a_restore_the_leases_of_before_are_left_the_time_in_which_their_holders_believe_in_them() {
+    let mut holder = Holder::at_first_start(LeaseTimes::default(), 0);
+    holder.record_restore(60_000);
+    for owner in [KeyOwner::Nobody, KeyOwner::EarlierProcess { revision: 42 }] {
+        let next = holder.next(LeaseEvent::Found(owner), 60_010);
+        assert_eq!(next, LeaseAction::Wait(70_000));
+    }
+    // A lease that was requested before is not used.
+    let next = holder.next(LeaseEvent::Granted { lease: 7, sent: 60_020 }, 60_030);
+    assert!(matches!(next, LeaseAction::Wait(_)), "{next:?}");
+    assert_eq!(holder.next(LeaseEvent::Found(KeyOwner::Nobody), 70_000), LeaseAction::Grant);
+}
+
+#[test]
+fn holder_sends_no_orders_after_a_restore_ended_its_lease() {
+    let mut holder = holding();
+    holder.record_restore(2_000);
+    assert_eq!(holder.permit(Fencing::Checked, 2_000), Permit::NotHeld);
+}
+
 #[test]
 fn holder_sends_no_orders_after_releasing_the_lease() {
     let mut holder = holding();
--- a/crates/place/tests/leases/world.rs
+++ b/crates/place/tests/leases/world.rs
@@ -36,6 +36,8 @@
     Waiting,
     /// Each order is sent only once.
     Reconciling,
+    /// Entries ignore that the key-value service was restored.
+    Restores,
 }
 
 /// Fault of one call or order of the first entry.
@@ -59,9 +61,11 @@
     Outage(u64),
     /// Like `Outage`, but the remaining time of all leases is not reduced during the outage.
     OutageWithPausedLeases(u64),
+    /// Like `Outage`, but the key-value service comes back from an older copy, without any lease.
+    Restore(u64),
 }
 
-pub(crate) const FAULTS: [Fault; 13] = [
+pub(crate) const FAULTS: [Fault; 15] = [
     Fault::Down,
     Fault::LostAnswer,
     Fault::Late,
@@ -75,6 +79,8 @@
     Fault::Outage(30_000),
     Fault::OutageWithPausedLeases(9_000),
     Fault::OutageWithPausedLeases(30_000),
+    Fault::Restore(0),
+    Fault::Restore(3_000),
 ];
 
 /// The key-value service, with the leases and the key of the leader.
@@ -85,6 +91,8 @@
     /// Entry, lease and revision of the key.
     key: Option<(usize, i64, i64)>,
     revision: i64,
+    /// Number of restores from an older copy.
+    restores: u64,
     down_until: u64,
 }
 
@@ -97,6 +105,12 @@
                 self.down_until = now + time;
                 self.leases.values_mut().for_each(|until| *until += time);
             }
+            Some(Fault::Restore(time)) => {
+                self.down_until = now + time;
+                self.restores += 1;
+                self.leases.clear();
+                self.key = None;
+            }
             _ => {}
         }
     }
@@ -189,6 +203,8 @@
     permits: [Permit; 2],
     /// The next event and the time at which it arrives.
     event: (u64, LeaseEvent),
+    /// Number of restores that the event tells of, and that the holder knows of.
+    restores: (u64, u64),
     paused_until: u64,
     steps: usize,
 }
@@ -249,6 +265,7 @@
             number: None,
             permits: [Permit::NotHeld; 2],
             event: (index as u64 * 50, LeaseEvent::Waited),
+            restores: (0, 0),
             paused_until: 0,
             steps: 0,
         };
@@ -322,13 +339,24 @@
             (Some(Disabled::TimeBeforeSending), LeaseEvent::Renewed(_)) => LeaseEvent::Renewed(now),
             (_, event) => event,
         };
+        let (told, known) = self.entries[entry].restores;
+        if told != known && self.disabled != Some(Disabled::Restores) {
+            self.entries[entry].restores.1 = told;
+            self.entries[entry].holder.record_restore(now);
+        }
         let next = self.entries[entry].holder.next(event, now);
         let current = &self.entries[entry];
         let permits = [Fencing::Checked, Fencing::Ignored].map(|f| current.holder.permit(f, now));
         self.entries[entry].permits = permits;
         self.entries[entry].event = match next {
             LeaseAction::Wait(at) => (at, LeaseEvent::Waited),
-            call => self.call(entry, call, now),
+            call => {
+                let event = self.call(entry, call, now);
+                if event.1 != LeaseEvent::Failed {
+                    self.entries[entry].restores.0 = self.kv.restores;
+                }
+                event
+            }
         };
     }
 
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -4,7 +4,9 @@
 use crate::context::Context;
 use crate::sync::LEADER_KEY;
 use crate::usage_report::UsageDuty;
-use infra::{Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Swap};
+use infra::{
+    Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Store, Swap,
+};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use place::{
@@ -13,7 +15,7 @@
 };
 use rules::{Scaling, Service};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -38,17 +40,23 @@
     /// Address for callers, which tells VMs apart that had the same name one after the other.
     front: Option<SocketAddr>,
     lease: i64,
+    /// Number of restores of the store before the record was written.
+    #[serde(default)]
+    restores: u64,
 }
 
 /// State of the leader lease, shared by the tasks of this entry.
 pub(crate) struct LeaderLease {
     holder: RefCell<Holder>,
+    store: Arc<dyn Store>,
+    /// Number of restores of the store that the holder knows of.
+    restores: Cell<u64>,
 }
 
 impl LeaderLease {
     /// Creates the state of an entry that does not hold the lease. `separation` is the minimum time
     /// between the orders of two tenures of one entry.
-    pub(crate) fn new(separation: Duration, is_first_start: bool) -> Self {
+    pub(crate) fn new(store: Arc<dyn Store>, separation: Duration, is_first_start: bool) -> Self {
         let ttl = 1_000 * ttl_s(separation) as Millis;
         let times = LeaseTimes {
             ttl,
@@ -59,11 +67,25 @@
             retry_delay: ttl / 8,
         };
         let new = if is_first_start { Holder::at_first_start } else { Holder::new };
-        Self { holder: RefCell::new(new(times, boot_ms())) }
+        Self { holder: RefCell::new(new(times, boot_ms())), store, restores: Cell::new(0) }
+    }
+
+    /// Returns the next action after an event.
+    fn next(&self, event: LeaseEvent) -> LeaseAction {
+        self.observe_restores();
+        self.holder.borrow_mut().next(event, boot_ms())
+    }
+
+    fn observe_restores(&self) {
+        let restores = self.store.restores();
+        if self.restores.replace(restores) != restores {
+            self.holder.borrow_mut().record_restore(boot_ms());
+        }
     }
 
     /// Returns the fencing number if this entry may act as the leader now.
     pub(crate) fn fencing_number(&self) -> Option<i64> {
+        self.observe_restores();
         match self.holder.borrow().permit(Fencing::Ignored, boot_ms()) {
             Permit::Send(number) => Some(number),
             Permit::NotHeld | Permit::NotYet(_) => None,
@@ -83,7 +105,7 @@
     let mut held = false;
     while !cx.stopping.get() {
         let is_taken = event == LeaseEvent::Found(KeyOwner::OtherEntry);
-        let step = lease.holder.borrow_mut().next(event, boot_ms());
+        let step = lease.next(event);
         let holds =
             matches!(step, LeaseAction::Renew(_)) || (held && matches!(step, LeaseAction::Wait(_)));
         if holds != held {
@@ -139,6 +161,7 @@
                 incarnation: cx.incarnation,
                 front: Some(cx.settings.front),
                 lease,
+                restores: cx.store.restores(),
             };
             let value = serde_json::to_vec(&record).unwrap_or_default();
             match cx.store.swap(LEADER_KEY, replaces, value.into(), Some(Lease(lease))).await {
@@ -171,7 +194,9 @@
             KeyOwner::ThisEntry { lease: record.lease, revision: stored.revision }
         }
         Ok(record)
-            if record.entry == cx.settings.name && record.front == Some(cx.settings.front) =>
+            if record.entry == cx.settings.name
+                && record.front == Some(cx.settings.front)
+                && record.restores == cx.store.restores() =>
         {
             KeyOwner::EarlierProcess { revision: stored.revision }
         }
