coord, relay: logs tell which requests have the same content

`placed`, `attempt ended`, `stream broke` and `request failed` bear a mark of method, target, organisation and body.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,6 +5,7 @@
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
 //! would still consider its rules fresh after a suspension.
 
+mod fingerprint;
 mod freshness;
 mod origin;
 mod quarantine;
@@ -17,6 +18,7 @@
 mod usage;
 mod usage_step;
 
+pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
 pub use quarantine::{AnswerId, PromptCheck, Quarantine, QuarantineChange, QuarantineSettings};
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -59,6 +59,8 @@
     pub(crate) deadline: Instant,
     /// Whether the usage of the organisation includes this request.
     pub(crate) usage_counted: Cell<bool>,
+    /// Mark of all requests with the same content.
+    pub(crate) mark: u64,
 }
 
 impl AdmittedRequest {
@@ -77,6 +79,11 @@
         self.prompt.as_ref().map(Prompt::shared_ids)
     }
 
+    /// Returns the mark of the request's content for logs.
+    pub(crate) fn mark_text(&self) -> String {
+        format!("{:x}", self.mark)
+    }
+
     /// Returns the request ID for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
@@ -293,7 +300,7 @@
         "unread" => choice.uncached_tokens,
         "copy_from" => choice.copy_from.map(|address| address.to_string()),
         "candidates" => choice.candidates, "tried" => tried.len(),
-        "parts" => request.prompt_parts());
+        "parts" => request.prompt_parts(), "mark" => request.mark_text());
     Some(choice)
 }
 
@@ -314,7 +321,8 @@
     failure.retry_after = failure.retry_after.map(|_| retry_after);
     info!(cx.log, "request failed"; "request" => request.id_text(), "code" => code.number(),
         "cause" => code.title(), "service" => %request.service, "sends" => history.sends,
-        "runs" => history.runs, "left_ms" => request.remaining_ms());
+        "runs" => history.runs, "left_ms" => request.remaining_ms(),
+        "mark" => request.mark_text());
     (error_reply(&failure), Some(code))
 }
 
@@ -331,7 +339,8 @@
         guard.outcome.set(outcome);
         cx.count_attempt(label);
         info!(cx.log, "attempt ended"; "request" => request.id_text(), "server" => %choice.id,
-            "result" => label, "cause" => cause.to_owned(), "left_ms" => request.remaining_ms());
+            "result" => label, "cause" => cause.to_owned(), "left_ms" => request.remaining_ms(),
+            "mark" => request.mark_text());
         Attempt::NoResponse(result)
     };
     // A request for which no connection can be made can still go to other servers.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -10,7 +10,7 @@
 use crate::peers;
 use crate::pool::set_socket_options;
 use crate::reply::{empty_reply, error_reply};
-use coord::Charge;
+use coord::{Charge, request_mark};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, TRANSFER_ENCODING};
@@ -228,6 +228,12 @@
     }
     let target = uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
     let prompt = prompt.filter(|_| route.has_prompt);
+    let mark = request_mark(
+        method.as_str(),
+        target.as_str(),
+        organisation.as_ref().map(|organisation| &organisation.name),
+        &body,
+    );
     let request = AdmittedRequest {
         id,
         method,
@@ -242,6 +248,7 @@
         started,
         deadline: started + timeout,
         usage_counted: Cell::new(false),
+        mark,
         route,
     };
     let (reply, code) = dispatch(cx, Rc::new(request)).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -369,7 +369,7 @@
                 "chunks" => self.chunks, "runs" => self.history.runs,
                 "left_ms" => self.request.remaining_ms(),
                 "answered_ms" => response.answered_at.elapsed().as_millis() as u64,
-                "parts" => self.request.prompt_parts());
+                "parts" => self.request.prompt_parts(), "mark" => self.request.mark_text());
             check_server(&self.cx, &response.guard.server, response.connection.address());
         }
         let (request, cx) = (self.request.clone(), self.cx.clone());
