coord, relay: requests under which servers crash are kept from servers

Cause: evidence of crashes was kept for prompt parts only, and only from the head of an answer on. A request without shared parts, or one whose server ends before the head, left none, so that it was placed and sent again like any other.

Now a hash of method, target, organisation and body is a mark like a prompt part, suspect from its sending on. A completed answer clears it of the crashes before; crashes count if they are 30 ms apart, as copies of it run at several servers at once. Each entry tells the others only of its own requests.

Code 2011 is named Quarantined, the metric fennelfold_quarantined.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,5 +1,5 @@
 //! State shared by entries: rules freshness, quota and retry shares, limits of servers, quarantine of
-//! prompt parts, origins of streams, usage and membership.
+//! requests and prompt parts, origins of streams, usage and membership.
 //!
 //! The crate does no I/O and reads no clock. Times are milliseconds on a clock that keeps running
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
@@ -21,7 +21,9 @@
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
-pub use quarantine::{AnswerId, PromptCheck, Quarantine, QuarantineChange, QuarantineSettings};
+pub use quarantine::{
+    AnswerId, Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId,
+};
 pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -1,15 +1,18 @@
-//! Prompt parts under which servers crash, and the evidence that entries share to find them.
+//! Prompt parts and requests under which servers crash, and the evidence that entries share to find
+//! them.
 //!
-//! A crash breaks all answers of a server, so that the parts of every prompt there become suspects. An
-//! innocent part is told from the one to blame by the servers that live on after they began to
-//! answer a prompt with it. Under the latter, every server crashes.
+//! A crash breaks all answers of a server, so that the marks of every request there become suspects: the
+//! parts of its prompt and its content. An innocent mark is told from the one to blame by the servers
+//! that live on after they began to answer a request with it. Under the latter, every server crashes.
 
+use crate::fingerprint::is_request_mark;
 use crate::quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 use crate::rendezvous;
 use kernel::{Millis, Name};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// When prompt parts are put into quarantine, and for how long.
+/// When marks of requests are put into quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuarantineSettings {
     /// Time from the beginning of an answer in which a crash makes its prompt suspect, in
@@ -22,6 +25,9 @@
     /// survived. A crash counts if the answer began after the crash before: servers that crash
     /// together do so for another reason.
     pub crashes: usize,
+    /// Time between two crashes from which they did not happen together, so that both count for a request
+    /// which was sent to both servers, in milliseconds. A part is in too many requests for that.
+    pub apart_ms: Millis,
     /// Time for which a crash counts, in milliseconds.
     pub crash_memory_ms: Millis,
     /// Time for which a survival counts, in milliseconds.
@@ -41,6 +47,7 @@
             suspect_ms: 500,
             survival_ms: 1_000,
             crashes: 3,
+            apart_ms: 30,
             crash_memory_ms: 120_000,
             survival_memory_ms: 30_000,
             news_ms: 3_000,
@@ -52,16 +59,20 @@
 
 /// Maximum number of crashes in the news for another entry.
 const MAX_CRASHES_TOLD: usize = 12;
+/// Maximum number of requests that the news for another entry have for one crash.
+const MAX_REQUESTS_TOLD: usize = 24;
+/// Index of a whole request among the marks of its prompt: it comes after all parts.
+const REQUEST_INDEX: usize = u32::MAX as usize;
 
-/// Whether a prompt may be sent to a server.
+/// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PromptCheck {
+pub enum QuarantineCheck {
     /// It may be sent.
     Allowed,
-    /// Servers crash under one of its parts.
+    /// Servers crash under one of its marks.
     Quarantined {
-        /// Identifier of the part.
-        part: u64,
+        /// The mark.
+        mark: u64,
         /// Time until the next trial, in milliseconds.
         retry_after_ms: Millis,
     },
@@ -70,9 +81,9 @@
 /// A change of the quarantine, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineChange {
-    /// A part was put into quarantine after this number of crashes.
+    /// A mark was put into quarantine after this number of crashes.
     Held(u64, usize),
-    /// The quarantine of a part ended.
+    /// The quarantine of a mark ended.
     Released(u64),
 }
 
@@ -91,22 +102,56 @@
     went_on: bool,
 }
 
+/// Identifies a request that was sent to a server recently.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SendId(u64);
+
+/// A request that was sent to a server, which has not survived it yet.
+#[derive(Clone, Debug)]
+struct Sent {
+    server: Name,
+    mark: u64,
+    sent_at: Millis,
+    /// Time at which the answer began, if it has.
+    began_at: Option<Millis>,
+    /// Time at which this entry stopped waiting for the answer, if it has.
+    ended_at: Option<Millis>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Crash {
     at: Millis,
     suspects: BTreeMap<u64, Suspect>,
 }
 
-/// A part of a prompt that a server had just begun to answer when it crashed.
+impl Crash {
+    /// Returns the suspects for the news: all parts, and the last requests that this entry had sent.
+    fn suspects_to_tell(&self) -> BTreeMap<u64, SuspectNews> {
+        let is_request = |(mark, _): &(&u64, &Suspect)| is_request_mark(**mark);
+        let (mut requests, parts): (Vec<_>, Vec<_>) = self.suspects.iter().partition(is_request);
+        requests.retain(|(_, suspect)| suspect.is_own);
+        requests.sort_unstable_by_key(|(_, suspect)| Reverse(suspect.began_at));
+        requests.truncate(MAX_REQUESTS_TOLD);
+        let news = |(mark, suspect): (&u64, &Suspect)| {
+            let answered_ms = self.at.saturating_sub(suspect.began_at);
+            (*mark, SuspectNews { answered_ms, index: suspect.index })
+        };
+        parts.into_iter().chain(requests).map(news).collect()
+    }
+}
+
+/// A mark of a request that a server had, or had just begun to answer, when it crashed.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
-    /// Time at which the last such answer began.
+    /// Time at which the last such answer began, or at which the request was sent.
     began_at: Millis,
-    /// Index of the part in its prompt.
+    /// Index of the part in its prompt, or [`REQUEST_INDEX`].
     index: usize,
+    /// Whether this entry had sent the request. Others tell of theirs themselves.
+    is_own: bool,
 }
 
-/// Quarantine of a part. Times are in milliseconds.
+/// Quarantine of a mark. Times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     /// Time of the last request that was refused.
@@ -115,7 +160,7 @@
     tried_at: Millis,
 }
 
-/// Prompt parts in quarantine, with the evidence of this entry and of the others.
+/// Marks in quarantine, with the evidence of this entry and of the others.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
@@ -124,13 +169,16 @@
     /// Answers that began recently, in order.
     answers: VecDeque<Answer>,
     last_answer_id: u64,
-    /// Time at which the last survived answer with a part began.
+    /// Requests that were sent recently and not survived yet.
+    sent: BTreeMap<SendId, Sent>,
+    last_send_id: u64,
+    /// Time at which the last survived answer with a part began, or at which a request was survived.
     survived: HashMap<u64, Millis>,
     /// Survivals in order, with those that were replaced.
     survivals: VecDeque<(Millis, u64)>,
     crashes: BTreeMap<ServerRun, Crash>,
     held: BTreeMap<u64, Hold>,
-    /// Time at which another entry last told of a crash or a quarantine of a part that servers survived.
+    /// Time at which another entry last told of a crash or a quarantine of a mark that servers survived.
     doubted: BTreeMap<u64, Millis>,
 }
 
@@ -143,6 +191,8 @@
             entries: Vec::new(),
             answers: VecDeque::new(),
             last_answer_id: 0,
+            sent: BTreeMap::new(),
+            last_send_id: 0,
             survived: HashMap::new(),
             survivals: VecDeque::new(),
             crashes: BTreeMap::new(),
@@ -185,22 +235,69 @@
         self.answers.get_mut(index)
     }
 
-    /// Forgets the answers of a server that may have crashed, without accusing their parts.
+    /// Records that a request with this mark is sent to a server.
+    pub fn record_sent(&mut self, server: &Name, mark: u64, now: Millis) -> SendId {
+        self.last_send_id += 1;
+        let id = SendId(self.last_send_id);
+        let server = server.clone();
+        self.sent.insert(id, Sent { server, mark, sent_at: now, began_at: None, ended_at: None });
+        id
+    }
+
+    /// Records that the answer to a request began.
+    pub fn record_head(&mut self, id: SendId, now: Millis) {
+        if let Some(sent) = self.sent.get_mut(&id) {
+            sent.began_at = Some(now);
+        }
+    }
+
+    /// Records that more of the answer to a request arrived. Its server has survived the request if it
+    /// goes on after a crash would no longer make the request suspect.
+    pub fn record_more(&mut self, id: SendId, now: Millis) {
+        let began_at = self.sent.get(&id).and_then(|sent| sent.began_at);
+        if began_at.is_some_and(|began_at| now.saturating_sub(began_at) > self.settings.suspect_ms)
+        {
+            self.record_survival(id, now);
+        }
+    }
+
+    /// Records that a server has survived a request, as its answer is complete.
+    pub fn record_survival(&mut self, id: SendId, now: Millis) {
+        if let Some(sent) = self.sent.remove(&id) {
+            self.add_survival(sent.mark, now);
+        }
+    }
+
+    /// Records that this entry no longer waits for the answer to a request.
+    pub fn record_end(&mut self, id: SendId, now: Millis) {
+        if let Some(sent) = self.sent.get_mut(&id) {
+            sent.ended_at = Some(now);
+        }
+    }
+
+    /// Records that a server states that it has not run a request.
+    pub fn record_not_run(&mut self, id: SendId) {
+        self.sent.remove(&id);
+    }
+
+    /// Forgets the answers and requests of a server that may have crashed, without accusing their marks.
     pub fn discard_answers(&mut self, server: &Name) {
         self.answers.retain(|answer| answer.server != *server);
+        self.sent.retain(|_, sent| sent.server != *server);
     }
 
-    /// Records that a server crashed; returns the parts that are suspect.
+    /// Records that a server crashed; returns the marks that are suspect.
     pub fn record_crash(&mut self, run: ServerRun, now: Millis) -> Vec<u64> {
         let suspects = self.take_suspects(&run.server, now);
-        let parts = suspects.keys().copied().collect();
+        let marks = suspects.keys().copied().collect();
         if !suspects.is_empty() {
             self.add_crash(run, now, suspects);
         }
-        parts
+        marks
     }
 
-    /// Forgets the answers of a server that crashed, and returns the parts of those that had just begun.
+    /// Forgets the answers and requests of a server that crashed, and returns the parts of answers that had
+    /// just begun and the requests without an answer or with one that had just begun.
     fn take_suspects(&mut self, server: &Name, crashed_at: Millis) -> BTreeMap<u64, Suspect> {
         let mut suspects = BTreeMap::new();
         let suspect_ms = self.settings.suspect_ms;
@@ -209,20 +306,39 @@
             if is_broken && crashed_at - answer.began_at <= suspect_ms {
                 // Answers are in the order of their beginning.
                 for (index, part) in answer.parts.iter().enumerate() {
-                    suspects.insert(*part, Suspect { began_at: answer.began_at, index });
+                    let suspect = Suspect { began_at: answer.began_at, index, is_own: true };
+                    suspects.insert(*part, suspect);
                 }
             }
             !is_broken
         });
+        let is_recent = |at: Millis| crashed_at.saturating_sub(at) <= suspect_ms;
+        self.sent.retain(|_, sent| {
+            let was_there = sent.server == *server && sent.sent_at <= crashed_at;
+            if was_there
+                && sent.began_at.is_none_or(is_recent)
+                && sent.ended_at.is_none_or(is_recent)
+            {
+                let (began_at, index) = (sent.sent_at, REQUEST_INDEX);
+                suspects.insert(sent.mark, Suspect { began_at, index, is_own: true });
+            }
+            !was_there
+        });
         suspects
     }
 
     fn add_crash(&mut self, run: ServerRun, at: Millis, suspects: BTreeMap<u64, Suspect>) {
         let crash = self.crashes.entry(run).or_insert(Crash { at, ..Crash::default() });
         crash.at = crash.at.min(at);
-        for (part, suspect) in suspects {
-            let known = crash.suspects.entry(part).or_insert(suspect);
+        for (mark, suspect) in suspects {
+            if is_request_mark(mark)
+                && self.survived.get(&mark).is_some_and(|last| *last >= crash.at)
+            {
+                continue;
+            }
+            let known = crash.suspects.entry(mark).or_insert(suspect);
             known.began_at = suspect.began_at.max(known.began_at);
+            known.is_own |= suspect.is_own;
         }
     }
 
@@ -236,7 +352,10 @@
             let at = now.saturating_sub(age);
             let suspects =
                 suspects.into_iter().map(|(part, SuspectNews { answered_ms, index })| {
-                    (part, Suspect { began_at: at.saturating_sub(answered_ms), index })
+                    (
+                        part,
+                        Suspect { began_at: at.saturating_sub(answered_ms), index, is_own: false },
+                    )
                 });
             let mut suspects: BTreeMap<u64, Suspect> = suspects.collect();
             // An answer that was already complete tells nothing of the crash.
@@ -244,15 +363,15 @@
             self.add_crash(run, at, suspects);
         }
         self.doubt(news.held.keys().copied(), now);
-        for (part, told) in news.held {
-            if self.survived.contains_key(&part) || self.is_explained(part) {
-                continue;
-            }
+        for (mark, told) in news.held {
             let told = Hold {
                 requested_at: now.saturating_sub(told.request_age),
                 tried_at: now.saturating_sub(told.trial_age),
             };
-            let hold = self.held.entry(part).or_insert(told);
+            if self.is_disproved(mark, &told) || self.is_explained(mark) {
+                continue;
+            }
+            let hold = self.held.entry(mark).or_insert(told);
             hold.requested_at = hold.requested_at.max(told.requested_at);
             hold.tried_at = hold.tried_at.max(told.tried_at);
         }
@@ -264,14 +383,27 @@
         self.doubted.extend(known);
     }
 
-    fn add_survival(&mut self, part: u64, at: Millis) {
-        let is_newer = self.survived.get(&part).is_none_or(|known| at > *known);
-        if is_newer {
-            self.survived.insert(part, at);
-            self.survivals.push_back((at, part));
+    fn add_survival(&mut self, mark: u64, at: Millis) {
+        let is_newer = self.survived.get(&mark).is_none_or(|known| at > *known);
+        if !is_newer {
+            return;
+        }
+        self.survived.insert(mark, at);
+        self.survivals.push_back((at, mark));
+        if is_request_mark(mark) {
+            // A request that a server survived was not to blame for the crashes before.
+            for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
+                crash.suspects.remove(&mark);
+            }
         }
     }
 
+    /// Whether a survival disproves a quarantine. A request may turn bad at any time, so that only a later
+    /// survival does.
+    fn is_disproved(&self, mark: u64, hold: &Hold) -> bool {
+        self.survived.get(&mark).is_some_and(|at| !is_request_mark(mark) || *at >= hold.tried_at)
+    }
+
     /// Applies the evidence and the time that has passed; returns what changed.
     pub fn update(&mut self, now: Millis) -> Vec<QuarantineChange> {
         self.record_survivals(now);
@@ -297,6 +429,9 @@
     /// Forgets evidence that is too old.
     fn forget(&mut self, now: Millis) {
         let settings = &self.settings;
+        self.sent.retain(|_, sent| {
+            sent.ended_at.is_none_or(|at| now.saturating_sub(at) < settings.news_ms)
+        });
         self.crashes.retain(|_, crash| now.saturating_sub(crash.at) < settings.crash_memory_ms);
         self.doubted.retain(|_, at| now.saturating_sub(*at) < settings.news_ms);
         let memory_ms = settings.survival_memory_ms;
@@ -311,58 +446,65 @@
 
     /// Ends quarantines that no request needs any more, or that survivals have disproved.
     fn release(&mut self, now: Millis) -> Vec<QuarantineChange> {
-        let is_over = |(part, hold): &(&u64, &Hold)| {
+        let is_over = |(mark, hold): &(&u64, &Hold)| {
             now.saturating_sub(hold.requested_at) >= self.settings.idle_ms
-                || self.survived.contains_key(part)
-                || self.is_explained(**part)
+                || self.is_disproved(**mark, hold)
+                || self.is_explained(**mark)
         };
-        let over: Vec<u64> = self.held.iter().filter(is_over).map(|(part, _)| *part).collect();
-        for part in &over {
-            self.held.remove(part);
+        let over: Vec<u64> = self.held.iter().filter(is_over).map(|(mark, _)| *mark).collect();
+        for mark in &over {
+            self.held.remove(mark);
         }
         over.into_iter().map(QuarantineChange::Released).collect()
     }
 
-    /// Puts the parts into quarantine that crashes accuse often enough.
+    /// Puts the marks into quarantine that crashes accuse often enough.
     fn hold(&mut self, now: Millis) -> Vec<QuarantineChange> {
         let mut accused: HashMap<u64, usize> = HashMap::new();
-        for part in self.crashes.values().flat_map(|crash| crash.suspects.keys()) {
-            *accused.entry(*part).or_default() += 1;
+        for mark in self.crashes.values().flat_map(|crash| crash.suspects.keys()) {
+            *accused.entry(*mark).or_default() += 1;
         }
-        // Most parts are in one crash only. All others are judged by the quarantines of before, so that
+        // Most marks are in one crash only. All others are judged by the quarantines of before, so that
         // their order does not matter.
         let mut guilty: Vec<(u64, usize)> = accused
             .into_iter()
             .filter(|(_, crashes)| *crashes >= self.settings.crashes)
-            .filter(|(part, _)| !self.held.contains_key(part) && !self.survived.contains_key(part))
-            .map(|(part, _)| (part, self.crashes_under(part)))
-            .filter(|(part, crashes)| {
-                *crashes >= self.settings.crashes && !self.is_explained(*part)
+            .filter(|(mark, _)| !self.held.contains_key(mark) && !self.is_cleared(*mark))
+            .map(|(mark, _)| (mark, self.crashes_under(mark)))
+            .filter(|(mark, crashes)| {
+                *crashes >= self.settings.crashes && !self.is_explained(*mark)
             })
             .collect();
         guilty.sort_unstable();
         let hold = Hold { requested_at: now, tried_at: now };
-        self.held.extend(guilty.iter().map(|(part, _)| (*part, hold)));
-        guilty.into_iter().map(|(part, crashes)| QuarantineChange::Held(part, crashes)).collect()
+        self.held.extend(guilty.iter().map(|(mark, _)| (*mark, hold)));
+        guilty.into_iter().map(|(mark, crashes)| QuarantineChange::Held(mark, crashes)).collect()
+    }
+
+    /// Whether a survival clears a mark of all crashes that are known. Those that it clears a request of are
+    /// no longer known.
+    fn is_cleared(&self, mark: u64) -> bool {
+        !is_request_mark(mark) && self.survived.contains_key(&mark)
     }
 
-    /// Returns the number of crashes in a row under a part. Those under another part in quarantine do
+    /// Returns the number of crashes in a row under a mark. Those under another mark in quarantine do
     /// not count.
-    fn crashes_under(&self, part: u64) -> usize {
+    fn crashes_under(&self, mark: u64) -> usize {
         let has_other = |crash: &Crash| {
-            crash.suspects.keys().any(|other| *other != part && self.held.contains_key(other))
+            crash.suspects.keys().any(|other| *other != mark && self.held.contains_key(other))
         };
         let mut crashes: Vec<(Millis, Millis)> = self
             .crashes
             .values()
             .filter(|crash| !has_other(crash))
-            .filter_map(|crash| Some((crash.at, crash.suspects.get(&part)?.began_at)))
+            .filter_map(|crash| Some((crash.at, crash.suspects.get(&mark)?.began_at)))
             .collect();
         crashes.sort_unstable();
+        let apart_ms = if is_request_mark(mark) { self.settings.apart_ms } else { Millis::MAX };
         let mut count = 0;
         let mut last_counted: Option<Millis> = None;
         for (at, began_at) in crashes {
-            if last_counted.is_none_or(|last| began_at > last) {
+            if last_counted.is_none_or(|last| began_at > last || at - last >= apart_ms) {
                 count += 1;
                 last_counted = Some(at);
             }
@@ -370,51 +512,51 @@
         count
     }
 
-    /// Whether another part that no server survived accounts for all crashes under a part: it was in
-    /// each of them and in further ones, or it comes later in the same prompts.
+    /// Whether another mark that no server survived accounts for all crashes under a mark: it was in each
+    /// of them and in further ones, or it comes later in the same requests.
     ///
     /// The later a part comes in prompts, the fewer requests share it.
-    fn is_explained(&self, part: u64) -> bool {
-        let under = || self.crashes.values().filter(|crash| crash.suspects.contains_key(&part));
+    fn is_explained(&self, mark: u64) -> bool {
+        let under = || self.crashes.values().filter(|crash| crash.suspects.contains_key(&mark));
         let Some(first) = under().next() else { return false };
-        let index = |part: u64| first.suspects.get(&part).map(|suspect| suspect.index);
+        let index = |mark: u64| first.suspects.get(&mark).map(|suspect| suspect.index);
         let count = under().count();
         first.suspects.keys().any(|other| {
             let count_of_other =
                 self.crashes.values().filter(|crash| crash.suspects.contains_key(other)).count();
-            *other != part
-                && !self.survived.contains_key(other)
+            *other != mark
+                && !self.is_cleared(*other)
                 && count_of_other >= self.settings.crashes
                 && under().all(|crash| crash.suspects.contains_key(other))
-                && (count_of_other > count || index(*other) > index(part))
+                && (count_of_other > count || index(*other) > index(mark))
         })
     }
 
-    /// Decides whether a prompt with these parts may be sent to a server.
+    /// Decides whether a request with these marks may be sent to a server.
     ///
-    /// One entry allows a trial from time to time, so that a part under which servers no longer crash
+    /// One entry allows a trial from time to time, so that a mark under which servers no longer crash
     /// does not stay in quarantine.
-    pub fn check(&mut self, parts: impl Iterator<Item = u64>, now: Millis) -> PromptCheck {
-        for part in parts {
-            let Some(hold) = self.held.get_mut(&part) else { continue };
+    pub fn check(&mut self, marks: impl Iterator<Item = u64>, now: Millis) -> QuarantineCheck {
+        for mark in marks {
+            let Some(hold) = self.held.get_mut(&mark) else { continue };
             hold.requested_at = now;
             let trial_at = hold.tried_at + self.settings.trial_interval_ms;
-            if now >= trial_at && rendezvous::rank(&self.own_name, &self.entries, part) == Some(0) {
+            if now >= trial_at && rendezvous::rank(&self.own_name, &self.entries, mark) == Some(0) {
                 hold.tried_at = now;
                 continue;
             }
             let retry_after_ms = trial_at.saturating_sub(now);
-            return PromptCheck::Quarantined { part, retry_after_ms };
+            return QuarantineCheck::Quarantined { mark, retry_after_ms };
         }
-        PromptCheck::Allowed
+        QuarantineCheck::Allowed
     }
 
-    /// Whether one of these parts is in quarantine.
-    pub fn is_held(&self, mut parts: impl Iterator<Item = u64>) -> bool {
-        parts.any(|part| self.held.contains_key(&part))
+    /// Whether one of these marks is in quarantine.
+    pub fn is_held(&self, mut marks: impl Iterator<Item = u64>) -> bool {
+        marks.any(|mark| self.held.contains_key(&mark))
     }
 
-    /// Returns the number of parts in quarantine.
+    /// Returns the number of marks in quarantine.
     pub fn held_count(&self) -> usize {
         self.held.len()
     }
@@ -429,14 +571,7 @@
             .map(|(run, crash)| CrashNews {
                 run: run.clone(),
                 age: age(crash.at),
-                suspects: crash
-                    .suspects
-                    .iter()
-                    .map(|(part, suspect)| {
-                        let answered_ms = crash.at.saturating_sub(suspect.began_at);
-                        (*part, SuspectNews { answered_ms, index: suspect.index })
-                    })
-                    .collect(),
+                suspects: crash.suspects_to_tell(),
             })
             .collect();
         crashes.sort_by_key(|crash| crash.age);
--- a/crates/coord/tests/quarantine.rs
+++ b/crates/coord/tests/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of prompt parts under which servers crash.
 
-use coord::{PromptCheck, Quarantine, QuarantineChange, QuarantineSettings, ServerRun};
+use coord::{Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, ServerRun};
 use kernel::{Millis, Name};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -34,7 +34,7 @@
 }
 
 fn is_allowed(quarantine: &mut Quarantine, parts: &[u64], now: Millis) -> bool {
-    quarantine.check(parts.iter().copied(), now) == PromptCheck::Allowed
+    quarantine.check(parts.iter().copied(), now) == QuarantineCheck::Allowed
 }
 
 #[test]
--- a/crates/kernel/src/error/code.rs
+++ b/crates/kernel/src/error/code.rs
@@ -87,7 +87,7 @@
     Overloaded = 2008, 503, 3, NotRun, 1, "not run: this entry is overloaded";
     RulesStale = 2009, 503, 3, NotRun, 1, "not run: the rules here may be out of date";
     Expired = 2010, 503, 3, NotRun, 0, "not run: its deadline has passed";
-    PromptQuarantined = 2011, 503, 3, NotRun, 120, "not run: servers crash under a part of its prompt";
+    Quarantined = 2011, 503, 3, NotRun, 120, "not run: servers crash under it or a part of its prompt";
     OriginUnknown = 2012, 503, 3, NotRun, 1, "not run: the version that began the stream is unknown";
     BackendBroke = 3001, 502, 4, Unknown, 0, "unknown: the backend server broke off after dispatch";
     HomeLost = 3002, 502, 4, Unknown, 0, "unknown: both holders of the request are gone";
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -187,7 +187,7 @@
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
             entries: metrics.gauge("entries_known", "Entries that share limits"),
             quarantined: metrics
-                .gauge("prompt_parts_quarantined", "Prompt parts under which servers crash"),
+                .gauge("quarantined", "Requests and prompt parts under which servers crash"),
             open: metrics.gauge("requests_open", "Requests of callers that are open"),
             freshness: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store_calls: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::server_news;
 use crate::stream;
 use bytes::Bytes;
-use coord::{AnswerId, PromptCheck};
+use coord::{AnswerId, QuarantineCheck, SendId, part_mark};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
@@ -69,9 +69,14 @@
         self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
     }
 
-    /// Returns the identifiers of the parts of the prompt that other requests may share.
-    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = u64> {
-        self.prompt.iter().flat_map(Prompt::shared_parts).map(|part| part.id)
+    /// Returns the marks of the parts of the prompt that other requests may share.
+    pub(crate) fn part_marks(&self) -> impl Iterator<Item = u64> {
+        self.prompt.iter().flat_map(Prompt::shared_parts).map(|part| part_mark(part.id))
+    }
+
+    /// Returns the marks of the request under which servers may crash.
+    pub(crate) fn marks(&self) -> impl Iterator<Item = u64> {
+        self.part_marks().chain([self.mark])
     }
 
     /// Returns the shared parts of the prompt for logs.
@@ -96,6 +101,8 @@
     pub(crate) server: Name,
     uncached_tokens: Cell<u64>,
     pub(crate) outcome: Cell<Outcome>,
+    /// The request among those that a server has not survived yet.
+    sent: Cell<Option<SendId>>,
 }
 
 impl AttemptGuard {
@@ -106,6 +113,41 @@
             server: choice.id.clone(),
             uncached_tokens: Cell::new(choice.uncached_tokens),
             outcome: Cell::new(Outcome::Unknown),
+            sent: Cell::new(None),
+        }
+    }
+
+    /// Records that the request is sent to the server.
+    fn mark_sent(&self, request: &AdmittedRequest) {
+        let id = self.cx.quarantine.borrow_mut().record_sent(&self.server, request.mark, boot_ms());
+        self.sent.set(Some(id));
+    }
+
+    /// Records that the server states that it has not run the request.
+    fn mark_not_run(&self) {
+        if let Some(id) = self.sent.take() {
+            self.cx.quarantine.borrow_mut().record_not_run(id);
+        }
+    }
+
+    /// Records that the answer began.
+    fn mark_answered(&self) {
+        if let Some(id) = self.sent.get() {
+            self.cx.quarantine.borrow_mut().record_head(id, boot_ms());
+        }
+    }
+
+    /// Records that more of the answer arrived.
+    pub(crate) fn mark_progress(&self) {
+        if let Some(id) = self.sent.get() {
+            self.cx.quarantine.borrow_mut().record_more(id, boot_ms());
+        }
+    }
+
+    /// Records that the answer is complete, so that the server has survived the request.
+    pub(crate) fn mark_completed(&self) {
+        if let Some(id) = self.sent.take() {
+            self.cx.quarantine.borrow_mut().record_survival(id, boot_ms());
         }
     }
 
@@ -120,6 +162,9 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        if let Some(id) = self.sent.get() {
+            self.cx.quarantine.borrow_mut().record_end(id, boot_ms());
+        }
         self.mark_prompt_read();
         self.cx.picker.borrow_mut().record_outcome(&self.server, self.outcome.get(), boot_ms());
     }
@@ -171,8 +216,9 @@
             let code = if history.runs > 0 { Code::DeadlinePassed } else { Code::Expired };
             return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         }
-        if let PromptCheck::Quarantined { retry_after_ms, .. } = quarantine::check(cx, &request) {
-            let code = if history.runs > 0 { Code::BackendBroke } else { Code::PromptQuarantined };
+        if let QuarantineCheck::Quarantined { retry_after_ms, .. } = quarantine::check(cx, &request)
+        {
+            let code = if history.runs > 0 { Code::BackendBroke } else { Code::Quarantined };
             let retry_after = RETRY_AFTER.max(Duration::from_millis(retry_after_ms));
             return failure_reply(cx, &request, code, history, retry_after);
         }
@@ -361,6 +407,7 @@
     };
     let timeout = response_timeout(request, choice, history);
     let sent_at = boot_ms();
+    guard.mark_sent(request);
     let response = tokio::select! {
         response = tokio::time::timeout(timeout, connection.send(req)) => response,
         () = quarantine::wait_until_held(cx, request) => {
@@ -368,7 +415,7 @@
                 Outcome::Unknown,
                 AttemptResult::ResponseLost,
                 "quarantined",
-                "a part of the prompt was put into quarantine",
+                "servers crash under the request",
             );
         }
     };
@@ -382,6 +429,7 @@
             );
         }
         Ok(Err(SendError::Unwritten(failure))) => {
+            guard.mark_not_run();
             return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &failure.context);
         }
         Ok(Err(SendError::Broke(failure))) => {
@@ -396,6 +444,7 @@
             end(Outcome::Failed, AttemptResult::ResponseLost, "foreign", cause)
         }
         ResponseClass::NotRun if response.status() == hyper::StatusCode::MISDIRECTED_REQUEST => {
+            guard.mark_not_run();
             end(
                 Outcome::Unreachable,
                 AttemptResult::NotRun,
@@ -404,6 +453,7 @@
             )
         }
         ResponseClass::NotRun => {
+            guard.mark_not_run();
             server_news::record(cx, request, &choice.id, &response, sent_at);
             let status = response.status();
             // The body of a refusal is short; reading it allows the connection to be reused.
@@ -415,6 +465,7 @@
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
         }
         ResponseClass::Valid => {
+            guard.mark_answered();
             server_news::record(cx, request, &choice.id, &response, sent_at);
             let response = begin_answer(cx, request, choice, response, connection, guard);
             Attempt::Answered(Box::new(response))
@@ -473,7 +524,8 @@
     request: &AdmittedRequest,
     response: ServerResponse,
 ) -> Option<Reply> {
-    let ServerResponse { head, body, connection, guard, answer, .. } = response;
+    let ServerResponse { head, body, connection, guard, answer, ends_with_connection, .. } =
+        response;
     guard.mark_prompt_read();
     let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let read = tokio::time::timeout_at(request.deadline, read).await;
@@ -483,6 +535,10 @@
             guard.outcome.set(if failed { Outcome::Failed } else { Outcome::Answered });
             cx.count_attempt(if failed { "failed" } else { "answered" });
             quarantine::record_completion(cx, answer);
+            // The end of the connection may be that of the server.
+            if !ends_with_connection {
+                guard.mark_completed();
+            }
             cx.pool.release(connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
         }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,29 +1,36 @@
-//! Keeps prompt parts under which servers crash away from servers.
+//! Keeps requests under which servers crash away from servers.
 
 use crate::context::Context;
 use crate::dispatch::AdmittedRequest;
 use crate::peers;
-use coord::{AnswerId, PromptCheck, QuarantineChange, QuarantineNews, ServerRun};
+use coord::{
+    AnswerId, QuarantineChange, QuarantineCheck, QuarantineNews, ServerRun, is_request_mark,
+};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use std::rc::Rc;
 
-/// Decides whether a request may be sent to a server, as far as the parts of its prompt tell.
-pub(crate) fn check(cx: &Context, request: &AdmittedRequest) -> PromptCheck {
-    let checked = cx.quarantine.borrow_mut().check(request.shared_parts(), boot_ms());
-    if let PromptCheck::Quarantined { part, retry_after_ms } = checked {
-        debug!(cx.log, "prompt in quarantine"; "request" => request.id_text(),
-            "part" => format!("{part:x}"), "retry_after_ms" => retry_after_ms);
+/// Decides whether a request may be sent to a server, as far as its marks tell.
+pub(crate) fn check(cx: &Context, request: &AdmittedRequest) -> QuarantineCheck {
+    let checked = cx.quarantine.borrow_mut().check(request.marks(), boot_ms());
+    if let QuarantineCheck::Quarantined { mark, retry_after_ms } = checked {
+        debug!(cx.log, "in quarantine"; "request" => request.id_text(), "kind" => kind(mark),
+            "mark" => format!("{mark:x}"), "retry_after_ms" => retry_after_ms);
     }
     checked
 }
 
-/// Whether a part of the request's prompt is in quarantine.
+/// Returns what a mark belongs to, for logs.
+fn kind(mark: u64) -> &'static str {
+    if is_request_mark(mark) { "request" } else { "part" }
+}
+
+/// Whether a mark of the request is in quarantine.
 pub(crate) fn is_held(cx: &Context, request: &AdmittedRequest) -> bool {
-    cx.quarantine.borrow().is_held(request.shared_parts())
+    cx.quarantine.borrow().is_held(request.marks())
 }
 
-/// Waits until a part of the request's prompt is put into quarantine.
+/// Waits until a mark of the request is put into quarantine.
 pub(crate) async fn wait_until_held(cx: &Context, request: &AdmittedRequest) {
     let mut changed = cx.quarantine_changed.subscribe();
     // The sender lives as long as the context.
@@ -36,7 +43,7 @@
     request: &AdmittedRequest,
     server: &Name,
 ) -> Option<AnswerId> {
-    let parts: Vec<u64> = request.shared_parts().collect();
+    let parts: Vec<u64> = request.part_marks().collect();
     if parts.is_empty() {
         return None;
     }
@@ -82,12 +89,12 @@
     let changes = cx.quarantine.borrow_mut().update(boot_ms());
     for change in &changes {
         match change {
-            QuarantineChange::Held(part, crashes) => {
-                warn!(cx.log, "prompt part quarantined"; "part" => format!("{part:x}"),
+            QuarantineChange::Held(mark, crashes) => {
+                warn!(cx.log, "quarantined"; "kind" => kind(*mark), "mark" => format!("{mark:x}"),
                     "crashes" => crashes);
             }
-            QuarantineChange::Released(part) => {
-                info!(cx.log, "prompt part released"; "part" => format!("{part:x}"));
+            QuarantineChange::Released(mark) => {
+                info!(cx.log, "released"; "kind" => kind(*mark), "mark" => format!("{mark:x}"));
             }
         }
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -217,6 +217,7 @@
         self.ignores_stall = false;
         if let Some(response) = &self.response {
             response.guard.mark_prompt_read();
+            response.guard.mark_progress();
             quarantine::record_progress(&self.cx, response.answer);
         }
         let complete = self.events.push(bytes);
@@ -239,6 +240,8 @@
             // A server that crashed between two events looks like one that has completed its stream.
             let (server, address) = (&response.guard.server, response.connection.address());
             check_server(&self.cx, server, address);
+        } else {
+            response.guard.mark_completed();
         }
         self.cx.pool.release(response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
