--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -30,4 +30,4 @@
 pub use roster::{Entry, Roster};
 pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
-pub use usage_step::{DueWindow, ReportStep, Restore, next_report_step};
+pub use usage_step::{CLOCK_TOLERANCE_MS, DueWindow, ReportStep, Restore, next_report_step};
--- a/crates/coord/tests/usage_step.rs
+++ b/crates/coord/tests/usage_step.rs
@@ -1,6 +1,6 @@
 //! Reports of usage windows by changing leaders, while the store is restored from older copies.
 
-use coord::{Counts, DueWindow, ReportStep, Restore, Window, next_report_step};
+use coord::{CLOCK_TOLERANCE_MS, Counts, DueWindow, ReportStep, Restore, Window, next_report_step};
 use kernel::Name;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -10,8 +10,7 @@
 /// Time from the end of a window to its decision, by the clock of the leader.
 const DECISION_DELAY_MS: u64 = 1_000;
 /// Largest difference of an entry's clock from the true time.
-const CLOCK_ERROR_MS: u64 = 2_000;
-const CLOCK_TOLERANCE_MS: u64 = 2 * CLOCK_ERROR_MS;
+const CLOCK_ERROR_MS: u64 = CLOCK_TOLERANCE_MS / 2;
 const STEP_MS: u64 = 100;
 const DAY_MS: u64 = 90_000;
 /// Start of the day, far enough from zero for clocks that are behind.
@@ -26,15 +25,15 @@
     DueWindow { decidable_at_unix_ms: 10_000, stored, remembered }
 }
 
-fn restore(over_by_unix_ms: u64) -> Option<Restore> {
-    Some(Restore { number: 1, over_by_unix_ms })
+fn restore(heard_at_unix_ms: u64) -> Option<Restore> {
+    Some(Restore { number: 1, heard_at_unix_ms })
 }
 
 #[test]
 fn counts_that_the_store_holds_are_reported_whatever_was_restored() {
     let stored = counts(7);
     for restore in [None, restore(20_000)] {
-        let step = next_report_step(due(Some(&stored), None), restore, CLOCK_TOLERANCE_MS);
+        let step = next_report_step(due(Some(&stored), None), restore);
         assert_eq!(step, ReportStep::Report(counts(7)));
     }
 }
@@ -42,26 +41,33 @@
 #[test]
 fn counts_that_only_this_entry_remembers_are_stored_again() {
     let remembered = counts(7);
-    let step = next_report_step(due(None, Some(&remembered)), restore(20_000), CLOCK_TOLERANCE_MS);
+    let step = next_report_step(due(None, Some(&remembered)), restore(20_000));
     assert_eq!(step, ReportStep::StoreAgain(counts(7)));
 }
 
 #[test]
 fn a_window_is_decided_unless_a_restore_may_have_undone_its_decision() {
-    let step = |restore| next_report_step(due(None, None), restore, CLOCK_TOLERANCE_MS);
+    let step = |restore| next_report_step(due(None, None), restore);
     assert_eq!(step(None), ReportStep::Decide);
     assert_eq!(step(restore(10_000)), ReportStep::Skip);
     assert_eq!(step(restore(10_000 - CLOCK_TOLERANCE_MS)), ReportStep::Skip);
     assert_eq!(step(restore(10_000 - CLOCK_TOLERANCE_MS - 1)), ReportStep::Decide);
 }
 
+#[test]
+fn counts_that_differ_from_those_remembered_are_not_reported() {
+    let (stored, remembered) = (counts(7), counts(8));
+    let step = next_report_step(due(Some(&stored), Some(&remembered)), restore(20_000));
+    assert_eq!(step, ReportStep::Skip);
+}
+
 /// A mechanism that is disabled to verify that the checker detects its absence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Disabled {
     /// Leaders do not heed restores.
     Restores,
-    /// Leaders take all clocks for equal.
-    Tolerance,
+    /// Clocks differ by more than is tolerated.
+    Clocks,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -121,6 +127,9 @@
                 day.copies.push((day.now, Store { leader: None, ..day.store.clone() }));
             }
             day.disturb();
+            for entry in 0..ENTRIES {
+                day.observe_era(entry);
+            }
             day.appoint_leader();
             day.act();
             day.deliver();
@@ -129,7 +138,8 @@
     }
 
     fn new_entry(&mut self) -> Entry {
-        let error = CLOCK_ERROR_MS as i64;
+        let times = if self.disabled == Some(Disabled::Clocks) { 2 } else { 1 };
+        let error = times * CLOCK_ERROR_MS as i64;
         Entry { clock_error_ms: self.rng.random_range(-error..=error), ..Entry::default() }
     }
 
@@ -191,14 +201,13 @@
         }
         let Some(leader @ (entry, _)) = self.store.leader else { return };
         let listed = self.store.clone();
-        self.observe_era(entry);
         let unix_ms = self.unix_ms(entry);
         let last = (unix_ms - DECISION_DELAY_MS) / WINDOW_MS - 1;
         let heeds_restores = self.disabled != Some(Disabled::Restores);
         let restore = self.entries[entry].restore.filter(|_| heeds_restores);
-        let tolerance_ms =
-            if self.disabled == Some(Disabled::Tolerance) { 0 } else { CLOCK_TOLERANCE_MS };
-        self.entries[entry].remembered.extend(listed.final_counts.clone());
+        for (window, counts) in &listed.final_counts {
+            self.entries[entry].remembered.entry(*window).or_insert_with(|| counts.clone());
+        }
         for window in last - 3..=last {
             if self.entries[entry].reported.contains(&window) {
                 continue;
@@ -208,7 +217,7 @@
                 stored: listed.final_counts.get(&window),
                 remembered: self.entries[entry].remembered.get(&window),
             };
-            let step = next_report_step(due, restore, tolerance_ms);
+            let step = next_report_step(due, restore);
             if self.rng.random_bool(0.02) {
                 self.restore_store();
             }
@@ -226,6 +235,10 @@
                     return;
                 }
                 self.store.final_counts.insert(window, counts.clone());
+                if self.rng.random_bool(0.1) {
+                    // The answer is lost, so that the leader does not know what it decided.
+                    return;
+                }
                 self.entries[entry].remembered.insert(window, counts.clone());
             }
             if self.rng.random_bool(0.9) {
@@ -245,8 +258,8 @@
         let era = self.store.era;
         let known = self.entries[entry].restore.map_or(0, |restore| restore.number);
         if era != known {
-            let over_by_unix_ms = self.unix_ms(entry);
-            self.entries[entry].restore = Some(Restore { number: era, over_by_unix_ms });
+            let heard_at_unix_ms = self.unix_ms(entry);
+            self.entries[entry].restore = Some(Restore { number: era, heard_at_unix_ms });
         }
     }
 
@@ -287,7 +300,7 @@
 
 #[test]
 fn the_model_sees_two_reports_without_each_mechanism() {
-    for disabled in [Disabled::Restores, Disabled::Tolerance] {
+    for disabled in [Disabled::Restores, Disabled::Clocks] {
         let seen = (0..400).any(|seed| Day::play(seed, Some(disabled)).has_two_reports());
         assert!(seen, "the model does not notice that {disabled:?} is disabled");
     }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -132,8 +132,7 @@
     /// Time on the boot clock at which the store last became reachable again, in milliseconds.
     pub(crate) store_regained_at: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
-    /// The last restore of the store from an older copy, as far as this entry knows; the time is that
-    /// at which it heard of it.
+    /// The last restore of the store from an older copy, as far as this entry knows.
     pub(crate) restore: Cell<Option<Restore>>,
     /// Signals that the store has become reachable again.
     pub(crate) store_regained: watch::Sender<u64>,
@@ -292,7 +291,7 @@
         let number = self.store.restores();
         let before = self.restores();
         if number != before {
-            self.restore.set(Some(Restore { number, over_by_unix_ms: Clock::unix_ms() }));
+            self.restore.set(Some(Restore { number, heard_at_unix_ms: Clock::unix_ms() }));
             warn!(self.log, "store restored"; "restores" => number, "before" => before);
         }
     }
--- a/crates/relay/src/usage_report.rs
+++ b/crates/relay/src/usage_report.rs
@@ -10,8 +10,6 @@
 
 /// Prefix of the keys that hold the final counts of a usage window.
 const FINAL_COUNTS_PREFIX: &str = "fennelfold/usage/";
-/// Maximum difference between the clocks of two entries, in milliseconds. Each may be two seconds off.
-const CLOCK_TOLERANCE_MS: u64 = 4_000;
 /// Minimum time from the end of a window to its report, in milliseconds. Requests that began just
 /// before the end are counted only when their responses begin.
 const COUNTS_DELAY_MS: u64 = 1_000;
@@ -31,8 +29,8 @@
 /// Reports of usage windows by this entry.
 #[derive(Debug, Default)]
 pub(crate) struct UsageDuty {
-    /// Windows reported in this tenure.
-    reported: BTreeSet<Window>,
+    /// Windows that were reported or skipped in this tenure.
+    settled: BTreeSet<Window>,
     /// Final counts that this entry stored or found stored, in any tenure.
     remembered: BTreeMap<Window, Counts>,
 }
@@ -48,7 +46,7 @@
 impl UsageDuty {
     /// Forgets which windows were reported, because another leader may have acted since.
     pub(crate) fn report_again(&mut self) {
-        self.reported.clear();
+        self.settled.clear();
     }
 
     /// Determines and stores the final counts of the usage windows that are due, and reports them.
@@ -60,7 +58,7 @@
         let first = last.saturating_sub(REREPORT_MS / window_ms);
         let end_ms = |window: Window| (window + 1) * window_ms;
         let due: Vec<Window> = (first..=last)
-            .filter(|window| !self.reported.contains(window))
+            .filter(|window| !self.settled.contains(window))
             .filter(|window| is_complete(cx, end_ms(*window), unix_ms))
             .collect();
         if due.is_empty() {
@@ -72,7 +70,9 @@
         let is_expired = |window| end_ms(window) + FINAL_COUNTS_RETENTION_MS < unix_ms;
         let stored = parse_listing(cx, listing.items, is_expired);
         self.remembered.retain(|window, _| !is_expired(*window));
-        self.remembered.extend(stored.final_counts.clone());
+        for (window, counts) in &stored.final_counts {
+            self.remembered.entry(*window).or_insert_with(|| counts.clone());
+        }
         for window in due {
             let step = next_report_step(
                 DueWindow {
@@ -81,7 +81,6 @@
                     remembered: self.remembered.get(&window),
                 },
                 cx.restore.get(),
-                CLOCK_TOLERANCE_MS,
             );
             let (counts, is_stored) = match step {
                 ReportStep::Report(counts) => (counts, true),
@@ -89,16 +88,16 @@
                 ReportStep::Decide => (sum_counts(cx, window), false),
                 ReportStep::Skip => {
                     warn!(cx.log, "usage window skipped"; "window" => window,
-                        "cause" => "a restore of the store may have undone its decision",
+                        "cause" => "other counts may have been reported before a restore of the store",
                         "restores" => cx.restores());
-                    self.reported.insert(window);
+                    self.settled.insert(window);
                     continue;
                 }
             };
             if !is_stored && !store_final_counts(cx, lease, window, &counts).await {
                 return;
             }
-            self.remembered.insert(window, counts.clone());
+            self.remembered.entry(window).or_insert_with(|| counts.clone());
             self.send(cx, duties, lease, window, &counts).await;
         }
         delete_keys(cx, stored.expired).await;
@@ -118,7 +117,7 @@
             Ok(()) => {
                 info!(cx.log, "usage reported"; "window" => window, "number" => number,
                     "requests" => counts.values().sum::<u64>(), "counts" => format!("{counts:?}"));
-                self.reported.insert(window);
+                self.settled.insert(window);
             }
             Err(failure) => {
                 warn!(cx.log, "usage not reported"; "window" => window, "cause" => %failure);
