--- a/crates/infra/src/kv.rs
+++ b/crates/infra/src/kv.rs
@@ -133,8 +133,9 @@
     /// Makes changes, all or none.
     async fn commit(&self, commit: &Commit) -> Result<Committed, Failure>;
 
-    /// Returns how often the service has been restored from an older copy, as of the newest answer.
+    /// Returns how often the service has been restored from an older copy, as of the newest answer;
+    /// `None` before an answer has told.
     ///
     /// A restore undoes changes that were answered with success, and ends leases.
-    fn restores(&self) -> u64;
+    fn restores(&self) -> Option<u64>;
 }
--- a/crates/place/src/lease.rs
+++ b/crates/place/src/lease.rs
@@ -60,8 +60,8 @@
         /// Revision of the write that created the key.
         revision: i64,
     },
-    /// An earlier process of this entry created the key. It has ended, so it sends no more orders,
-    /// and no other entry has held the lease since.
+    /// An earlier process of this entry created the key, since the last restore of the key-value
+    /// service. It has ended, so it sends no more orders, and no other entry has held the lease since.
     EarlierProcess {
         /// Revision of the write that created the key.
         revision: i64,
@@ -221,11 +221,6 @@
             (State::Idle, LeaseEvent::Found(KeyOwner::ThisEntry { lease, revision })) => {
                 self.resume(lease, revision, now)
             }
-            (State::Idle, LeaseEvent::Found(KeyOwner::EarlierProcess { .. }))
-                if now < self.vacant_from =>
-            {
-                LeaseAction::Wait(self.vacant_from)
-            }
             (State::Idle, LeaseEvent::Found(KeyOwner::EarlierProcess { revision })) => {
                 self.takeover = revision;
                 LeaseAction::Grant
@@ -253,7 +248,8 @@
 
     fn on_granted(&mut self, lease: i64, sent: Millis, now: Millis) -> LeaseAction {
         let until = self.held_until(sent);
-        if now >= until || now < self.vacant_from {
+        let is_too_early = self.takeover == 0 && now < self.vacant_from;
+        if now >= until || is_too_early {
             return self.abandon(now);
         }
         let replaces = std::mem::take(&mut self.takeover);
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -132,7 +132,10 @@
     /// Time on the boot clock at which the store last became reachable again, in milliseconds.
     pub(crate) store_regained_at: Cell<Millis>,
     pub(crate) store_lost: Cell<bool>,
-    /// The last restore of the store from an older copy, as far as this entry knows.
+    /// Number of restores of the store as of its newest answer; `None` before one has told.
+    pub(crate) restores: Cell<Option<u64>>,
+    /// The last restore of the store from an older copy that may have undone changes of this deployment,
+    /// as far as this entry knows.
     pub(crate) restore: Cell<Option<Restore>>,
     /// Signals that the store has become reachable again.
     pub(crate) store_regained: watch::Sender<u64>,
@@ -229,6 +232,7 @@
             shutdown: Cell::default(),
             store_regained_at: Cell::new(0),
             store_lost: Cell::new(false),
+            restores: Cell::new(None),
             restore: Cell::new(None),
             store_regained: watch::Sender::new(0),
             leader: RefCell::default(),
@@ -286,19 +290,27 @@
         }
     }
 
-    /// Notes whether the store has been restored from an older copy.
-    fn observe_restores(&self) {
-        let number = self.store.restores();
-        let before = self.restores();
-        if number != before {
+    /// Notes whether the store has been restored from an older copy; returns the last restore.
+    ///
+    /// A process that starts cannot know when the last restore was and takes its first answer for it,
+    /// unless the whole deployment starts.
+    pub(crate) fn observe_restores(&self) -> Option<Restore> {
+        let number = self.store.restores()?;
+        let before = self.restores.replace(Some(number));
+        let is_new = match before {
+            Some(before) => number != before,
+            None => number != 0 && !self.settings.first_start,
+        };
+        if is_new {
             self.restore.set(Some(Restore { number, heard_at_unix_ms: Clock::unix_ms() }));
             warn!(self.log, "store restored"; "restores" => number, "before" => before);
         }
+        self.restore.get()
     }
 
     /// Returns how often the store has been restored, as far as this entry knows.
     pub(crate) fn restores(&self) -> u64 {
-        self.restore.get().map_or(0, |restore| restore.number)
+        self.restores.get().unwrap_or(0)
     }
 
     /// Updates the gauges and renders all metrics.
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -4,9 +4,8 @@
 use crate::context::Context;
 use crate::sync::LEADER_KEY;
 use crate::usage_report::UsageDuty;
-use infra::{
-    Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Store, Swap,
-};
+use coord::Restore;
+use infra::{Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Swap};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use place::{
@@ -47,16 +46,16 @@
 
 /// State of the leader lease, shared by the tasks of this entry.
 pub(crate) struct LeaderLease {
+    cx: Rc<Context>,
     holder: RefCell<Holder>,
-    store: Arc<dyn Store>,
-    /// Number of restores of the store that the holder knows of.
-    restores: Cell<u64>,
+    /// The restore of the store that the holder knows of.
+    restore: Cell<Option<Restore>>,
 }
 
 impl LeaderLease {
-    /// Creates the state of an entry that does not hold the lease. `separation` is the minimum time
-    /// between the orders of two tenures of one entry.
-    pub(crate) fn new(store: Arc<dyn Store>, separation: Duration, is_first_start: bool) -> Self {
+    /// Creates the state of an entry that does not hold the lease.
+    pub(crate) fn new(cx: Rc<Context>) -> Self {
+        let separation = cx.settings.promises.lease;
         let ttl = 1_000 * ttl_s(separation) as Millis;
         let times = LeaseTimes {
             ttl,
@@ -66,8 +65,8 @@
             order_timeout: ttl / 3,
             retry_delay: ttl / 8,
         };
-        let new = if is_first_start { Holder::at_first_start } else { Holder::new };
-        Self { holder: RefCell::new(new(times, boot_ms())), store, restores: Cell::new(0) }
+        let new = if cx.settings.first_start { Holder::at_first_start } else { Holder::new };
+        Self { cx, holder: RefCell::new(new(times, boot_ms())), restore: Cell::new(None) }
     }
 
     /// Returns the next action after an event.
@@ -77,8 +76,8 @@
     }
 
     fn observe_restores(&self) {
-        let restores = self.store.restores();
-        if self.restores.replace(restores) != restores {
+        let restore = self.cx.observe_restores();
+        if self.restore.replace(restore) != restore {
             self.holder.borrow_mut().record_restore(boot_ms());
         }
     }
@@ -161,7 +160,7 @@
                 incarnation: cx.incarnation,
                 front: Some(cx.settings.front),
                 lease,
-                restores: cx.store.restores(),
+                restores: cx.restores(),
             };
             let value = serde_json::to_vec(&record).unwrap_or_default();
             match cx.store.swap(LEADER_KEY, replaces, value.into(), Some(Lease(lease))).await {
@@ -196,7 +195,7 @@
         Ok(record)
             if record.entry == cx.settings.name
                 && record.front == Some(cx.settings.front)
-                && record.restores == cx.store.restores() =>
+                && record.restores == cx.restores() =>
         {
             KeyOwner::EarlierProcess { revision: stored.revision }
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -71,9 +71,7 @@
     spawn_local(peers::broadcast_state(cx.clone()));
     spawn_local(sync::remove_missing_servers(cx.clone()));
     spawn_local(sweep(cx.clone()));
-    let lease =
-        LeaderLease::new(cx.store.clone(), cx.settings.promises.lease, cx.settings.first_start);
-    let lease = Rc::new(lease);
+    let lease = Rc::new(LeaderLease::new(cx.clone()));
     if let Some(duties) = cx.duties.clone() {
         spawn_local(duty::hold_lease(cx.clone(), lease.clone()));
         spawn_local(duty::run_duties(cx.clone(), duties, lease.clone()));
