coord, relay: crashes under copies of one request count, and it is sent again only after the check of its server

crashing_requests::a_request_of_which_copies_crash_servers_at_once_... failed once in a full parallel run: more than 3 late arrivals. Cause: three copies crashed three servers within 30 ms, which counted once, so that two more crashes and the retries sent before their servers were checked came late. Now all crashes count for a request that no server survived in the last 30 s; a survival that is heard of later ends a quarantine for which too few crashes count with it.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -25,8 +25,8 @@
     /// survived. A crash counts if the answer began after the crash before: servers that crash
     /// together do so for another reason.
     pub crashes: usize,
-    /// Time between two crashes from which they did not happen together, so that both count for a request
-    /// which was sent to both servers, in milliseconds. A part is in too many requests for that.
+    /// Time between two crashes from which they did not happen together, in milliseconds. Both count for
+    /// a request that was sent to both servers, though a server survived it lately.
     pub apart_ms: Millis,
     /// Time for which a crash counts, in milliseconds.
     pub crash_memory_ms: Millis,
@@ -398,10 +398,14 @@
         }
     }
 
-    /// Whether a survival disproves a quarantine. A request may turn bad at any time, so that only a later
-    /// survival does.
+    /// Whether a survival disproves a quarantine. A request may turn bad at any time, so that an earlier
+    /// survival does so only if too few of the crashes count with it.
     fn is_disproved(&self, mark: u64, hold: &Hold) -> bool {
-        self.survived.get(&mark).is_some_and(|at| !is_request_mark(mark) || *at >= hold.tried_at)
+        let Some(survived_at) = self.survived.get(&mark) else { return false };
+        let is_accused = || self.crashes.values().any(|crash| crash.suspects.contains_key(&mark));
+        !is_request_mark(mark)
+            || *survived_at >= hold.tried_at
+            || (is_accused() && self.crashes_under(mark) < self.settings.crashes)
     }
 
     /// Applies the evidence and the time that has passed; returns what changed.
@@ -500,7 +504,12 @@
             .filter_map(|crash| Some((crash.at, crash.suspects.get(&mark)?.began_at)))
             .collect();
         crashes.sort_unstable();
-        let apart_ms = if is_request_mark(mark) { self.settings.apart_ms } else { Millis::MAX };
+        // Copies of a request are sent at once, but few requests are the same. A part is in too many.
+        let apart_ms = match (is_request_mark(mark), self.survived.contains_key(&mark)) {
+            (true, false) => 0,
+            (true, true) => self.settings.apart_ms,
+            (false, _) => Millis::MAX,
+        };
         let mut count = 0;
         let mut last_counted: Option<Millis> = None;
         for (at, began_at) in crashes {
@@ -556,6 +565,11 @@
         marks.any(|mark| self.held.contains_key(&mark))
     }
 
+    /// Whether a server crashed that had a request with one of these marks.
+    pub fn is_suspect(&self, mut marks: impl Iterator<Item = u64>) -> bool {
+        marks.any(|mark| self.crashes.values().any(|crash| crash.suspects.contains_key(&mark)))
+    }
+
     /// Returns the number of marks in quarantine.
     pub fn held_count(&self) -> usize {
         self.held.len()
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -117,6 +117,8 @@
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
     /// Servers for which a check is under way whether they have ended.
     pub(crate) servers_checked: RefCell<BTreeSet<Name>>,
+    /// Signals the end of such a check.
+    pub(crate) server_check_ended: Notify,
     /// Recent changes of the servers' registrations.
     pub(crate) server_changes: RefCell<ChangeLog>,
     /// Recent changes of the entries' registrations and of the lease record.
@@ -223,6 +225,7 @@
             server_added_at: Cell::default(),
             missing_servers: RefCell::default(),
             servers_checked: RefCell::default(),
+            server_check_ended: Notify::new(),
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
             departures: RefCell::default(),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -279,7 +279,8 @@
             request.remaining_ms(),
         );
         if step == (NextStep::Retry { uses_budget: true })
-            && (quarantine::is_held(cx, &request) || !peers::take_retry(cx, &request).await)
+            && (quarantine::is_held_after(cx, &request, &choice.id).await
+                || !peers::take_retry(cx, &request).await)
         {
             step = next_step_without_budget(result, history);
         }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::dispatch::AdmittedRequest;
 use crate::peers;
+use crate::server_check::wait_for_check;
 use coord::{
     AnswerId, QuarantineChange, QuarantineCheck, QuarantineNews, ServerRun, is_request_mark,
 };
@@ -30,6 +31,16 @@
     cx.quarantine.borrow().is_held(request.marks())
 }
 
+/// Whether a mark of the request is in quarantine, now that its attempt at a server broke.
+///
+/// If servers crashed under the request before, waits until it is known whether this one did too.
+pub(crate) async fn is_held_after(cx: &Context, request: &AdmittedRequest, server: &Name) -> bool {
+    if cx.quarantine.borrow().is_suspect(request.marks()) {
+        wait_for_check(cx, server).await;
+    }
+    is_held(cx, request)
+}
+
 /// Waits until a mark of the request is put into quarantine.
 pub(crate) async fn wait_until_held(cx: &Context, request: &AdmittedRequest) {
     let mut changed = cx.quarantine_changed.subscribe();
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Maximum time for which a request that may be to blame for a crash waits for the check.
+const CHECK_WAIT: Duration = Duration::from_millis(50);
+
 /// Checks in the background whether a server has crashed, unless such a check is under way.
 ///
 /// All requests at a server that ends break at the same time, so that one check answers for all.
@@ -21,7 +24,6 @@
     let broke_at = boot_ms();
     tokio::task::spawn_local(async move {
         let reachability = probe(address).await;
-        cx.servers_checked.borrow_mut().remove(&server);
         let started_unix_ms =
             cx.picker.borrow().get(&server).map(|known| known.info.started_unix_ms);
         // A server that leaves ends because it was told to.
@@ -32,9 +34,23 @@
             && reachability == Reachability::Refused
             && !leaving
         {
-            quarantine::record_crash(&cx, ServerRun { server, started_unix_ms }, broke_at);
+            let run = ServerRun { server: server.clone(), started_unix_ms };
+            quarantine::record_crash(&cx, run, broke_at);
         } else if reachability != Reachability::Listening {
             cx.quarantine.borrow_mut().discard_answers(&server);
         }
+        cx.servers_checked.borrow_mut().remove(&server);
+        cx.server_check_ended.notify_waiters();
     });
 }
+
+/// Waits until a check of a server is over, or for [`CHECK_WAIT`].
+pub(crate) async fn wait_for_check(cx: &Context, server: &Name) {
+    let ended = async {
+        while cx.servers_checked.borrow().contains(server) {
+            cx.server_check_ended.notified().await;
+        }
+    };
+    // A check that takes longer finds out nothing, or later than the request can wait.
+    let _ = tokio::time::timeout(CHECK_WAIT, ended).await;
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -260,7 +260,11 @@
             request.route.max_attempts,
             request.remaining_ms(),
         );
-        if !matches!(step, NextStep::Retry { .. }) || quarantine::is_held(cx, request) {
+        if !matches!(step, NextStep::Retry { .. }) {
+            return None;
+        }
+        let last = self.tried.last()?;
+        if quarantine::is_held_after(cx, request, last).await {
             return None;
         }
         let choice = choose_server(cx, request, &self.tried, self.software_version.as_ref())?;
