relay: a stopping entry removes only the registration that it wrote

Cause: the removal at a stop had no condition, and the store may execute it after the next process has registered under the same name, whose lease then goes on.

--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -41,11 +41,11 @@
 
 /// Keeps this entry registered until it stops, then removes the registration.
 pub(crate) async fn keep_registered(cx: Rc<Context>) {
-    let mut lease: Option<Lease> = None;
+    let mut written: Option<(Lease, i64)> = None;
     let mut is_first = true;
     while !cx.stopping.get() {
-        let registered = match lease {
-            Some(lease) => cx.store.renew(lease).await,
+        let registered = match written {
+            Some((lease, _)) => cx.store.renew(lease).await,
             None => Ok(false),
         };
         cx.record_store_call("renew", registered.as_ref().err());
@@ -53,8 +53,8 @@
             Ok(true) => RENEW_INTERVAL,
             Err(_) => RETRY_DELAY,
             Ok(false) => match write_registration(&cx, &mut is_first).await {
-                Ok(granted) => {
-                    lease = Some(granted);
+                Ok(registration) => {
+                    written = Some(registration);
                     RENEW_INTERVAL
                 }
                 Err(failure) => {
@@ -65,7 +65,11 @@
         };
         tokio::time::sleep(pause).await;
     }
-    let commit = Commit { removes: vec![registration_key(&cx)], ..Commit::default() };
+    let Some((_, revision)) = written else { return };
+    // The store may execute the removal after the next process has registered under the same name.
+    let key = registration_key(&cx);
+    let commit =
+        Commit { expected: vec![(key.clone(), revision)], removes: vec![key], ..Commit::default() };
     let removed = cx.store.commit(&commit).await;
     cx.record_store_call("commit", removed.as_ref().err());
 }
@@ -74,7 +78,8 @@
     format!("{ENTRIES_PREFIX}{}", cx.settings.name)
 }
 
-async fn write_registration(cx: &Context, is_first: &mut bool) -> Result<Lease, Failure> {
+/// Registers this entry; returns the lease and the revision of its registration.
+async fn write_registration(cx: &Context, is_first: &mut bool) -> Result<(Lease, i64), Failure> {
     let key = registration_key(cx);
     let earlier = cx.store.get(&key).await?;
     let lease = cx.store.grant(REGISTRATION_TTL_S).await?;
@@ -100,7 +105,7 @@
                 let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
                 cx.quota_shares.borrow_mut().start_refill_at(from);
             }
-            Ok(lease)
+            Ok((lease, revision))
         }
         Committed::Conflict | Committed::NoLease => Err(Failure::new(
             Code::PlatformUnreachable,
