relay: after a restore of the store, servers that the copy lacks are left the time to register again

What callers saw in the test: "refused 646.52403ms after the restore", as an entry that had not noticed the store's absence removed servers that the copy lacks at once. Now a restore counts as a return of the store.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -307,6 +307,8 @@
         if is_new {
             self.restore.set(Some(Restore { number, heard_at_unix_ms: Clock::unix_ms() }));
             warn!(self.log, "store restored"; "restores" => number, "before" => before);
+            // Servers write again what the copy lacks.
+            self.store_regained_at.set(boot_ms());
         }
         self.restore.get()
     }
