coord: marks are judged only when there is new evidence

Since whole requests are suspects, a crash has as many of them as requests were open at the server, and each entry counted them all every 150 ms for two minutes. What decides is unchanged: the tests of the quarantine and crashing:: pass.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -177,6 +177,8 @@
     /// Survivals in order, with those that were replaced.
     survivals: VecDeque<(Millis, u64)>,
     crashes: BTreeMap<ServerRun, Crash>,
+    /// Whether there is evidence that was not judged yet.
+    has_new_evidence: bool,
     held: BTreeMap<u64, Hold>,
     /// Time at which another entry last told of a crash or a quarantine of a mark that servers survived.
     doubted: BTreeMap<u64, Millis>,
@@ -196,6 +198,7 @@
             survived: HashMap::new(),
             survivals: VecDeque::new(),
             crashes: BTreeMap::new(),
+            has_new_evidence: false,
             held: BTreeMap::new(),
             doubted: BTreeMap::new(),
         }
@@ -336,7 +339,11 @@
             {
                 continue;
             }
-            let known = crash.suspects.entry(mark).or_insert(suspect);
+            let known = crash.suspects.entry(mark).or_insert_with(|| {
+                self.has_new_evidence = true;
+                suspect
+            });
+            self.has_new_evidence |= suspect.began_at > known.began_at;
             known.began_at = suspect.began_at.max(known.began_at);
             known.is_own |= suspect.is_own;
         }
@@ -371,7 +378,10 @@
             if self.is_disproved(mark, &told) || self.is_explained(mark) {
                 continue;
             }
-            let hold = self.held.entry(mark).or_insert(told);
+            let hold = self.held.entry(mark).or_insert_with(|| {
+                self.has_new_evidence = true;
+                told
+            });
             hold.requested_at = hold.requested_at.max(told.requested_at);
             hold.tried_at = hold.tried_at.max(told.tried_at);
         }
@@ -390,6 +400,7 @@
         }
         self.survived.insert(mark, at);
         self.survivals.push_back((at, mark));
+        self.has_new_evidence |= self.held.contains_key(&mark) || self.is_accused(mark);
         if is_request_mark(mark) {
             // A request that a server survived was not to blame for the crashes before.
             for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
@@ -398,22 +409,28 @@
         }
     }
 
+    fn is_accused(&self, mark: u64) -> bool {
+        self.crashes.values().any(|crash| crash.suspects.contains_key(&mark))
+    }
+
     /// Whether a survival disproves a quarantine. A request may turn bad at any time, so that an earlier
     /// survival does so only if too few of the crashes count with it.
     fn is_disproved(&self, mark: u64, hold: &Hold) -> bool {
         let Some(survived_at) = self.survived.get(&mark) else { return false };
-        let is_accused = || self.crashes.values().any(|crash| crash.suspects.contains_key(&mark));
         !is_request_mark(mark)
             || *survived_at >= hold.tried_at
-            || (is_accused() && self.crashes_under(mark) < self.settings.crashes)
+            || (self.is_accused(mark) && self.crashes_under(mark) < self.settings.crashes)
     }
 
     /// Applies the evidence and the time that has passed; returns what changed.
     pub fn update(&mut self, now: Millis) -> Vec<QuarantineChange> {
         self.record_survivals(now);
         self.forget(now);
-        let mut changes = self.release(now);
-        changes.extend(self.hold(now));
+        let mut changes = self.release_idle(now);
+        if std::mem::take(&mut self.has_new_evidence) {
+            changes.extend(self.release_disproved());
+            changes.extend(self.hold(now));
+        }
         changes
     }
 
@@ -436,7 +453,9 @@
         self.sent.retain(|_, sent| {
             sent.ended_at.is_none_or(|at| now.saturating_sub(at) < settings.news_ms)
         });
+        let known = self.crashes.len();
         self.crashes.retain(|_, crash| now.saturating_sub(crash.at) < settings.crash_memory_ms);
+        self.has_new_evidence |= self.crashes.len() < known;
         self.doubted.retain(|_, at| now.saturating_sub(*at) < settings.news_ms);
         let memory_ms = settings.survival_memory_ms;
         let is_old = |(at, _): &(Millis, u64)| now.saturating_sub(*at) >= memory_ms;
@@ -444,18 +463,27 @@
             let Some((at, part)) = self.survivals.pop_front() else { return };
             if self.survived.get(&part) == Some(&at) {
                 self.survived.remove(&part);
+                self.has_new_evidence |= self.is_accused(part);
             }
         }
     }
 
-    /// Ends quarantines that no request needs any more, or that survivals have disproved.
-    fn release(&mut self, now: Millis) -> Vec<QuarantineChange> {
-        let is_over = |(mark, hold): &(&u64, &Hold)| {
-            now.saturating_sub(hold.requested_at) >= self.settings.idle_ms
-                || self.is_disproved(**mark, hold)
-                || self.is_explained(**mark)
-        };
-        let over: Vec<u64> = self.held.iter().filter(is_over).map(|(mark, _)| *mark).collect();
+    /// Ends quarantines that no request needs any more.
+    fn release_idle(&mut self, now: Millis) -> Vec<QuarantineChange> {
+        let idle_ms = self.settings.idle_ms;
+        self.release(|_, _, hold| now.saturating_sub(hold.requested_at) >= idle_ms)
+    }
+
+    /// Ends quarantines that the evidence has disproved.
+    fn release_disproved(&mut self) -> Vec<QuarantineChange> {
+        self.release(|quarantine, mark, hold| {
+            quarantine.is_disproved(mark, hold) || quarantine.is_explained(mark)
+        })
+    }
+
+    fn release(&mut self, is_over: impl Fn(&Self, u64, &Hold) -> bool) -> Vec<QuarantineChange> {
+        let held = self.held.iter().filter(|(mark, hold)| is_over(self, **mark, hold));
+        let over: Vec<u64> = held.map(|(mark, _)| *mark).collect();
         for mark in &over {
             self.held.remove(mark);
         }
@@ -567,7 +595,7 @@
 
     /// Whether a server crashed that had a request with one of these marks.
     pub fn is_suspect(&self, mut marks: impl Iterator<Item = u64>) -> bool {
-        marks.any(|mark| self.crashes.values().any(|crash| crash.suspects.contains_key(&mark)))
+        marks.any(|mark| self.is_accused(mark))
     }
 
     /// Returns the number of marks in quarantine.
