coord, relay: a sound request that was at servers which crash under another one is served, and does not shield it

With four servers a hot request is at each server that crashes under another one, and nothing completes while all are away; it was held with the bad one, or before it, so that its crashes did not count for that, or it "explained" that one, whose quarantine ended.

Now a request that a server survived in the last 30 s takes six crashes, and neither accounts for nor shields one that none survived; a survival that another entry tells of ends a quarantine that was too early by it. The relay judges also if a peer told of a crash first.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -25,6 +25,9 @@
     /// survived. A crash counts if the answer began after the crash before: servers that crash
     /// together do so for another reason.
     pub crashes: usize,
+    /// The same number for a request that a server survived lately: sound ones are at servers that crash
+    /// under another request.
+    pub crashes_of_survived: usize,
     /// Time between two crashes from which they did not happen together, in milliseconds. Both count for
     /// a request that was sent to both servers, though a server survived it lately.
     pub apart_ms: Millis,
@@ -47,6 +50,7 @@
             suspect_ms: 500,
             survival_ms: 1_000,
             crashes: 3,
+            crashes_of_survived: 6,
             apart_ms: 30,
             crash_memory_ms: 120_000,
             survival_memory_ms: 30_000,
@@ -419,7 +423,7 @@
         let Some(survived_at) = self.survived.get(&mark) else { return false };
         !is_request_mark(mark)
             || *survived_at >= hold.tried_at
-            || (self.is_accused(mark) && self.crashes_under(mark) < self.settings.crashes)
+            || (self.is_accused(mark) && self.crashes_under(mark) < self.crashes_to_hold(mark))
     }
 
     /// Applies the evidence and the time that has passed; returns what changed.
@@ -504,7 +508,7 @@
             .filter(|(mark, _)| !self.held.contains_key(mark) && !self.is_cleared(*mark))
             .map(|(mark, _)| (mark, self.crashes_under(mark)))
             .filter(|(mark, crashes)| {
-                *crashes >= self.settings.crashes && !self.is_explained(*mark)
+                *crashes >= self.crashes_to_hold(*mark) && !self.is_explained(*mark)
             })
             .collect();
         guilty.sort_unstable();
@@ -513,6 +517,28 @@
         guilty.into_iter().map(|(mark, crashes)| QuarantineChange::Held(mark, crashes)).collect()
     }
 
+    /// Whether a server survived a request with this mark lately. It may have turned bad since.
+    fn is_survived_request(&self, mark: u64) -> bool {
+        is_request_mark(mark) && self.survived.contains_key(&mark)
+    }
+
+    /// Returns the number of crashes that put a mark into quarantine.
+    fn crashes_to_hold(&self, mark: u64) -> usize {
+        if self.is_survived_request(mark) {
+            self.settings.crashes_of_survived
+        } else {
+            self.settings.crashes
+        }
+    }
+
+    /// Whether one mark may account for crashes under another one. A request that a server survived lately
+    /// does not account for those under one that none did.
+    fn may_explain(&self, other: u64, mark: u64) -> bool {
+        other != mark
+            && !self.is_cleared(other)
+            && (!self.is_survived_request(other) || self.is_survived_request(mark))
+    }
+
     /// Whether a survival clears a mark of all crashes that are known. Those that it clears a request of are
     /// no longer known.
     fn is_cleared(&self, mark: u64) -> bool {
@@ -523,7 +549,8 @@
     /// not count.
     fn crashes_under(&self, mark: u64) -> usize {
         let has_other = |crash: &Crash| {
-            crash.suspects.keys().any(|other| *other != mark && self.held.contains_key(other))
+            let mut others = crash.suspects.keys();
+            others.any(|other| self.held.contains_key(other) && self.may_explain(*other, mark))
         };
         let mut crashes: Vec<(Millis, Millis)> = self
             .crashes
@@ -561,8 +588,7 @@
         first.suspects.keys().any(|other| {
             let count_of_other =
                 self.crashes.values().filter(|crash| crash.suspects.contains_key(other)).count();
-            *other != mark
-                && !self.is_cleared(*other)
+            self.may_explain(*other, mark)
                 && count_of_other >= self.settings.crashes
                 && under().all(|crash| crash.suspects.contains_key(other))
                 && (count_of_other > count || index(*other) > index(mark))
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -79,7 +79,8 @@
 pub(crate) fn record_crash(cx: &Rc<Context>, run: ServerRun, at: Millis) {
     let suspects = cx.quarantine.borrow_mut().record_crash(run.clone(), at);
     if suspects.is_empty() {
-        return;
+        // A peer may have told of the crash first, so that its suspects are known but not judged yet.
+        return update(cx);
     }
     let suspects: Vec<String> = suspects.iter().map(|part| format!("{part:x}")).collect();
     info!(cx.log, "server crashed"; "server" => %run.server, "suspects" => suspects.join(","));
