--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -5,13 +5,20 @@
 //! parts of its prompt and its content. An innocent mark is told from the one to blame by the servers
 //! that live on after they began to answer a request with it. Under the latter, every server crashes.
 
+mod crash;
+mod open_work;
+
 use crate::fingerprint::is_request_mark;
 use crate::quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 use crate::rendezvous;
 use kernel::{Millis, Name};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use crash::{Crash, Suspect};
+use open_work::{Answer, Sent};
+
+pub use open_work::{AnswerId, SendId};
+
 /// When marks of requests are put into quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuarantineSettings {
@@ -63,10 +70,6 @@
 
 /// Maximum number of crashes in the news for another entry.
 const MAX_CRASHES_TOLD: usize = 12;
-/// Maximum number of requests that the news for another entry have for one crash.
-const MAX_REQUESTS_TOLD: usize = 24;
-/// Index of a whole request among the marks of its prompt: it comes after all parts.
-const REQUEST_INDEX: usize = u32::MAX as usize;
 
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,70 +94,6 @@
     Released(u64),
 }
 
-/// Identifies an answer that began recently.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct AnswerId(u64);
-
-/// A prompt that a server began to answer.
-#[derive(Clone, Debug)]
-struct Answer {
-    id: AnswerId,
-    server: Name,
-    parts: Vec<u64>,
-    began_at: Millis,
-    /// Whether the server went on with the answer after it could have crashed under it.
-    went_on: bool,
-}
-
-/// Identifies a request that was sent to a server recently.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct SendId(u64);
-
-/// A request that was sent to a server, which has not survived it yet.
-#[derive(Clone, Debug)]
-struct Sent {
-    server: Name,
-    mark: u64,
-    sent_at: Millis,
-    /// Time at which the answer began, if it has.
-    began_at: Option<Millis>,
-    /// Time at which this entry stopped waiting for the answer, if it has.
-    ended_at: Option<Millis>,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Crash {
-    at: Millis,
-    suspects: BTreeMap<u64, Suspect>,
-}
-
-impl Crash {
-    /// Returns the suspects for the news: all parts, and the last requests that this entry had sent.
-    fn suspects_to_tell(&self) -> BTreeMap<u64, SuspectNews> {
-        let is_request = |(mark, _): &(&u64, &Suspect)| is_request_mark(**mark);
-        let (mut requests, parts): (Vec<_>, Vec<_>) = self.suspects.iter().partition(is_request);
-        requests.retain(|(_, suspect)| suspect.is_own);
-        requests.sort_unstable_by_key(|(_, suspect)| Reverse(suspect.began_at));
-        requests.truncate(MAX_REQUESTS_TOLD);
-        let news = |(mark, suspect): (&u64, &Suspect)| {
-            let answered_ms = self.at.saturating_sub(suspect.began_at);
-            (*mark, SuspectNews { answered_ms, index: suspect.index })
-        };
-        parts.into_iter().chain(requests).map(news).collect()
-    }
-}
-
-/// A mark of a request that a server had, or had just begun to answer, when it crashed.
-#[derive(Clone, Copy, Debug)]
-struct Suspect {
-    /// Time at which the last such answer began, or at which the request was sent.
-    began_at: Millis,
-    /// Index of the part in its prompt, or [`REQUEST_INDEX`].
-    index: usize,
-    /// Whether this entry had sent the request. Others tell of theirs themselves.
-    is_own: bool,
-}
-
 /// Quarantine of a mark. Times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Hold {
@@ -213,86 +152,6 @@
         self.entries = entries;
     }
 
-    /// Records that a server began to answer a prompt with these parts.
-    pub fn record_answer(&mut self, server: &Name, parts: Vec<u64>, now: Millis) -> AnswerId {
-        self.last_answer_id += 1;
-        let id = AnswerId(self.last_answer_id);
-        let answer = Answer { id, server: server.clone(), parts, began_at: now, went_on: false };
-        self.answers.push_back(answer);
-        id
-    }
-
-    /// Records that more of an answer arrived. It went on if a crash would no longer make it suspect.
-    pub fn record_progress(&mut self, id: AnswerId, now: Millis) {
-        let suspect_ms = self.settings.suspect_ms;
-        if let Some(answer) = self.answer_mut(id) {
-            answer.went_on |= now.saturating_sub(answer.began_at) > suspect_ms;
-        }
-    }
-
-    /// Records that an answer is complete.
-    pub fn record_completion(&mut self, id: AnswerId) {
-        if let Some(answer) = self.answer_mut(id) {
-            answer.went_on = true;
-        }
-    }
-
-    fn answer_mut(&mut self, id: AnswerId) -> Option<&mut Answer> {
-        let index = self.answers.binary_search_by_key(&id, |answer| answer.id).ok()?;
-        self.answers.get_mut(index)
-    }
-
-    /// Records that a request with this mark is sent to a server.
-    pub fn record_sent(&mut self, server: &Name, mark: u64, now: Millis) -> SendId {
-        self.last_send_id += 1;
-        let id = SendId(self.last_send_id);
-        let server = server.clone();
-        self.sent.insert(id, Sent { server, mark, sent_at: now, began_at: None, ended_at: None });
-        id
-    }
-
-    /// Records that the answer to a request began.
-    pub fn record_head(&mut self, id: SendId, now: Millis) {
-        if let Some(sent) = self.sent.get_mut(&id) {
-            sent.began_at = Some(now);
-        }
-    }
-
-    /// Records that more of the answer to a request arrived. Its server has survived the request if it
-    /// goes on after a crash would no longer make the request suspect.
-    pub fn record_more(&mut self, id: SendId, now: Millis) {
-        let began_at = self.sent.get(&id).and_then(|sent| sent.began_at);
-        if began_at.is_some_and(|began_at| now.saturating_sub(began_at) > self.settings.suspect_ms)
-        {
-            self.record_survival(id, now);
-        }
-    }
-
-    /// Records that a server has survived a request, as its answer is complete.
-    pub fn record_survival(&mut self, id: SendId, now: Millis) {
-        if let Some(sent) = self.sent.remove(&id) {
-            self.add_survival(sent.mark, now);
-        }
-    }
-
-    /// Records that this entry no longer waits for the answer to a request.
-    pub fn record_end(&mut self, id: SendId, now: Millis) {
-        if let Some(sent) = self.sent.get_mut(&id) {
-            sent.ended_at = Some(now);
-        }
-    }
-
-    /// Records that a server states that it has not run a request.
-    pub fn record_not_run(&mut self, id: SendId) {
-        self.sent.remove(&id);
-    }
-
-    /// Forgets the answers and requests of a server that may have crashed, without accusing their marks.
-    pub fn discard_answers(&mut self, server: &Name) {
-        self.answers.retain(|answer| answer.server != *server);
-        self.sent.retain(|_, sent| sent.server != *server);
-    }
-
     /// Records that a server crashed; returns the marks that are suspect.
     pub fn record_crash(&mut self, run: ServerRun, now: Millis) -> Vec<u64> {
         let suspects = self.take_suspects(&run.server, now);
@@ -303,37 +162,6 @@
         marks
     }
 
-    /// Forgets the answers and requests of a server that crashed, and returns the parts of answers that had
-    /// just begun and the requests without an answer or with one that had just begun.
-    fn take_suspects(&mut self, server: &Name, crashed_at: Millis) -> BTreeMap<u64, Suspect> {
-        let mut suspects = BTreeMap::new();
-        let suspect_ms = self.settings.suspect_ms;
-        self.answers.retain(|answer| {
-            let is_broken = answer.server == *server && answer.began_at <= crashed_at;
-            if is_broken && crashed_at - answer.began_at <= suspect_ms {
-                // Answers are in the order of their beginning.
-                for (index, part) in answer.parts.iter().enumerate() {
-                    let suspect = Suspect { began_at: answer.began_at, index, is_own: true };
-                    suspects.insert(*part, suspect);
-                }
-            }
-            !is_broken
-        });
-        let is_recent = |at: Millis| crashed_at.saturating_sub(at) <= suspect_ms;
-        self.sent.retain(|_, sent| {
-            let was_there = sent.server == *server && sent.sent_at <= crashed_at;
-            if was_there
-                && sent.began_at.is_none_or(is_recent)
-                && sent.ended_at.is_none_or(is_recent)
-            {
-                let (began_at, index) = (sent.sent_at, REQUEST_INDEX);
-                suspects.insert(sent.mark, Suspect { began_at, index, is_own: true });
-            }
-            !was_there
-        });
-        suspects
-    }
-
     fn add_crash(&mut self, run: ServerRun, at: Millis, suspects: BTreeMap<u64, Suspect>) {
         let crash = self.crashes.entry(run).or_insert(Crash { at, ..Crash::default() });
         crash.at = crash.at.min(at);
@@ -438,25 +266,10 @@
         changes
     }
 
-    /// Turns answers that began long enough ago into survivals.
-    fn record_survivals(&mut self, now: Millis) {
-        let survival_ms = self.settings.survival_ms;
-        let is_survived = |answer: &Answer| now.saturating_sub(answer.began_at) >= survival_ms;
-        while self.answers.front().is_some_and(is_survived) {
-            let Some(answer) = self.answers.pop_front() else { return };
-            let survived = if answer.went_on { answer.parts } else { Vec::new() };
-            for part in survived {
-                self.add_survival(part, answer.began_at);
-            }
-        }
-    }
-
     /// Forgets evidence that is too old.
     fn forget(&mut self, now: Millis) {
+        self.forget_ended(now);
         let settings = &self.settings;
-        self.sent.retain(|_, sent| {
-            sent.ended_at.is_none_or(|at| now.saturating_sub(at) < settings.news_ms)
-        });
         let known = self.crashes.len();
         self.crashes.retain(|_, crash| now.saturating_sub(crash.at) < settings.crash_memory_ms);
         self.has_new_evidence |= self.crashes.len() < known;
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,6 +4,7 @@
     AttemptHistory, AttemptResult, NextStep, ResponseClass, classify, next_step,
     next_step_without_budget,
 };
+use crate::attempt_guard::AttemptGuard;
 use crate::body::{Reply, full_body};
 use crate::context::Context;
 use crate::headers::{build_server_request, forwarded_reply};
@@ -15,7 +16,7 @@
 use crate::server_news;
 use crate::stream;
 use bytes::Bytes;
-use coord::{AnswerId, QuarantineCheck, SendId, part_mark};
+use coord::{AnswerId, QuarantineCheck, part_mark};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
@@ -95,81 +96,6 @@
     }
 }
 
-/// Tracks a request that is open at a backend server; reports the outcome to the picker on drop.
-pub(crate) struct AttemptGuard {
-    cx: Rc<Context>,
-    pub(crate) server: Name,
-    uncached_tokens: Cell<u64>,
-    pub(crate) outcome: Cell<Outcome>,
-    /// The request among those that a server has not survived yet.
-    sent: Cell<Option<SendId>>,
-}
-
-impl AttemptGuard {
-    fn start(cx: &Rc<Context>, choice: &Choice, prompt: Option<&Prompt>) -> Self {
-        cx.picker.borrow_mut().record_sent(&choice.id, choice.uncached_tokens, prompt);
-        Self {
-            cx: cx.clone(),
-            server: choice.id.clone(),
-            uncached_tokens: Cell::new(choice.uncached_tokens),
-            outcome: Cell::new(Outcome::Unknown),
-            sent: Cell::new(None),
-        }
-    }
-
-    /// Records that the request is sent to the server.
-    fn mark_sent(&self, request: &AdmittedRequest) {
-        let id = self.cx.quarantine.borrow_mut().record_sent(&self.server, request.mark, boot_ms());
-        self.sent.set(Some(id));
-    }
-
-    /// Records that the server states that it has not run the request.
-    fn mark_not_run(&self) {
-        if let Some(id) = self.sent.take() {
-            self.cx.quarantine.borrow_mut().record_not_run(id);
-        }
-    }
-
-    /// Records that the answer began.
-    fn mark_answered(&self) {
-        if let Some(id) = self.sent.get() {
-            self.cx.quarantine.borrow_mut().record_head(id, boot_ms());
-        }
-    }
-
-    /// Records that more of the answer arrived.
-    pub(crate) fn mark_progress(&self) {
-        if let Some(id) = self.sent.get() {
-            self.cx.quarantine.borrow_mut().record_more(id, boot_ms());
-        }
-    }
-
-    /// Records that the answer is complete, so that the server has survived the request.
-    pub(crate) fn mark_completed(&self) {
-        if let Some(id) = self.sent.take() {
-            self.cx.quarantine.borrow_mut().record_survival(id, boot_ms());
-        }
-    }
-
-    /// Records that the server has processed the prompt.
-    pub(crate) fn mark_prompt_read(&self) {
-        self.cx
-            .picker
-            .borrow_mut()
-            .record_prompt_read(&self.server, self.uncached_tokens.replace(0));
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        if let Some(id) = self.sent.get() {
-            self.cx.quarantine.borrow_mut().record_end(id, boot_ms());
-        }
-        self.mark_prompt_read();
-        self.cx.picker.borrow_mut().record_outcome(&self.server, self.outcome.get(), boot_ms());
-    }
-}
-
 /// Response of a backend server whose body has not been read yet.
 pub(crate) struct ServerResponse {
     pub(crate) head: Response<()>,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod attempt;
+mod attempt_guard;
 mod body;
 mod change_log;
 mod context;
