coord, relay: tell whether the servers or this entry's own path fail

An entry now notes for each service when a server last accepted a connection or answered, and which servers accept none. State messages carry the former (2 s at most); `ServerPaths` decides from both whether the path is whole, cut, or all servers are away. The line "path to servers" tells each change with what decided it, the gauge `services_cut` how many services are out of reach. Nothing is routed by it yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -15,6 +15,7 @@
 mod retry;
 mod roster;
 mod server_limit;
+mod server_paths;
 mod usage;
 mod usage_step;
 
@@ -29,5 +30,6 @@
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
 pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
+pub use server_paths::{Path, PathChange, PathSettings, ServerPaths};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
 pub use usage_step::{CLOCK_TOLERANCE_MS, DueWindow, ReportStep, Restore, next_report_step};
--- /dev/null
+++ b/crates/coord/src/server_paths.rs
@@ -0,0 +1,206 @@
+//! Whether this entry itself reaches the backend servers of a service.
+//!
+//! To one request, a server that is gone and a path that is cut look the same. Three things tell them
+//! apart: how many servers fail, what this entry reached meanwhile, and what the other entries reach.
+
+use kernel::{Millis, Name};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// When a path counts as cut.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PathSettings {
+    /// Number of servers, or all if there are fewer, to which no connection can be made when the path
+    /// counts as cut although open connections still answer.
+    pub failed_servers: usize,
+    /// Time before the first failure from which what other entries reached still counts, in
+    /// milliseconds. Their news are that old.
+    pub news_delay_ms: Millis,
+    /// Time over which requests go to the servers directly again after the cut, in milliseconds.
+    pub return_ms: Millis,
+}
+
+impl Default for PathSettings {
+    fn default() -> Self {
+        Self { failed_servers: 4, news_delay_ms: 500, return_ms: 1_000 }
+    }
+}
+
+/// How requests for a service get to its servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Path {
+    /// This entry reaches servers.
+    #[default]
+    Direct,
+    /// This entry reaches no server, but other entries do.
+    ThroughEntries,
+    /// Neither this entry nor another one reaches a server.
+    Nowhere,
+}
+
+/// Connections that could not be made since the last one that could.
+#[derive(Clone, Debug)]
+struct Failing {
+    /// Time at which the first one was tried.
+    since: Millis,
+    servers: BTreeSet<Name>,
+}
+
+/// What this entry knows of its path to the servers of one service.
+#[derive(Clone, Debug, Default)]
+struct ServicePath {
+    /// Time at which a server last accepted a connection or answered.
+    reached_at: Option<Millis>,
+    failing: Option<Failing>,
+    path: Path,
+    /// Time at which the path was last found to be whole again.
+    regained_at: Option<Millis>,
+}
+
+impl ServicePath {
+    /// Decides the path to `servers` servers. `others_reached_at` is the last time at which another entry
+    /// reached one.
+    fn decide(
+        &self,
+        settings: &PathSettings,
+        servers: usize,
+        others_reached_at: Option<Millis>,
+    ) -> Path {
+        let Some(failing) = &self.failing else { return Path::Direct };
+        let answers = self.reached_at.is_some_and(|at| at > failing.since);
+        let failed = failing.servers.len();
+        if answers && failed < settings.failed_servers.min(servers) {
+            return Path::Direct;
+        }
+        let is_reached_by_others =
+            others_reached_at.is_some_and(|at| at + settings.news_delay_ms > failing.since);
+        match (is_reached_by_others, failed >= servers) {
+            (true, _) => Path::ThroughEntries,
+            (false, true) if !answers => Path::Nowhere,
+            (false, _) => Path::Direct,
+        }
+    }
+}
+
+/// A change of a path, with what decided it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PathChange {
+    /// The new path.
+    pub path: Path,
+    /// Number of servers to which no connection could be made.
+    pub failed: usize,
+    /// Time since the first of these connections was tried, in milliseconds.
+    pub failing_ms: Option<Millis>,
+    /// Time since this entry last reached a server, in milliseconds.
+    pub reached_ms: Option<Millis>,
+}
+
+/// Paths of an entry to the servers of each service.
+#[derive(Clone, Debug, Default)]
+pub struct ServerPaths {
+    settings: PathSettings,
+    services: BTreeMap<Name, ServicePath>,
+}
+
+impl ServerPaths {
+    /// Creates the paths of an entry that has not tried to reach a server yet.
+    pub fn new(settings: PathSettings) -> Self {
+        Self { settings, services: BTreeMap::new() }
+    }
+
+    fn service(&mut self, service: &Name) -> &mut ServicePath {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), ServicePath::default());
+        }
+        self.services.get_mut(service).expect("the service was inserted")
+    }
+
+    /// Records that a server answered on an open connection.
+    pub fn record_answer(&mut self, service: &Name, now: Millis) {
+        self.service(service).reached_at = Some(now);
+    }
+
+    /// Records that a server accepted a new connection.
+    pub fn record_connected(&mut self, service: &Name, now: Millis) {
+        let known = self.service(service);
+        known.reached_at = Some(now);
+        known.failing = None;
+    }
+
+    /// Records that no connection to a server could be made, which was tried from `began` on.
+    pub fn record_unreachable(&mut self, service: &Name, server: &Name, began: Millis) {
+        let known = self.service(service);
+        // A connection that succeeded later says more.
+        if known.failing.is_none() && known.reached_at.is_some_and(|at| at > began) {
+            return;
+        }
+        let failing =
+            known.failing.get_or_insert_with(|| Failing { since: began, servers: BTreeSet::new() });
+        failing.since = failing.since.min(began);
+        failing.servers.insert(server.clone());
+    }
+
+    /// Forgets the failures at a server that is gone.
+    pub fn remove_server(&mut self, service: &Name, server: &Name) {
+        let Some(known) = self.services.get_mut(service) else { return };
+        if let Some(failing) = &mut known.failing {
+            failing.servers.remove(server);
+            if failing.servers.is_empty() {
+                known.failing = None;
+            }
+        }
+    }
+
+    /// Decides the path to the `servers` servers of a service; returns the change if it is another one.
+    pub fn update(
+        &mut self,
+        service: &Name,
+        servers: usize,
+        others_reached_at: Option<Millis>,
+        now: Millis,
+    ) -> Option<PathChange> {
+        let settings = self.settings;
+        let known = self.service(service);
+        let path = known.decide(&settings, servers, others_reached_at);
+        if path == known.path {
+            return None;
+        }
+        known.path = path;
+        if path == Path::Direct {
+            known.regained_at = Some(now);
+        }
+        let failing = known.failing.as_ref();
+        Some(PathChange {
+            path,
+            failed: failing.map_or(0, |failing| failing.servers.len()),
+            failing_ms: failing.map(|failing| now.saturating_sub(failing.since)),
+            reached_ms: known.reached_at.map(|at| now.saturating_sub(at)),
+        })
+    }
+
+    /// Returns the path to the servers of a service as last decided.
+    pub fn path(&self, service: &str) -> Path {
+        self.services.get(service).map_or(Path::Direct, |known| known.path)
+    }
+
+    /// Returns whether connections to servers of a service fail.
+    pub fn is_failing(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|known| known.failing.is_some())
+    }
+
+    /// Returns the services to which connections fail, or whose path is cut.
+    pub fn in_doubt(&self) -> impl Iterator<Item = &Name> {
+        let in_doubt = |known: &ServicePath| known.failing.is_some() || known.path != Path::Direct;
+        self.services.iter().filter(move |(_, known)| in_doubt(known)).map(|(service, _)| service)
+    }
+
+    /// Returns the services whose servers this entry does not reach.
+    pub fn cut_services(&self) -> impl Iterator<Item = &Name> {
+        let cut = self.services.iter().filter(|(_, known)| known.path != Path::Direct);
+        cut.map(|(service, _)| service)
+    }
+
+    /// Returns the time at which a server of each service was last reached.
+    pub fn reached(&self) -> impl Iterator<Item = (&Name, Millis)> {
+        self.services.iter().filter_map(|(service, known)| Some((service, known.reached_at?)))
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/server_paths.rs
@@ -0,0 +1,76 @@
+//! Whether an entry finds out that its own path to the servers is cut.
+
+use coord::{Path, PathSettings, ServerPaths};
+use kernel::{Millis, Name};
+
+/// Number of servers of the service.
+const SERVERS: usize = 6;
+
+fn service() -> Name {
+    Name::from("pool")
+}
+
+/// Paths of an entry that reached a server at 1,000 ms.
+fn paths() -> ServerPaths {
+    let mut paths = ServerPaths::new(PathSettings::default());
+    paths.record_connected(&service(), 1_000);
+    paths
+}
+
+/// Fails a connection to each of these servers, tried from `began` on.
+fn fail(paths: &mut ServerPaths, servers: std::ops::Range<usize>, began: Millis) {
+    for number in servers {
+        paths.record_unreachable(&service(), &Name::from(format!("i-{number}")), began);
+    }
+}
+
+/// Returns the path at `now` if other entries last reached a server at `others`.
+fn path(paths: &mut ServerPaths, others: Option<Millis>, now: Millis) -> Path {
+    paths.update(&service(), SERVERS, others, now);
+    paths.path(&service())
+}
+
+#[test]
+fn a_cut_path_is_told_by_one_failure_if_only_others_reach_servers() {
+    let mut paths = paths();
+    fail(&mut paths, 0..1, 1_100);
+    assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::ThroughEntries);
+}
+
+#[test]
+fn a_server_that_is_gone_does_not_cut_the_path_while_others_answer() {
+    let mut paths = paths();
+    fail(&mut paths, 0..1, 1_100);
+    paths.record_answer(&service(), 1_150);
+    assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::Direct);
+}
+
+#[test]
+fn refused_connections_cut_the_path_although_open_ones_answer() {
+    let mut paths = paths();
+    fail(&mut paths, 0..4, 1_100);
+    paths.record_answer(&service(), 1_390);
+    assert_eq!(path(&mut paths, Some(1_300), 1_400), Path::ThroughEntries);
+}
+
+#[test]
+fn failures_of_servers_that_nobody_reaches_cut_no_path_until_all_fail() {
+    let mut paths = paths();
+    fail(&mut paths, 0..SERVERS - 1, 2_000);
+    assert_eq!(path(&mut paths, Some(1_000), 2_400), Path::Direct);
+    fail(&mut paths, 0..SERVERS, 2_300);
+    assert_eq!(path(&mut paths, Some(1_000), 2_600), Path::Nowhere);
+    assert_eq!(path(&mut paths, Some(2_500), 2_700), Path::ThroughEntries);
+}
+
+#[test]
+fn a_new_connection_shows_that_the_path_is_whole_again() {
+    let mut paths = paths();
+    fail(&mut paths, 0..SERVERS, 1_100);
+    assert_eq!(path(&mut paths, Some(1_300), 1_400), Path::ThroughEntries);
+    paths.record_connected(&service(), 3_000);
+    assert_eq!(path(&mut paths, Some(2_900), 3_000), Path::Direct);
+    // The end of an attempt from before says nothing new.
+    fail(&mut paths, 0..1, 2_800);
+    assert_eq!(path(&mut paths, Some(3_000), 3_100), Path::Direct);
+}
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -71,11 +71,15 @@
     /// Returns the time until the first server of a service wants requests from this entry again, in
     /// milliseconds; 0 if one does now or there is none.
     pub fn pause_left(&self, service: &str, now: Millis) -> Millis {
-        let staying = self
-            .servers
+        let pauses = self.staying(service).map(|server| server.paused_until.saturating_sub(now));
+        pauses.min().unwrap_or(0)
+    }
+
+    /// Returns the servers of a service that do not leave.
+    pub fn staying(&self, service: &str) -> impl Iterator<Item = &Server> {
+        self.servers
             .values()
-            .filter(|server| server.info.service == *service && !server.is_leaving());
-        staying.map(|server| server.paused_until.saturating_sub(now)).min().unwrap_or(0)
+            .filter(move |server| server.info.service == *service && !server.is_leaving())
     }
 
     /// Records that a request is sent to a server.
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -8,8 +8,8 @@
 use crate::shutdown::Shutdown;
 use coord::{
     Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, Restore, RetryBudget,
-    RetrySettings, Roster, ServerLimitSettings, ServerLimits, StreamOrigins, UsageCounter,
-    UsageReports,
+    RetrySettings, Roster, ServerLimitSettings, ServerLimits, ServerPaths, StreamOrigins,
+    UsageCounter, UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -56,6 +56,8 @@
     pub(crate) loads: BTreeMap<Name, Load>,
     /// Work requested by its callers, in milliseconds of server time per second, by service.
     pub(crate) work: BTreeMap<Name, f64>,
+    /// Time at which it last reached a server, by service.
+    pub(crate) reached_at: BTreeMap<Name, Millis>,
 }
 
 /// Metric instruments.
@@ -68,6 +70,7 @@
     servers: Gauge<u64>,
     entries: Gauge<u64>,
     quarantined: Gauge<u64>,
+    services_cut: Gauge<u64>,
     open: Gauge<u64>,
     freshness: Gauge<u64>,
 }
@@ -101,6 +104,8 @@
     pub(crate) demand: RefCell<DemandTracker>,
     /// Limits that servers state.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Whether this entry reaches the servers.
+    pub(crate) server_paths: RefCell<ServerPaths>,
     /// Software versions that began streams.
     pub(crate) origins: RefCell<StreamOrigins>,
     /// Queries for the versions of streams that wait for replies, by number.
@@ -192,6 +197,8 @@
             entries: metrics.gauge("entries_known", "Entries that share limits"),
             quarantined: metrics
                 .gauge("quarantined", "Requests and prompt parts under which servers crash"),
+            services_cut: metrics
+                .gauge("services_cut", "Services whose backend servers this entry does not reach"),
             open: metrics.gauge("requests_open", "Requests of callers that are open"),
             freshness: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store_calls: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
@@ -217,6 +224,7 @@
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
             server_limits: RefCell::new(server_limits),
+            server_paths: RefCell::default(),
             origins: RefCell::new(StreamOrigins::new(settings.name.clone())),
             origin_queries: RefCell::default(),
             served_versions: RefCell::default(),
@@ -325,6 +333,8 @@
         self.meters.servers.record(servers as u64, &[]);
         self.meters.entries.record(self.roster.borrow_mut().share_count(now) as u64, &[]);
         self.meters.quarantined.record(self.quarantine.borrow().held_count() as u64, &[]);
+        let services_cut = self.server_paths.borrow().cut_services().count();
+        self.meters.services_cut.record(services_cut as u64, &[]);
         self.meters.open.record(u64::from(self.open_requests.get()), &[]);
         self.meters.freshness.record(self.freshness.borrow().age(now).unwrap_or(u64::MAX), &[]);
         self.metrics.render()
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::body::{Reply, full_body};
 use crate::context::Context;
 use crate::headers::{build_server_request, forwarded_reply};
+use crate::paths;
 use crate::peers;
 use crate::pool::{Connection, SendError};
 use crate::quarantine;
@@ -317,9 +318,11 @@
         Attempt::NoResponse(result)
     };
     // A request for which no connection can be made can still go to other servers.
+    let began = boot_ms();
     let mut connection = match cx.pool.connection(choice.address).await {
         Ok(connection) => connection,
         Err(failure) => {
+            paths::record_unreachable(cx, &choice.id, began);
             return end(
                 Outcome::Unreachable,
                 AttemptResult::Unsent,
@@ -328,6 +331,9 @@
             );
         }
     };
+    if !connection.is_reused() {
+        paths::record_connected(cx, &request.service);
+    }
     let req = match build_server_request(cx, request, choice, resume) {
         Ok(req) => req,
         Err(e) => return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &e.to_string()),
@@ -365,6 +371,7 @@
         }
         Ok(Ok(response)) => response,
     };
+    paths::record_answer(cx, &request.service);
     let names = cx.protocol.names();
     match classify(response.status(), response.headers(), names, request.id.as_bytes()) {
         ResponseClass::Invalid(cause) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod log;
 mod message;
 mod origins;
+mod paths;
 mod peers;
 mod pool;
 mod protocol;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -175,6 +175,9 @@
     /// milliseconds.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) limits: BTreeMap<Name, (Option<f64>, Millis)>,
+    /// Time since the sender last reached a server, in milliseconds, by service; only recent ones.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) reached: BTreeMap<Name, Millis>,
     /// Crashes of servers, and prompt parts in quarantine.
     #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
     pub(crate) quarantine: QuarantineNews,
--- /dev/null
+++ b/crates/relay/src/paths.rs
@@ -0,0 +1,67 @@
+//! What this entry and the others reach of the backend servers.
+
+use crate::context::Context;
+use coord::Path;
+use kernel::boot_ms;
+use kernel::prelude::*;
+
+/// Age up to which other entries are told when this one reached a server, in milliseconds.
+const NEWS_MS: Millis = 2_000;
+
+/// Returns the service of a server that this entry knows.
+pub(crate) fn service_of(cx: &Context, server: &Name) -> Option<Name> {
+    cx.picker.borrow().get(server).map(|known| known.info.service.clone())
+}
+
+/// Records that a server of the service answered.
+pub(crate) fn record_answer(cx: &Context, service: &Name) {
+    cx.server_paths.borrow_mut().record_answer(service, boot_ms());
+}
+
+/// Records that a server of the service accepted a connection.
+pub(crate) fn record_connected(cx: &Context, service: &Name) {
+    cx.server_paths.borrow_mut().record_connected(service, boot_ms());
+}
+
+/// Records that no connection to a server could be made, which was tried from `began` on.
+pub(crate) fn record_unreachable(cx: &Context, server: &Name, began: Millis) {
+    if let Some(service) = service_of(cx, server) {
+        cx.server_paths.borrow_mut().record_unreachable(&service, server, began);
+    }
+}
+
+/// Decides the path to the servers of a service by what is known now, and logs a change.
+pub(crate) fn update(cx: &Context, service: &Name) -> Path {
+    let now = boot_ms();
+    let servers = cx.picker.borrow().staying(service).count();
+    let others = others_reached_at(cx, service);
+    let change = cx.server_paths.borrow_mut().update(service, servers, others, now);
+    if let Some(change) = change {
+        info!(cx.log, "path to servers"; "service" => %service, "path" => ?change.path,
+            "servers" => servers, "failed" => change.failed, "failing_ms" => change.failing_ms,
+            "reached_ms" => change.reached_ms,
+            "others_ms" => others.map(|at| now.saturating_sub(at)));
+    }
+    cx.server_paths.borrow().path(service)
+}
+
+/// Decides the paths that are in doubt.
+pub(crate) fn update_all(cx: &Context) {
+    let services: Vec<Name> = cx.server_paths.borrow().in_doubt().cloned().collect();
+    for service in services {
+        update(cx, &service);
+    }
+}
+
+/// Returns the last time at which another entry reached a server of a service, as far as it has told.
+fn others_reached_at(cx: &Context, service: &Name) -> Option<Millis> {
+    let peers = cx.peer_status.borrow();
+    peers.values().filter_map(|status| status.reached_at.get(service)).max().copied()
+}
+
+/// Returns the time since this entry last reached a server, by service, for the other entries.
+pub(crate) fn news(cx: &Context, now: Millis) -> BTreeMap<Name, Millis> {
+    let paths = cx.server_paths.borrow();
+    let ages = paths.reached().map(|(service, at)| (service.clone(), now.saturating_sub(at)));
+    ages.filter(|(_, age)| *age < NEWS_MS).collect()
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -5,6 +5,7 @@
 use crate::limits::record_peer_limits;
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::origins;
+use crate::paths;
 use crate::quarantine;
 use crate::sync;
 use coord::{Entry, Transfer};
@@ -112,6 +113,7 @@
     for round in 0_u64.. {
         tokio::time::sleep(STATE_INTERVAL).await;
         quarantine::update(&cx);
+        paths::update_all(&cx);
         send_state(&cx, round % COUNTS_PERIOD == 0);
     }
 }
@@ -156,6 +158,7 @@
         .map(|(server, news)| (server.clone(), (news.per_s, now.saturating_sub(news.at))));
     EntryState {
         limits: limits.collect(),
+        reached: paths::news(cx, now),
         quarantine: cx.quarantine.borrow().news(now),
         stopping: cx.stopping.get(),
         rules_age: cx.freshness.borrow().age(boot_ms()),
@@ -314,8 +317,11 @@
             "stopping" => state.stopping);
     }
     let load = |(id, (open, unread))| (id, Load { open, pending_prompt_tokens: unread });
+    let now = boot_ms();
+    let reached_at = |(service, age)| (service, now.saturating_sub(age));
     *known = PeerStatus {
-        received_at: boot_ms(),
+        received_at: now,
+        reached_at: state.reached.into_iter().map(reached_at).collect(),
         incarnation,
         stopping: state.stopping,
         rules_age: state.rules_age,
@@ -324,7 +330,6 @@
         work: state.work,
     };
     let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
-    let now = boot_ms();
     let silence = cx.silence_ms();
     for status in
         peer_status.values().filter(|status| now.saturating_sub(status.received_at) < silence)
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Connection {
     address: SocketAddr,
     tx: SendRequest<Full<Bytes>>,
+    /// Whether the connection has carried a request before.
+    is_reused: bool,
 }
 
 /// Error of a request that got no response.
@@ -80,11 +82,12 @@
     }
 
     /// Returns a connection to the pool after its response was read, if the response allows reuse.
-    pub(crate) fn release(&self, connection: Connection, headers: &HeaderMap) {
+    pub(crate) fn release(&self, mut connection: Connection, headers: &HeaderMap) {
         let Some(time) = reusable_for(headers) else { return };
         if connection.tx.is_closed() {
             return;
         }
+        connection.is_reused = true;
         let until = Instant::now() + time;
         self.idle
             .borrow_mut()
@@ -120,6 +123,11 @@
         self.address
     }
 
+    /// Whether the connection has carried a request before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
@@ -157,7 +165,7 @@
     let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
     // Errors of the connection are returned to the request in progress.
     tokio::task::spawn_local(async move { drop(connection.await) });
-    Ok(Connection { address, tx })
+    Ok(Connection { address, tx, is_reused: false })
 }
 
 /// Disables Nagle's algorithm, and sets timeouts that detect a silent remote end.
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -1,6 +1,7 @@
 //! Finds out whether a server has crashed after a connection to it broke.
 
 use crate::context::Context;
+use crate::paths;
 use crate::pool::{Reachability, probe};
 use crate::quarantine;
 use coord::ServerRun;
@@ -24,6 +25,16 @@
     let broke_at = boot_ms();
     tokio::task::spawn_local(async move {
         let reachability = probe(address).await;
+        match reachability {
+            Reachability::Listening => {
+                if let Some(service) = paths::service_of(&cx, &server) {
+                    paths::record_connected(&cx, &service);
+                }
+            }
+            Reachability::Refused | Reachability::Unknown => {
+                paths::record_unreachable(&cx, &server, broke_at);
+            }
+        }
         let started_unix_ms =
             cx.picker.borrow().get(&server).map(|known| known.info.started_unix_ms);
         // A server that leaves ends because it was told to.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,6 +8,7 @@
 };
 use crate::headers::forwarded_reply;
 use crate::origins;
+use crate::paths;
 use crate::peers;
 use crate::quarantine;
 use crate::server_check::check_server;
@@ -215,6 +216,7 @@
         }
         self.chunks += 1;
         self.ignores_stall = false;
+        paths::record_answer(&self.cx, &self.request.service);
         if let Some(response) = &self.response {
             response.guard.mark_prompt_read();
             response.guard.mark_progress();
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -346,6 +346,9 @@
     let was_leaving = cx.picker.borrow().get(id).is_some_and(Server::is_leaving);
     cx.server_limits.borrow_mut().remove(id);
     let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
+    if let Some(service) = &service {
+        cx.server_paths.borrow_mut().remove_server(service, id);
+    }
     if cx.picker.borrow_mut().remove(id) {
         if let Some(service) = service {
             origins::observe_versions(cx, &service);
