relay: an entry that reaches no server passes its requests on to one that does

Cause: every way of sending led from the entry itself to a server, and each failure was taken as one of the server. Class: a fault of the observer taken as a fault of what it observes, with no second way.

Now `ServerPaths` relates failures at several servers to what open connections and the other entries say. While the path to a service is cut, requests go to another entry that reaches it, over HTTP at the address for messages between entries. The request is admitted, charged and counted at the first entry; the other one chooses the server, sends, retries and counts the run, and takes nothing on if it decides by other rules, is cut off or stopping itself, or has too many such requests. One hop only. If nobody reaches a server, requests are rejected at once (2001). A cut is noticed by failed connections, by broken idle ones, and by silence of 400 ms, each of which starts bare connections to two servers every 250 ms; they also find the end. After a cut requests return over a second, and failures of the time before are forgiven.

Tests of the detour: one arrival, unchanged; the caller's leaving; the helping entry's loss of power; all cut off; the return.

Test changed: the fake server of a_server_that_ends_between_two_events_... counted connections as requests and ended after the first one; probes open connections without a request. It now counts and ends by requests; the bound is the same.

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -10,10 +10,12 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PathSettings {
     /// Number of servers, or all if there are fewer, to which no connection can be made when the path
-    /// counts as cut although open connections still answer.
-    pub failed_servers: usize,
-    /// Time before the first failure from which what other entries reached still counts, in
-    /// milliseconds. Their news are that old.
+    /// counts as cut and nothing answers.
+    pub silent_servers: usize,
+    /// The same number while open connections still answer.
+    pub refusing_servers: usize,
+    /// Time by which news of the other entries may be late, in milliseconds. So long after the first
+    /// failure, what they reached so long before it counts too.
     pub news_delay_ms: Millis,
     /// Time over which requests go to the servers directly again after the cut, in milliseconds.
     pub return_ms: Millis,
@@ -21,7 +23,7 @@
 
 impl Default for PathSettings {
     fn default() -> Self {
-        Self { failed_servers: 4, news_delay_ms: 500, return_ms: 1_000 }
+        Self { silent_servers: 2, refusing_servers: 4, news_delay_ms: 500, return_ms: 1_000 }
     }
 }
 
@@ -64,15 +66,19 @@
         settings: &PathSettings,
         servers: usize,
         others_reached_at: Option<Millis>,
+        now: Millis,
     ) -> Path {
         let Some(failing) = &self.failing else { return Path::Direct };
         let answers = self.reached_at.is_some_and(|at| at > failing.since);
         let failed = failing.servers.len();
-        if answers && failed < settings.failed_servers.min(servers) {
+        let needed = if answers { settings.refusing_servers } else { settings.silent_servers };
+        if failed < needed.min(servers) {
             return Path::Direct;
         }
+        let delay_ms =
+            if now < failing.since + settings.news_delay_ms { settings.news_delay_ms } else { 0 };
         let is_reached_by_others =
-            others_reached_at.is_some_and(|at| at + settings.news_delay_ms > failing.since);
+            others_reached_at.is_some_and(|at| at + delay_ms > failing.since);
         match (is_reached_by_others, failed >= servers) {
             (true, _) => Path::ThroughEntries,
             (false, true) if !answers => Path::Nowhere,
@@ -160,14 +166,14 @@
     ) -> Option<PathChange> {
         let settings = self.settings;
         let known = self.service(service);
-        let path = known.decide(&settings, servers, others_reached_at);
+        let path = known.decide(&settings, servers, others_reached_at, now);
         if path == known.path {
             return None;
         }
-        known.path = path;
-        if path == Path::Direct {
+        if path == Path::Direct && known.path == Path::ThroughEntries {
             known.regained_at = Some(now);
         }
+        known.path = path;
         let failing = known.failing.as_ref();
         Some(PathChange {
             path,
@@ -182,6 +188,39 @@
         self.services.get(service).map_or(Path::Direct, |known| known.path)
     }
 
+    /// Returns how a request gets to the servers of a service. After a cut more and more go directly again,
+    /// so that not all need new connections at once; `random` is below 1.
+    pub fn path_of_request(&self, service: &str, random: f64, now: Millis) -> Path {
+        let Some(known) = self.services.get(service) else { return Path::Direct };
+        let returned = known.regained_at.map_or(1.0, |at| {
+            now.saturating_sub(at) as f64 / self.settings.return_ms.max(1) as f64
+        });
+        if known.path == Path::Direct && random >= returned {
+            return Path::ThroughEntries;
+        }
+        known.path
+    }
+
+    /// Returns whether connections to so many servers of a service fail that no further one need be
+    /// tried.
+    pub fn is_certain(&self, service: &str, servers: usize) -> bool {
+        let failing = self.services.get(service).and_then(|known| known.failing.as_ref());
+        failing.is_some_and(|failing| {
+            failing.servers.len() >= self.settings.refusing_servers.min(servers)
+        })
+    }
+
+    /// Returns whether a connection to a server of a service failed and none succeeded since.
+    pub fn has_failed(&self, service: &str, server: &Name) -> bool {
+        let failing = self.services.get(service).and_then(|known| known.failing.as_ref());
+        failing.is_some_and(|failing| failing.servers.contains(server))
+    }
+
+    /// Returns the time at which a server of a service was last reached.
+    pub fn reached_at(&self, service: &str) -> Option<Millis> {
+        self.services.get(service)?.reached_at
+    }
+
     /// Returns whether connections to servers of a service fail.
     pub fn is_failing(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|known| known.failing.is_some())
--- a/crates/coord/tests/server_paths.rs
+++ b/crates/coord/tests/server_paths.rs
@@ -31,16 +31,18 @@
 }
 
 #[test]
-fn a_cut_path_is_told_by_one_failure_if_only_others_reach_servers() {
+fn a_cut_path_is_told_by_two_failures_if_only_others_reach_servers() {
     let mut paths = paths();
     fail(&mut paths, 0..1, 1_100);
+    assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::Direct);
+    fail(&mut paths, 0..2, 1_150);
     assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::ThroughEntries);
 }
 
 #[test]
-fn a_server_that_is_gone_does_not_cut_the_path_while_others_answer() {
+fn a_few_servers_that_are_gone_do_not_cut_the_path_while_others_answer() {
     let mut paths = paths();
-    fail(&mut paths, 0..1, 1_100);
+    fail(&mut paths, 0..3, 1_100);
     paths.record_answer(&service(), 1_150);
     assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::Direct);
 }
@@ -70,7 +72,30 @@
     assert_eq!(path(&mut paths, Some(1_300), 1_400), Path::ThroughEntries);
     paths.record_connected(&service(), 3_000);
     assert_eq!(path(&mut paths, Some(2_900), 3_000), Path::Direct);
-    // The end of an attempt from before says nothing new.
-    fail(&mut paths, 0..1, 2_800);
+    // The end of attempts from before says nothing new.
+    fail(&mut paths, 0..SERVERS, 2_800);
     assert_eq!(path(&mut paths, Some(3_000), 3_100), Path::Direct);
 }
+
+#[test]
+fn what_others_reached_before_the_failures_counts_only_until_their_news_must_have_come() {
+    let mut paths = paths();
+    fail(&mut paths, 0..SERVERS, 1_100);
+    assert_eq!(path(&mut paths, Some(1_050), 1_110), Path::ThroughEntries);
+    assert_eq!(path(&mut paths, Some(1_050), 1_700), Path::Nowhere);
+}
+
+#[test]
+fn requests_go_directly_again_little_by_little_after_a_cut() {
+    let mut paths = paths();
+    fail(&mut paths, 0..SERVERS, 1_100);
+    path(&mut paths, Some(1_300), 1_400);
+    paths.record_connected(&service(), 3_000);
+    path(&mut paths, Some(2_900), 3_000);
+    let direct = |now| {
+        let randoms = (0..100).map(|number| f64::from(number) / 100.0);
+        let path = |random| paths.path_of_request(&service(), random, now);
+        randoms.filter(|random| path(*random) == Path::Direct).count()
+    };
+    assert_eq!([direct(3_000), direct(3_250), direct(4_000)], [0, 25, 100]);
+}
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -174,7 +174,7 @@
         let is_eligible = |server: &&Server| {
             server.info.service == *requirements.service
                 && !server.is_leaving()
-                && now >= server.paused_until
+                && !server.is_paused(now)
                 && requirements
                     .software_version
                     .is_none_or(|version| *version == server.info.software_version)
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -82,6 +82,16 @@
             .filter(move |server| server.info.service == *service && !server.is_leaving())
     }
 
+    /// Forgets the failures of requests at the servers of a service, after it was found that the path to
+    /// them was at fault.
+    pub fn forgive(&mut self, service: &str) {
+        for server in self.servers.values_mut().filter(|server| server.info.service == *service) {
+            server.outcomes = OutcomeCounts::default();
+            server.backoff_until = 0;
+            server.unreachable_count = 0;
+        }
+    }
+
     /// Records that a request is sent to a server.
     pub fn record_sent(&mut self, id: &Name, uncached_tokens: u64, prompt: Option<&Prompt>) {
         let Some(server) = self.servers.get_mut(id) else { return };
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -81,6 +81,11 @@
         self.info.leaving || self.states_leaving
     }
 
+    /// Whether the server wants no requests from this entry now.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until
+    }
+
     /// Returns the load from requests of all entries.
     pub fn load(&self) -> Load {
         Load {
--- a/crates/relay/src/attempt_guard.rs
+++ b/crates/relay/src/attempt_guard.rs
@@ -31,6 +31,17 @@
         }
     }
 
+    /// Tracks a request that another entry took over, which reports the outcome itself.
+    pub(crate) fn for_entry(cx: &Rc<Context>, entry: &Name) -> Self {
+        Self {
+            cx: cx.clone(),
+            server: entry.clone(),
+            uncached_tokens: Cell::new(0),
+            outcome: Cell::new(Outcome::Unknown),
+            sent: Cell::new(None),
+        }
+    }
+
     /// Records that the request is sent to the server.
     pub(crate) fn mark_sent(&self, request: &AdmittedRequest) {
         let id = self.cx.quarantine.borrow_mut().record_sent(&self.server, request.mark, boot_ms());
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -58,6 +58,8 @@
     pub(crate) work: BTreeMap<Name, f64>,
     /// Time at which it last reached a server, by service.
     pub(crate) reached_at: BTreeMap<Name, Millis>,
+    /// Services whose servers it does not reach.
+    pub(crate) cut: BTreeSet<Name>,
 }
 
 /// Metric instruments.
@@ -65,6 +67,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    forwarded: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
@@ -106,6 +109,12 @@
     pub(crate) server_limits: RefCell<ServerLimits>,
     /// Whether this entry reaches the servers.
     pub(crate) server_paths: RefCell<ServerPaths>,
+    /// Signals a change of a path to servers.
+    pub(crate) paths_changed: watch::Sender<u64>,
+    /// Services whose servers are being probed.
+    pub(crate) services_probed: RefCell<BTreeSet<Name>>,
+    /// Number of open requests that other entries passed on to this one.
+    pub(crate) open_forwarded: Cell<u32>,
     /// Software versions that began streams.
     pub(crate) origins: RefCell<StreamOrigins>,
     /// Queries for the versions of streams that wait for replies, by number.
@@ -191,6 +200,10 @@
             attempts: metrics.counter("attempts", "Requests sent to backend servers, by result"),
             retries: metrics
                 .counter("retries", "Requests to send again, by the budget that allowed it"),
+            forwarded: metrics.counter(
+                "forwarded",
+                "Requests passed on to another entry or taken over from one, by result",
+            ),
             first_byte: metrics
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
@@ -225,6 +238,9 @@
             demand: RefCell::default(),
             server_limits: RefCell::new(server_limits),
             server_paths: RefCell::default(),
+            paths_changed: watch::Sender::new(0),
+            services_probed: RefCell::default(),
+            open_forwarded: Cell::new(0),
             origins: RefCell::new(StreamOrigins::new(settings.name.clone())),
             origin_queries: RefCell::default(),
             served_versions: RefCell::default(),
@@ -356,6 +372,12 @@
         self.meters.retries.add(1, &[KeyValue::new("budget", budget)]);
     }
 
+    /// Counts a request that was passed on to another entry (`sent`) or taken over from one (`taken`).
+    pub(crate) fn count_forwarded(&self, side: &'static str, result: &'static str) {
+        let labels = [KeyValue::new("side", side), KeyValue::new("result", result)];
+        self.meters.forwarded.add(1, &labels);
+    }
+
     pub(crate) fn record_first_byte(&self, elapsed: Duration) {
         self.meters.first_byte.record(elapsed.as_secs_f64(), &[]);
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -7,7 +7,9 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::body::{Reply, full_body};
 use crate::context::Context;
+use crate::entry_headers;
 use crate::headers::{build_server_request, forwarded_reply};
+use crate::path_probe;
 use crate::paths;
 use crate::peers;
 use crate::pool::{Connection, SendError};
@@ -16,6 +18,7 @@
 use crate::server_check::check_server;
 use crate::server_news;
 use crate::stream;
+use crate::target::{Target, choose_target, try_target};
 use bytes::Bytes;
 use coord::{AnswerId, QuarantineCheck, part_mark};
 use http_body_util::{BodyExt, Limited};
@@ -40,6 +43,8 @@
 /// Multiple of the target latency, or of the expected latency if that is longer, after which an
 /// attempt times out when a further attempt is allowed.
 const TIMEOUT_FACTOR: u32 = 2;
+/// Time to make a connection after which it is found out whether other servers are reached.
+const SLOW_CONNECT: Duration = Duration::from_millis(60);
 /// Minimum retry-after time for a request that could not be dispatched.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -63,6 +68,12 @@
     pub(crate) usage_counted: Cell<bool>,
     /// Mark of all requests with the same content.
     pub(crate) mark: u64,
+    /// Version of the rules by which the request was admitted.
+    pub(crate) rules_version: u64,
+    /// Entry that passed the request on to this one; `None` for a request of a caller.
+    pub(crate) sender: Option<Name>,
+    /// Number of servers that may have run the request before it came here.
+    pub(crate) runs_before: u32,
 }
 
 impl AdmittedRequest {
@@ -112,6 +123,8 @@
     /// The answer among those that may precede a crash; `None` for a failure or a prompt without
     /// shared parts.
     pub(crate) answer: Option<AnswerId>,
+    /// Whether the response came through another entry.
+    pub(crate) is_forwarded: bool,
 }
 
 /// Position from which another server resumes a stream.
@@ -121,6 +134,8 @@
     pub(crate) last_event_id: Option<HeaderValue>,
     /// Location of the KV cache of the interrupted run.
     pub(crate) moved_from: Option<HeaderValue>,
+    /// Version of the server that began the stream.
+    pub(crate) software_version: Option<Name>,
 }
 
 /// Outcome of sending a request to one server.
@@ -129,6 +144,8 @@
     Answered(Box<ServerResponse>),
     /// There is no response to forward.
     NoResponse(AttemptResult),
+    /// Another entry could not get a response and reports the failure for the caller.
+    Failed(Box<Reply>, Code),
 }
 
 /// Sends a request to servers until one responds or no further attempt is allowed.
@@ -137,7 +154,7 @@
     request: Rc<AdmittedRequest>,
 ) -> (Reply, Option<Code>) {
     let mut tried: Vec<Name> = Vec::new();
-    let mut history = AttemptHistory::default();
+    let mut history = AttemptHistory { runs: request.runs_before, ..AttemptHistory::default() };
     loop {
         if request.remaining_ms() == 0 {
             let code = if history.runs > 0 { Code::DeadlinePassed } else { Code::Expired };
@@ -150,7 +167,7 @@
             return failure_reply(cx, &request, code, history, retry_after);
         }
         let software_version = request.software_version.as_ref();
-        let Some(choice) = choose_server(cx, &request, &tried, software_version) else {
+        let Some(target) = choose_target(cx, &request, &tried, software_version) else {
             if tried.is_empty() {
                 record_demand(
                     cx,
@@ -161,13 +178,15 @@
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::NoServer };
             return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         };
-        if tried.is_empty() {
+        // An entry that takes the request over counts its demand.
+        if let (true, Target::Server(choice)) = (tried.is_empty(), &target) {
             record_demand(cx, &request, choice.uncached_tokens);
         }
-        tried.push(choice.id.clone());
+        tried.push(target.name().clone());
         history.sends += 1;
         let (result, reply) =
-            match try_server(cx, &request, &choice, &ResumePoint::default(), history).await {
+            match try_target(cx, &request, &target, &ResumePoint::default(), history).await {
+                Attempt::Failed(reply, code) => return (*reply, Some(code)),
                 Attempt::NoResponse(result) => (result, None),
                 Attempt::Answered(response) => {
                     let status = response.head.status();
@@ -206,7 +225,7 @@
             request.remaining_ms(),
         );
         if step == (NextStep::Retry { uses_budget: true })
-            && (quarantine::is_held_after(cx, &request, &choice.id).await
+            && (quarantine::is_held_after(cx, &request, target.name()).await
                 || !peers::take_retry(cx, &request).await)
         {
             step = next_step_without_budget(result, history);
@@ -319,7 +338,7 @@
     };
     // A request for which no connection can be made can still go to other servers.
     let began = boot_ms();
-    let mut connection = match cx.pool.connection(choice.address).await {
+    let mut connection = match connect(cx, request, choice).await {
         Ok(connection) => connection,
         Err(failure) => {
             paths::record_unreachable(cx, &choice.id, began);
@@ -351,6 +370,7 @@
                 "servers crash under the request",
             );
         }
+        never = paths::probe_if_silent(cx, &request.service) => match never {},
     };
     let response = match response {
         Err(_) => {
@@ -407,6 +427,25 @@
     }
 }
 
+/// Returns a connection to a server. Gives up early if this entry finds meanwhile that it reaches none.
+async fn connect(
+    cx: &Rc<Context>,
+    request: &AdmittedRequest,
+    choice: &Choice,
+) -> Result<Connection, Failure> {
+    let mut connecting = std::pin::pin!(cx.pool.connection(choice.address));
+    tokio::select! {
+        connected = &mut connecting => return connected,
+        () = tokio::time::sleep(SLOW_CONNECT) => path_probe::start(cx, &request.service),
+    }
+    tokio::select! {
+        connected = &mut connecting => connected,
+        () = paths::wait_until_cut(cx, &request.service), if request.sender.is_none() => {
+            Err(Failure::new(Code::NotDispatched, "no server is reached from this entry"))
+        }
+    }
+}
+
 /// Records that a server began to answer a request, and returns its response.
 fn begin_answer(
     cx: &Context,
@@ -416,7 +455,12 @@
     connection: Connection,
     guard: AttemptGuard,
 ) -> ServerResponse {
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
+    if request.sender.is_some() {
+        entry_headers::set(&mut head.headers, &entry_headers::SERVER, &choice.id);
+        let version = &choice.software_version;
+        entry_headers::set(&mut head.headers, &entry_headers::SOFTWARE_VERSION, version);
+    }
     let head = Response::from_parts(head, ());
     let answer = if head.status().is_success() {
         quarantine::record_answer(cx, request, &choice.id)
@@ -433,6 +477,7 @@
         software_version: choice.software_version.clone(),
         answered_at: Instant::now(),
         answer,
+        is_forwarded: false,
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,11 +12,15 @@
 mod directory;
 mod dispatch;
 mod duty;
+mod entry_headers;
+mod forward;
+mod forwarded;
 mod headers;
 mod limits;
 mod log;
 mod message;
 mod origins;
+mod path_probe;
 mod paths;
 mod peers;
 mod pool;
@@ -31,6 +35,7 @@
 mod shutdown;
 mod stream;
 mod sync;
+mod target;
 mod usage_report;
 
 pub use attempt::{
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -4,7 +4,7 @@
 use infra::{Change, Stored};
 use kernel::{Millis, Name};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A message with its sender.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -178,6 +178,9 @@
     /// Time since the sender last reached a server, in milliseconds, by service; only recent ones.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) reached: BTreeMap<Name, Millis>,
+    /// Services whose servers the sender does not reach.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub(crate) cut: BTreeSet<Name>,
     /// Crashes of servers, and prompt parts in quarantine.
     #[serde(default, skip_serializing_if = "QuarantineNews::is_empty")]
     pub(crate) quarantine: QuarantineNews,
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -1,12 +1,17 @@
 //! What this entry and the others reach of the backend servers.
 
 use crate::context::Context;
+use crate::path_probe;
 use coord::Path;
 use kernel::boot_ms;
 use kernel::prelude::*;
+use std::convert::Infallible;
+use std::rc::Rc;
 
 /// Age up to which other entries are told when this one reached a server, in milliseconds.
 const NEWS_MS: Millis = 2_000;
+/// Silence of all servers of a service after which it is found out whether they are reached.
+const MAX_SILENCE: Duration = Duration::from_millis(400);
 
 /// Returns the service of a server that this entry knows.
 pub(crate) fn service_of(cx: &Context, server: &Name) -> Option<Name> {
@@ -24,9 +29,12 @@
 }
 
 /// Records that no connection to a server could be made, which was tried from `began` on.
-pub(crate) fn record_unreachable(cx: &Context, server: &Name, began: Millis) {
+pub(crate) fn record_unreachable(cx: &Rc<Context>, server: &Name, began: Millis) {
     if let Some(service) = service_of(cx, server) {
         cx.server_paths.borrow_mut().record_unreachable(&service, server, began);
+        if cx.server_paths.borrow().is_failing(&service) {
+            path_probe::start(cx, &service);
+        }
     }
 }
 
@@ -42,7 +50,34 @@
             "reached_ms" => change.reached_ms,
             "others_ms" => others.map(|at| now.saturating_sub(at)));
     }
-    cx.server_paths.borrow().path(service)
+    let path = cx.server_paths.borrow().path(service);
+    if change.is_some() {
+        if path == Path::Direct {
+            cx.picker.borrow_mut().forgive(service);
+        }
+        cx.paths_changed.send_modify(|count| *count += 1);
+    }
+    path
+}
+
+/// Waits until this entry finds that it does not reach the servers of a service.
+pub(crate) async fn wait_until_cut(cx: &Context, service: &Name) {
+    let mut changed = cx.paths_changed.subscribe();
+    // The sender lives as long as the context.
+    while changed.changed().await.is_ok() && cx.server_paths.borrow().path(service) == Path::Direct
+    {
+    }
+}
+
+/// Finds out whether servers of a service are reached, if none answers for [`MAX_SILENCE`].
+pub(crate) async fn probe_if_silent(cx: &Rc<Context>, service: &Name) -> Infallible {
+    let began = boot_ms();
+    tokio::time::sleep(MAX_SILENCE).await;
+    let reached_at = cx.server_paths.borrow().reached_at(service);
+    if reached_at.is_none_or(|at| at <= began) {
+        path_probe::start(cx, service);
+    }
+    std::future::pending().await
 }
 
 /// Decides the paths that are in doubt.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -159,6 +159,7 @@
     EntryState {
         limits: limits.collect(),
         reached: paths::news(cx, now),
+        cut: cx.server_paths.borrow().cut_services().cloned().collect(),
         quarantine: cx.quarantine.borrow().news(now),
         stopping: cx.stopping.get(),
         rules_age: cx.freshness.borrow().age(boot_ms()),
@@ -328,6 +329,7 @@
         open: state.open,
         loads: state.loads.into_iter().map(load).collect(),
         work: state.work,
+        cut: state.cut,
     };
     let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
     let silence = cx.silence_ms();
@@ -449,7 +451,7 @@
 }
 
 /// Returns a random sample of up to `limit` live peers: those that sent a message recently.
-fn sample_live_peers(cx: &Context, now: Millis, limit: usize) -> Vec<Entry> {
+pub(crate) fn sample_live_peers(cx: &Context, now: Millis, limit: usize) -> Vec<Entry> {
     let silence = cx.silence_ms();
     let peer_status = cx.peer_status.borrow();
     let is_live = |entry: &&Entry| {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -9,11 +9,13 @@
 use kernel::{Code, Failure};
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Timeout for opening a connection.
@@ -66,10 +68,18 @@
     Unknown,
 }
 
+/// Remote ends of connections that broke.
+#[derive(Default)]
+struct Broken {
+    addresses: RefCell<HashSet<SocketAddr>>,
+    added: Notify,
+}
+
 /// Idle connections by server.
 #[derive(Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    broken: Rc<Broken>,
 }
 
 impl Pool {
@@ -78,7 +88,39 @@
         if let Some(connection) = self.take(address) {
             return Ok(connection);
         }
-        connect(address).await
+        self.connect(address).await
+    }
+
+    /// Opens a connection to find out whether a server can be reached, and keeps it for a request.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Result<(), Failure> {
+        let connection = self.connect(address).await?;
+        self.release(connection, &HeaderMap::new());
+        Ok(())
+    }
+
+    /// Waits until connections broke; returns their remote ends.
+    pub(crate) async fn broken(&self) -> HashSet<SocketAddr> {
+        self.broken.added.notified().await;
+        std::mem::take(&mut *self.broken.addresses.borrow_mut())
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
+        let failed = |e: String| Failure::new(Code::NotDispatched, format!("{address}: {e}"));
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| failed("connection timed out".into()))?;
+        let stream = stream.map_err(|e| failed(e.to_string()))?;
+        set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
+        let broken = self.broken.clone();
+        tokio::task::spawn_local(async move {
+            // The error itself is returned to the request in progress, if there is one.
+            if connection.await.is_err() {
+                broken.addresses.borrow_mut().insert(address);
+                broken.added.notify_one();
+            }
+        });
+        Ok(Connection { address, tx, is_reused: false })
     }
 
     /// Returns a connection to the pool after its response was read, if the response allows reuse.
@@ -155,19 +197,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
-    let failed = |e: String| Failure::new(Code::NotDispatched, format!("{address}: {e}"));
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| failed("connection timed out".into()))?;
-    let stream = stream.map_err(|e| failed(e.to_string()))?;
-    set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-    let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
-    // Errors of the connection are returned to the request in progress.
-    tokio::task::spawn_local(async move { drop(connection.await) });
-    Ok(Connection { address, tx, is_reused: false })
-}
-
 /// Disables Nagle's algorithm, and sets timeouts that detect a silent remote end.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::duty::{self, LeaderLease};
 use crate::message::WatchedPrefix;
+use crate::path_probe;
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
 use crate::registration;
@@ -71,6 +72,7 @@
     spawn_local(peers::broadcast_state(cx.clone()));
     spawn_local(sync::remove_missing_servers(cx.clone()));
     spawn_local(sweep(cx.clone()));
+    spawn_local(path_probe::watch_connections(cx.clone()));
     let lease = Rc::new(LeaderLease::new(cx.clone()));
     if let Some(duties) = cx.duties.clone() {
         spawn_local(duty::hold_lease(cx.clone(), lease.clone()));
@@ -91,7 +93,8 @@
     };
     let socket = UdpSocket::bind(settings.peer).await.map_err(|e| port_in_use(settings.peer, e))?;
     cx.set_peers(Peers::new(socket));
-    let mut listeners = vec![(settings.front, ListenerKind::Callers)];
+    let mut listeners =
+        vec![(settings.front, ListenerKind::Callers), (settings.peer, ListenerKind::Entries)];
     // Some deployments use one address for readiness, directory and metrics.
     for address in [settings.ready, settings.directory, settings.metrics] {
         if !listeners.iter().any(|(taken, _)| *taken == address) {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::directory;
 use crate::dispatch::{AdmittedRequest, dispatch};
+use crate::forwarded;
 use crate::headers::{LAST_EVENT_ID, strip_hop_by_hop_headers};
 use crate::origins;
 use crate::peers;
@@ -53,6 +54,8 @@
 pub(crate) enum ListenerKind {
     /// Requests of callers.
     Callers,
+    /// Requests of callers that other entries pass on.
+    Entries,
     /// Readiness, the directory and metrics.
     Internal,
 }
@@ -86,6 +89,11 @@
             let has_transfer_encoding = req.headers().contains_key(TRANSFER_ENCODING);
             let mut reply = match kind {
                 ListenerKind::Callers => handle_request(&cx, req).await,
+                ListenerKind::Entries => {
+                    let open_request = OpenRequest::new(&cx, true);
+                    let (parts, body) = req.into_parts();
+                    track_body(forwarded::handle(&cx, parts, body).await, open_request)
+                }
                 ListenerKind::Internal => directory::handle_internal(&cx, &req),
             };
             if cx.stopping.get() || has_transfer_encoding {
@@ -104,24 +112,35 @@
 }
 
 /// Counts a request as open until dropped.
-struct OpenRequest(Rc<Context>);
+struct OpenRequest {
+    cx: Rc<Context>,
+    /// Whether another entry passed the request on.
+    is_forwarded: bool,
+}
 
 impl OpenRequest {
-    fn new(cx: &Rc<Context>) -> Self {
+    fn new(cx: &Rc<Context>, is_forwarded: bool) -> Self {
         cx.open_requests.set(cx.open_requests.get() + 1);
-        Self(cx.clone())
+        if is_forwarded {
+            cx.open_forwarded.set(cx.open_forwarded.get() + 1);
+        }
+        Self { cx: cx.clone(), is_forwarded }
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get().saturating_sub(1));
+        let decrement = |count: &Cell<u32>| count.set(count.get().saturating_sub(1));
+        decrement(&self.cx.open_requests);
+        if self.is_forwarded {
+            decrement(&self.cx.open_forwarded);
+        }
     }
 }
 
 async fn handle_request(cx: &Rc<Context>, req: Request<Incoming>) -> Reply {
     let started = Instant::now();
-    let open_request = OpenRequest::new(cx);
+    let open_request = OpenRequest::new(cx, false);
     let (parts, body) = req.into_parts();
     let id = parts.headers.get(&cx.protocol.names().request).cloned();
     let id = id.unwrap_or(HeaderValue::from_static(""));
@@ -249,6 +268,9 @@
         deadline: started + timeout,
         usage_counted: Cell::new(false),
         mark,
+        rules_version: rules.version,
+        sender: None,
+        runs_before: 0,
         route,
     };
     let (reply, code) = dispatch(cx, Rc::new(request)).await;
@@ -295,7 +317,7 @@
     target + headers.iter().map(field).sum::<usize>()
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<bytes::Bytes, Failure> {
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<bytes::Bytes, Failure> {
     let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
     let read = read.map_err(|_| Failure::new(Code::BodyLate, format!("{BODY_TIMEOUT:?}")))?;
     read.map(|body| body.to_bytes()).map_err(|e| {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::peers;
 use crate::quarantine;
 use crate::server_check::check_server;
+use crate::target::{Target, choose_target, try_target};
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream;
@@ -20,7 +21,7 @@
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use kernel::prelude::*;
-use pick::{Choice, Outcome};
+use pick::Outcome;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -183,8 +184,11 @@
     async fn read_input(&mut self) -> StreamInput {
         // After a failure the response was aborted and there is nothing left to read.
         let Some(response) = &mut self.response else { return StreamInput::End };
+        // Another entry replaces a silent server itself; it is replaced if it does not.
+        let extra = if response.is_forwarded { 2 * REPLACEMENT_TIMEOUT } else { Duration::ZERO };
         let read_until = match stall_timeout(&self.request, self.history, self.chunks) {
             Some(stall_timeout) if !self.ignores_stall => {
+                let stall_timeout = stall_timeout + extra;
                 self.request.deadline.min(Instant::now() + stall_timeout)
             }
             _ => self.request.deadline,
@@ -216,7 +220,9 @@
         }
         self.chunks += 1;
         self.ignores_stall = false;
-        paths::record_answer(&self.cx, &self.request.service);
+        if self.response.as_ref().is_some_and(|response| !response.is_forwarded) {
+            paths::record_answer(&self.cx, &self.request.service);
+        }
         if let Some(response) = &self.response {
             response.guard.mark_prompt_read();
             response.guard.mark_progress();
@@ -252,8 +258,8 @@
             "took_ms" => self.request.started.elapsed().as_millis() as u64);
     }
 
-    /// Chooses a server to resume the stream and takes a retry from the budget.
-    async fn next_server(&self) -> Option<Choice> {
+    /// Chooses where to resume the stream and takes a retry from the budget.
+    async fn next_target(&self) -> Option<Target> {
         let (request, cx) = (&self.request, &self.cx);
         let step = next_step(
             AttemptResult::ResponseLost,
@@ -269,8 +275,8 @@
         if quarantine::is_held_after(cx, request, last).await {
             return None;
         }
-        let choice = choose_server(cx, request, &self.tried, self.software_version.as_ref())?;
-        peers::take_retry(cx, request).await.then_some(choice)
+        let target = choose_target(cx, request, &self.tried, self.software_version.as_ref())?;
+        peers::take_retry(cx, request).await.then_some(target)
     }
 
     /// Moves the stream away from a departing server; if this fails, the stream stays there.
@@ -315,8 +321,11 @@
         // The run has stopped; output that has not arrived is generated again from the copied
         // KV cache.
         self.events.discard_incomplete();
-        let resume =
-            ResumePoint { last_event_id: Some(last_event_id), moved_from: Some(moved_from) };
+        let resume = ResumePoint {
+            last_event_id: Some(last_event_id),
+            moved_from: Some(moved_from),
+            software_version: None,
+        };
         let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
         let is_moved = match attempted {
             Attempt::Answered(response) if response.head.status().is_success() => {
@@ -335,15 +344,15 @@
     ///
     /// The connection to the silent server is kept until the other one responds.
     async fn replace_stalled_server(&mut self) -> bool {
-        let Some(choice) = self.next_server().await else { return false };
+        let Some(target) = self.next_target().await else { return false };
         let (request, cx) = (self.request.clone(), self.cx.clone());
-        self.tried.push(choice.id.clone());
+        self.tried.push(target.name().clone());
         self.history.sends += 1;
-        let resume = ResumePoint { last_event_id: self.events.last_event_id(), moved_from: None };
+        let resume = self.resume_point();
         let started = Instant::now();
         let attempted = tokio::time::timeout(
             REPLACEMENT_TIMEOUT,
-            try_server(&cx, &request, &choice, &resume, self.history),
+            try_target(&cx, &request, &target, &resume, self.history),
         )
         .await;
         if !matches!(
@@ -362,12 +371,21 @@
             }
             _ => false,
         };
-        info!(cx.log, "server silent"; "request" => request.id_text(), "to" => %choice.id,
+        info!(cx.log, "server silent"; "request" => request.id_text(), "to" => %target.name(),
             "goes_on" => is_replaced, "chunks" => self.chunks, "runs" => self.history.runs,
             "took_ms" => started.elapsed().as_millis() as u64);
         is_replaced
     }
 
+    /// Returns the position after the last complete event.
+    fn resume_point(&self) -> ResumePoint {
+        ResumePoint {
+            last_event_id: self.events.last_event_id(),
+            moved_from: None,
+            software_version: self.software_version.clone(),
+        }
+    }
+
     /// Resumes the stream at another server after the last complete event; returns a failure if
     /// no server can.
     async fn resume_elsewhere(&mut self, cause: String) -> Option<Failure> {
@@ -384,21 +402,24 @@
         let (request, cx) = (self.request.clone(), self.cx.clone());
         self.events.discard_incomplete();
         loop {
-            let Some(choice) = self.next_server().await else {
+            let Some(target) = self.next_target().await else {
                 return Some(Failure::new(Code::Incomplete, cause));
             };
-            self.tried.push(choice.id.clone());
+            self.tried.push(target.name().clone());
             self.history.sends += 1;
-            let resume =
-                ResumePoint { last_event_id: self.events.last_event_id(), moved_from: None };
-            match try_server(&cx, &request, &choice, &resume, self.history).await {
+            let resume = self.resume_point();
+            match try_target(&cx, &request, &target, &resume, self.history).await {
                 Attempt::Answered(response) if response.head.status().is_success() => {
                     self.history.runs += 1;
                     info!(cx.log, "stream goes on"; "request" => request.id_text(),
-                        "server" => %choice.id, "chunks" => self.chunks);
+                        "server" => %target.name(), "chunks" => self.chunks);
                     self.response = Some(*response);
                     return None;
                 }
+                Attempt::Failed(_, code) if code.outcome() != kernel::Outcome::NotRun => {
+                    self.history.runs += 1;
+                }
+                Attempt::Failed(..) => {}
                 Attempt::Answered(_) | Attempt::NoResponse(AttemptResult::ResponseLost) => {
                     self.history.runs += 1
                 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -80,6 +80,7 @@
         let sent = boot_ms();
         let read = cx.store.get(cx.protocol.rules_key()).await;
         cx.record_store_call("rules", read.as_ref().err());
+        let is_read = read.is_ok();
         let pause = match read {
             Ok(Some(stored)) => {
                 apply_rules(&cx, &stored, sent);
@@ -92,7 +93,10 @@
                 RETRY_DELAY
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = cx.poll_rules_now.notified(), if is_read => {}
+        }
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/target.rs
@@ -0,0 +1,71 @@
+//! Where a request is sent next: to a server, or to an entry that reaches servers.
+
+use crate::attempt::AttemptHistory;
+use crate::context::Context;
+use crate::dispatch::{AdmittedRequest, Attempt, ResumePoint, choose_server, try_server};
+use crate::forward::{choose_entry, try_entry};
+use crate::paths;
+use coord::{Entry, Path};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use pick::Choice;
+use std::rc::Rc;
+
+/// Where a request is sent next.
+pub(crate) enum Target {
+    /// A backend server.
+    Server(Choice),
+    /// Another entry, which sends it to a server.
+    Entry(Entry),
+}
+
+impl Target {
+    /// Returns the name of the server or entry.
+    pub(crate) fn name(&self) -> &Name {
+        match self {
+            Self::Server(choice) => &choice.id,
+            Self::Entry(entry) => &entry.name,
+        }
+    }
+}
+
+/// Chooses where to send a request that was not sent to any of `tried` yet.
+///
+/// A request that another entry passed on goes to a server in any case, so that it makes one detour only.
+pub(crate) fn choose_target(
+    cx: &Context,
+    request: &AdmittedRequest,
+    tried: &[Name],
+    software_version: Option<&Name>,
+) -> Option<Target> {
+    let server = || choose_server(cx, request, tried, software_version).map(Target::Server);
+    if request.sender.is_some() {
+        return server();
+    }
+    let service = &request.service;
+    paths::update(cx, service);
+    let path = cx.server_paths.borrow().path_of_request(service, rand::random(), boot_ms());
+    let entry = match path {
+        Path::Direct => return server(),
+        Path::ThroughEntries => choose_entry(cx, service, tried).map(Target::Entry),
+        Path::Nowhere => None,
+    };
+    // Without an entry that helps, a server is tried unless it is certain that none can be reached.
+    let servers = cx.picker.borrow().staying(service).count();
+    let is_certain = cx.server_paths.borrow().is_certain(service, servers);
+    entry.or_else(|| if is_certain { None } else { server() })
+}
+
+/// Sends a request to its target and waits for the head of the response.
+pub(crate) async fn try_target(
+    cx: &Rc<Context>,
+    request: &AdmittedRequest,
+    target: &Target,
+    resume: &ResumePoint,
+    history: AttemptHistory,
+) -> Attempt {
+    match target {
+        Target::Server(choice) => try_server(cx, request, choice, resume, history).await,
+        Target::Entry(entry) => try_entry(cx, request, entry, resume, history).await,
+    }
+}
