coord, relay: quiet entries help, too, and nobody gives up before the others can have told

Now a path leads nowhere only when the news of the others are due (500 ms); until then what they reached up to 3 s before counts. An entry that does not reach servers says so in its state, and one that hears it and reached none itself for 150 ms finds out with connections.

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -15,15 +15,24 @@
     /// The same number while open connections still answer.
     pub refusing_servers: usize,
     /// Time by which news of the other entries may be late, in milliseconds. So long after the first
-    /// failure, what they reached so long before it counts too.
+    /// failure, what they reached before it counts too.
     pub news_delay_ms: Millis,
+    /// Time before the first failure up to which that counts: quiet entries reach servers rarely, in
+    /// milliseconds.
+    pub quiet_ms: Millis,
     /// Time over which requests go to the servers directly again after the cut, in milliseconds.
     pub return_ms: Millis,
 }
 
 impl Default for PathSettings {
     fn default() -> Self {
-        Self { silent_servers: 2, refusing_servers: 4, news_delay_ms: 500, return_ms: 1_000 }
+        Self {
+            silent_servers: 2,
+            refusing_servers: 4,
+            news_delay_ms: 500,
+            quiet_ms: 3_000,
+            return_ms: 1_000,
+        }
     }
 }
 
@@ -59,6 +68,11 @@
 }
 
 impl ServicePath {
+    fn silent_since(&self) -> Option<Millis> {
+        let since = self.failing.as_ref()?.since;
+        self.reached_at.is_none_or(|at| at <= since).then_some(since)
+    }
+
     /// Decides the path to `servers` servers. `others_reached_at` is the last time at which another entry
     /// reached one.
     fn decide(
@@ -69,19 +83,19 @@
         now: Millis,
     ) -> Path {
         let Some(failing) = &self.failing else { return Path::Direct };
-        let answers = self.reached_at.is_some_and(|at| at > failing.since);
+        let answers = self.silent_since().is_none();
         let failed = failing.servers.len();
         let needed = if answers { settings.refusing_servers } else { settings.silent_servers };
         if failed < needed.min(servers) {
             return Path::Direct;
         }
-        let delay_ms =
-            if now < failing.since + settings.news_delay_ms { settings.news_delay_ms } else { 0 };
+        let is_news_due = now < failing.since + settings.news_delay_ms;
+        let before_ms = if is_news_due { settings.quiet_ms } else { 0 };
         let is_reached_by_others =
-            others_reached_at.is_some_and(|at| at + delay_ms > failing.since);
+            others_reached_at.is_some_and(|at| at + before_ms > failing.since);
         match (is_reached_by_others, failed >= servers) {
             (true, _) => Path::ThroughEntries,
-            (false, true) if !answers => Path::Nowhere,
+            (false, true) if !answers && !is_news_due => Path::Nowhere,
             (false, _) => Path::Direct,
         }
     }
@@ -221,6 +235,12 @@
         self.services.get(service)?.reached_at
     }
 
+    /// Returns the time from which connections to servers of a service fail and nothing answers; `None` if
+    /// something does.
+    pub fn silent_since(&self, service: &str) -> Option<Millis> {
+        self.services.get(service).and_then(ServicePath::silent_since)
+    }
+
     /// Returns whether connections to servers of a service fail.
     pub fn is_failing(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|known| known.failing.is_some())
@@ -234,8 +254,9 @@
 
     /// Returns the services whose servers this entry does not reach.
     pub fn cut_services(&self) -> impl Iterator<Item = &Name> {
-        let cut = self.services.iter().filter(|(_, known)| known.path != Path::Direct);
-        cut.map(|(service, _)| service)
+        let is_cut =
+            |known: &ServicePath| known.path != Path::Direct || known.silent_since().is_some();
+        self.services.iter().filter(move |(_, known)| is_cut(known)).map(|(service, _)| service)
     }
 
     /// Returns the time at which a server of each service was last reached.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Time since an entry last reached a server up to which requests are passed on to it, in milliseconds.
-const MAX_REACHED_MS: Millis = 1_500;
+const MAX_REACHED_MS: Millis = 3_000;
 /// Maximum number of live entries from which one is chosen.
 const MAX_CANDIDATES: usize = 64;
 /// Multiple of the target latency after which another entry is tried, if the request may be repeated. It
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -5,11 +5,14 @@
 use coord::Path;
 use kernel::boot_ms;
 use kernel::prelude::*;
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::rc::Rc;
 
 /// Age up to which other entries are told when this one reached a server, in milliseconds.
 const NEWS_MS: Millis = 2_000;
+/// Time since this entry reached a server after which it finds out anew for another entry, in milliseconds.
+const RECENT_MS: Millis = 150;
 /// Silence of all servers of a service after which it is found out whether they are reached.
 const MAX_SILENCE: Duration = Duration::from_millis(400);
 
@@ -69,6 +72,16 @@
     }
 }
 
+/// Finds out whether servers are reached from here that another entry does not reach, so that it can be told.
+pub(crate) fn check_for_peer(cx: &Rc<Context>, cut: &BTreeSet<Name>) {
+    for service in cut {
+        let reached_at = cx.server_paths.borrow().reached_at(service);
+        if reached_at.is_none_or(|at| boot_ms().saturating_sub(at) > RECENT_MS) {
+            path_probe::start(cx, service);
+        }
+    }
+}
+
 /// Finds out whether servers of a service are reached, if none answers for [`MAX_SILENCE`].
 pub(crate) async fn probe_if_silent(cx: &Rc<Context>, service: &Name) -> Infallible {
     let began = boot_ms();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -307,6 +307,7 @@
         reports.record(&from, incarnation, state.counts, Clock::unix_ms());
     }
     record_peer_limits(cx, &from, &state.limits);
+    paths::check_for_peer(cx, &state.cut);
     quarantine::record_peer_news(cx, state.quarantine);
     let mut peer_status = cx.peer_status.borrow_mut();
     let known = peer_status.entry(from.clone()).or_default();
