relay: servers behind a cut path are not taken for crashed

Cause: a refused connection was taken for the end of a process, though it may be the path's.

Now a crash is recorded only once this entry reaches another server, or nobody reaches one: it waits 40 ms in which all connections over a cut path break, and up to 600 ms while nothing answers and the others may still tell.

--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -8,11 +8,18 @@
 use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// Age up to which other entries are told when this one reached a server, in milliseconds.
 const NEWS_MS: Millis = 2_000;
 /// Time since this entry reached a server after which it finds out anew for another entry, in milliseconds.
 const RECENT_MS: Millis = 150;
+/// Time in which all connections over a path break that is cut.
+const SETTLE_TIME: Duration = Duration::from_millis(40);
+/// Time after which what the other entries reach must be known here.
+const MAX_DOUBT: Duration = Duration::from_millis(600);
+/// Interval at which it is checked whether a doubt is settled.
+const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Silence of all servers of a service after which it is found out whether they are reached.
 const MAX_SILENCE: Duration = Duration::from_millis(400);
 
@@ -72,6 +79,23 @@
     }
 }
 
+/// Returns whether failures at servers of a service turn out to be those of this entry's own path: nothing
+/// answers here, while other entries reach servers.
+pub(crate) async fn is_at_fault(cx: &Context, service: &Name) -> bool {
+    let until = Instant::now() + MAX_DOUBT;
+    tokio::time::sleep(SETTLE_TIME).await;
+    loop {
+        let Some(since) = cx.server_paths.borrow().silent_since(service) else { return false };
+        if cx.roster.borrow().present().all(|entry| entry.name == cx.settings.name) {
+            return false;
+        }
+        if Instant::now() >= until {
+            return others_reached_at(cx, service).is_some_and(|at| at > since);
+        }
+        tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
+    }
+}
+
 /// Finds out whether servers are reached from here that another entry does not reach, so that it can be told.
 pub(crate) fn check_for_peer(cx: &Rc<Context>, cut: &BTreeSet<Name>) {
     for service in cut {
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -25,24 +25,16 @@
     let broke_at = boot_ms();
     tokio::task::spawn_local(async move {
         let reachability = probe(address).await;
-        match reachability {
-            Reachability::Listening => {
-                if let Some(service) = paths::service_of(&cx, &server) {
-                    paths::record_connected(&cx, &service);
-                }
-            }
-            Reachability::Refused | Reachability::Unknown => {
-                paths::record_unreachable(&cx, &server, broke_at);
-            }
-        }
+        let is_path_at_fault = record_reachability(&cx, &server, reachability, broke_at).await;
         let started_unix_ms =
             cx.picker.borrow().get(&server).map(|known| known.info.started_unix_ms);
         // A server that leaves ends because it was told to.
         let leaving = cx.picker.borrow().get(&server).is_none_or(Server::is_leaving);
+        let ended = reachability == Reachability::Refused && !is_path_at_fault;
         info!(cx.log, "server checked"; "server" => %server, "leaving" => leaving,
-            "ended" => reachability == Reachability::Refused, "result" => ?reachability);
+            "ended" => ended, "result" => ?reachability, "path_at_fault" => is_path_at_fault);
         if let Some(started_unix_ms) = started_unix_ms
-            && reachability == Reachability::Refused
+            && ended
             && !leaving
         {
             let run = ServerRun { server: server.clone(), started_unix_ms };
@@ -55,6 +47,22 @@
     });
 }
 
+/// Records whether the server could be reached; returns whether this entry reaches no server at all.
+async fn record_reachability(
+    cx: &Rc<Context>,
+    server: &Name,
+    reachability: Reachability,
+    broke_at: Millis,
+) -> bool {
+    let Some(service) = paths::service_of(cx, server) else { return false };
+    if reachability == Reachability::Listening {
+        paths::record_connected(cx, &service);
+        return false;
+    }
+    paths::record_unreachable(cx, server, broke_at);
+    paths::is_at_fault(cx, &service).await
+}
+
 /// Waits until a check of a server is over, or for [`CHECK_WAIT`].
 pub(crate) async fn wait_for_check(cx: &Context, server: &Name) {
     let ended = async {
