relay: a detour adds no attempts to those that the route allows

Cause as far as a test shows: the entry that passes a request on took the answer of the other one for one attempt, so that a request that two servers had failed there was passed on once more, and run by a third and fourth.

Now the answer of the other entry is final: it has used all attempts that the route allows. Only if that entry itself has ended (its address refuses connections) is the request passed on again. a_request_that_servers_fail_takes_no_more_attempts_with_a_detour_... failed before ("ServerError, /safe/x: 3", 2 allowed) and passes now.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::body::{Reply, full_body};
 use crate::context::Context;
 use crate::entry_headers;
+use crate::forward;
 use crate::headers::{build_server_request, forwarded_reply};
 use crate::path_probe;
 use crate::paths;
@@ -217,6 +218,13 @@
                 record_usage(cx, &request);
             }
         }
+        if let Target::Entry(entry) = &target
+            && result != AttemptResult::Unsent
+            && let Ok(address) = entry.peer.parse()
+        {
+            let is_lost = result == AttemptResult::ResponseLost;
+            history = forward::history_after(&request, history, address, is_lost).await;
+        }
         let mut step = next_step(
             result,
             request.route.retry_policy,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::entry_headers as fields;
 use crate::headers::{LAST_EVENT_ID, forwarded_reply};
 use crate::peers::sample_live_peers;
-use crate::pool::{SendError, ServerRequest};
+use crate::pool::{Reachability, SendError, ServerRequest, probe};
 use coord::Entry;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -140,6 +140,21 @@
     }))
 }
 
+/// Returns the history of a request after another entry took it over and its response is complete, or lost.
+///
+/// That entry has used all attempts which the route allows, unless it ended itself.
+pub(crate) async fn history_after(
+    request: &AdmittedRequest,
+    history: AttemptHistory,
+    entry: SocketAddr,
+    is_lost: bool,
+) -> AttemptHistory {
+    if is_lost && probe(entry).await != Reachability::Listening {
+        return history;
+    }
+    AttemptHistory { runs: history.runs.max(request.route.max_attempts), ..history }
+}
+
 /// Passes on the failure with which a request ended at the other entry.
 async fn failed_there(
     cx: &Context,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::{
     AdmittedRequest, Attempt, ResumePoint, ServerResponse, choose_server, record_usage, try_server,
 };
+use crate::forward;
 use crate::headers::forwarded_reply;
 use crate::origins;
 use crate::paths;
@@ -397,7 +398,13 @@
                 "left_ms" => self.request.remaining_ms(),
                 "answered_ms" => response.answered_at.elapsed().as_millis() as u64,
                 "parts" => self.request.prompt_parts(), "mark" => self.request.mark_text());
-            check_server(&self.cx, &response.guard.server, response.connection.address());
+            let address = response.connection.address();
+            if response.is_forwarded {
+                self.history =
+                    forward::history_after(&self.request, self.history, address, true).await;
+            } else {
+                check_server(&self.cx, &response.guard.server, address);
+            }
         }
         let (request, cx) = (self.request.clone(), self.cx.clone());
         self.events.discard_incomplete();
@@ -416,8 +423,9 @@
                     self.response = Some(*response);
                     return None;
                 }
+                // The other entry has used the attempts that were left.
                 Attempt::Failed(_, code) if code.outcome() != kernel::Outcome::NotRun => {
-                    self.history.runs += 1;
+                    return Some(Failure::new(Code::Incomplete, cause));
                 }
                 Attempt::Failed(..) => {}
                 Attempt::Answered(_) | Attempt::NoResponse(AttemptResult::ResponseLost) => {
