relay: the directory leaves out entries that reach no server

An entry that has not reached the servers of a service for a second is left out, as long as two others remain; callers that have its address are served as before. the_directory_names_an_entry_that_reaches_no_server_only_after_the_cut failed without the change ("timed out waiting until no entry names it").

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -259,6 +259,12 @@
         self.services.iter().filter(move |(_, known)| is_cut(known)).map(|(service, _)| service)
     }
 
+    /// Returns the time from which the path to the servers of some service is cut.
+    pub fn cut_since(&self) -> Option<Millis> {
+        let cut = self.services.values().filter(|known| known.path == Path::ThroughEntries);
+        cut.filter_map(|known| Some(known.failing.as_ref()?.since)).min()
+    }
+
     /// Returns the time at which a server of each service was last reached.
     pub fn reached(&self) -> impl Iterator<Item = (&Name, Millis)> {
         self.services.iter().filter_map(|(service, known)| Some((service, known.reached_at?)))
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -60,6 +60,8 @@
     pub(crate) reached_at: BTreeMap<Name, Millis>,
     /// Services whose servers it does not reach.
     pub(crate) cut: BTreeSet<Name>,
+    /// Time from which it has not reached the servers of some service.
+    pub(crate) cut_since: Option<Millis>,
 }
 
 /// Metric instruments.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -14,6 +14,9 @@
 const MAX_RULES_AGE_MS: Millis = 2_500;
 /// Minimum number of entries returned to a caller, so that it has an alternative when one fails.
 const MIN_ADDRESSES: usize = 2;
+/// Time without a server after which an entry is left out of the directory, in milliseconds. Callers give
+/// up their connections to entries that are not named any more.
+const MIN_CUT_MS: Millis = 1_000;
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -52,6 +55,13 @@
         .present()
         .filter(|entry| is_serving(cx, entry, peers.get(&entry.name), now))
         .collect();
+    let reaching: Vec<&Entry> = serving
+        .iter()
+        .copied()
+        .filter(|entry| !is_cut(cx, entry, peers.get(&entry.name), now))
+        .collect();
+    // Entries that reach no server take detours, which the others pay for as well.
+    let serving = if reaching.len() < MIN_ADDRESSES { serving } else { reaching };
     // If no entry is known to serve callers, all registered ones are returned: an entry that
     // receives no messages from its peers is better than none.
     let all: Vec<&Entry> = if serving.is_empty() { roster.present().collect() } else { serving };
@@ -63,6 +73,16 @@
     near.into_iter().chain(far.into_iter().take(missing)).map(|entry| entry.front.clone()).collect()
 }
 
+/// Whether an entry has not reached the servers of some service for [`MIN_CUT_MS`].
+fn is_cut(cx: &Context, entry: &Entry, status: Option<&PeerStatus>, now: Millis) -> bool {
+    let since = if entry.name == cx.settings.name {
+        cx.server_paths.borrow().cut_since()
+    } else {
+        status.and_then(|status| status.cut_since)
+    };
+    since.is_some_and(|since| now.saturating_sub(since) > MIN_CUT_MS)
+}
+
 fn is_serving(cx: &Context, entry: &Entry, status: Option<&PeerStatus>, now: Millis) -> bool {
     if entry.name == cx.settings.name {
         let age = cx.freshness.borrow().age(now);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -321,8 +321,10 @@
     let load = |(id, (open, unread))| (id, Load { open, pending_prompt_tokens: unread });
     let now = boot_ms();
     let reached_at = |(service, age)| (service, now.saturating_sub(age));
+    let cut_since = (!state.cut.is_empty()).then(|| known.cut_since.unwrap_or(now));
     *known = PeerStatus {
         received_at: now,
+        cut_since,
         reached_at: state.reached.into_iter().map(reached_at).collect(),
         incarnation,
         stopping: state.stopping,
