pick: a server's rest outlives what is known of the server

Servers that asked an entry for 3 s of rest got 37 requests from it in that time, if their registration lapsed and was written again meanwhile (an outage of the store, an unreadable value). Cause: the time was a field of the server in the picker, which goes with the registration. Class: a promise kept as a property of a picture that is replaced.

--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -21,6 +21,9 @@
     latency_model: LatencyModel,
     servers: BTreeMap<Name, Server>,
     prompt_cache: PromptCacheIndex,
+    /// Time until which servers want no requests from this entry, by name. It outlives what the entry
+    /// knows of a server otherwise: a registration may lapse while the server rests.
+    pauses: BTreeMap<Name, Millis>,
 }
 
 impl Picker {
@@ -42,7 +45,9 @@
             }
             _ => {
                 self.prompt_cache.remove_server(&info.id);
-                self.servers.insert(info.id.clone(), Server::new(info));
+                let mut server = Server::new(info);
+                server.paused_until = self.pauses.get(&server.info.id).copied().unwrap_or(0);
+                self.servers.insert(server.info.id.clone(), server);
                 true
             }
         }
@@ -62,9 +67,12 @@
     }
 
     /// Records that a server wants no requests from this entry until a time.
-    pub fn record_pause(&mut self, id: &str, until: Millis) {
+    pub fn record_pause(&mut self, id: &Name, until: Millis, now: Millis) {
+        self.pauses.retain(|_, until| *until > now);
+        let known = self.pauses.entry(id.clone()).or_insert(until);
+        *known = until.max(*known);
         if let Some(server) = self.servers.get_mut(id) {
-            server.paused_until = server.paused_until.max(until);
+            server.paused_until = *known;
         }
     }
 
--- a/crates/relay/src/server_news.rs
+++ b/crates/relay/src/server_news.rs
@@ -43,7 +43,8 @@
     };
     let pause = Duration::from_secs_f64(seconds.min(MAX_PAUSE.as_secs_f64()));
     let pause_ms = pause.as_millis() as Millis;
-    cx.picker.borrow_mut().record_pause(server, boot_ms() + pause_ms);
+    let now = boot_ms();
+    cx.picker.borrow_mut().record_pause(server, now + pause_ms, now);
     info!(cx.log, "server wants no requests"; "server" => %server, "request" => request.id_text(),
         "pause_ms" => pause_ms);
 }
