relay: a 503 asks for rest also if it does not say that the request has not run

Such an answer counts as none (the status alone promises nothing), and with it its Retry-After was dropped: 44 requests reached the server in the 3 s.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -403,6 +403,7 @@
     let names = cx.protocol.names();
     match classify(response.status(), response.headers(), names, request.id.as_bytes()) {
         ResponseClass::Invalid(cause) => {
+            server_news::record_refusal(cx, request, &choice.id, &response);
             end(Outcome::Failed, AttemptResult::ResponseLost, "foreign", cause)
         }
         ResponseClass::NotRun if response.status() == hyper::StatusCode::MISDIRECTED_REQUEST => {
--- a/crates/relay/src/server_news.rs
+++ b/crates/relay/src/server_news.rs
@@ -22,18 +22,19 @@
 ) {
     record_stated_limit(cx, request, server, response, sent_at);
     record_leaving(cx, request, server, response);
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        record_pause(cx, request, server, response);
-    }
+    record_refusal(cx, request, server, response);
 }
 
-/// Records for how long a server that refused a request wants no further ones from this entry.
-fn record_pause(
+/// Records for how long a server that refuses a request wants no further ones from this entry.
+pub(crate) fn record_refusal(
     cx: &Context,
     request: &AdmittedRequest,
     server: &Name,
     response: &Response<Incoming>,
 ) {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
     let Some(value) = response.headers().get(RETRY_AFTER) else { return };
     let seconds = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
     let Some(seconds) = seconds.filter(|seconds| *seconds >= 0.0) else {
