relay, pick: moves, copies and requests that waited leave a resting server alone, too

The choice of a server honoured the rest that it had asked for; a call that stops a stream there to move it, a copy of cached parts from there, and a request whose connection took longer than the news did not. Class: a promise kept at one of several places that send.

The check before sending has no test of its own.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -206,7 +206,7 @@
             expected_ms: best.expected_ms,
             uncached_tokens: best.uncached_tokens,
             copy_from: of_same_version(&affinity, best.server)
-                .find(|other| other.info.id != best.server.info.id)
+                .find(|other| other.info.id != best.server.info.id && !other.is_paused(now))
                 .map(|other| other.info.address),
             open: best.server.load().open,
             candidates: candidates.len(),
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Whether a server wants no requests from this entry now.
+    pub fn is_paused(&self, id: &str, now: Millis) -> bool {
+        self.pauses.get(id).is_some_and(|until| now < *until)
+    }
+
     /// Returns the time until the first server of a service wants requests from this entry again, in
     /// milliseconds; 0 if one does now or there is none.
     pub fn pause_left(&self, service: &str, now: Millis) -> Millis {
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -103,6 +103,16 @@
     assert_eq!((next.copy_from, next.uncached_tokens), (Some(primary.address), 900));
 }
 
+#[test]
+fn nothing_is_copied_from_a_server_that_rests() {
+    let mut picker = picker(&["s1", "s2", "s3", "s4"]);
+    let prompt = prompt(10);
+    let primary = choose(&picker, Some(&prompt), &[], 1);
+    picker.record_pause(&primary.id, 2_000, 0);
+    let next = choose(&picker, Some(&prompt), &[], 1);
+    assert_ne!(next.copy_from, Some(primary.address));
+}
+
 #[test]
 fn an_idle_primary_is_preferred_to_a_server_that_would_copy() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -361,6 +361,16 @@
     if !connection.is_reused() {
         paths::record_connected(cx, &request.service);
     }
+    // The server may have asked for rest since it was chosen.
+    if cx.picker.borrow().is_paused(&choice.id, boot_ms()) {
+        cx.pool.release(connection, &HeaderMap::new());
+        return end(
+            Outcome::Unknown,
+            AttemptResult::Unsent,
+            "paused",
+            "the server wants no requests",
+        );
+    }
     let req = match build_server_request(cx, request, choice, resume) {
         Ok(req) => req,
         Err(e) => return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &e.to_string()),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -21,6 +21,7 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
+use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Outcome;
 use std::net::SocketAddr;
@@ -296,7 +297,9 @@
         let Some(last_event_id) = self.events.last_event_id().filter(|_| supports_moves) else {
             return;
         };
-        if quarantine::is_held(&cx, &request) {
+        // A move is a call to the server.
+        let wants_no_calls = cx.picker.borrow().is_paused(&from, boot_ms());
+        if quarantine::is_held(&cx, &request) || wants_no_calls {
             return;
         }
         self.tried.push(from.clone());
