--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -5,6 +5,7 @@
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
 //! would still consider its rules fresh after a suspension.
 
+mod brittle;
 mod fingerprint;
 mod freshness;
 mod origin;
@@ -19,6 +20,7 @@
 mod usage;
 mod usage_step;
 
+pub use brittle::{BrittleNews, BrittleServers, BrittleSettings, ServerRoom};
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -7,9 +7,9 @@
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
-    Freshness, Quarantine, QuarantineSettings, QuotaSettings, QuotaShares, Restore, RetryBudget,
-    RetrySettings, Roster, ServerLimitSettings, ServerLimits, ServerPaths, StreamOrigins,
-    UsageCounter, UsageReports,
+    BrittleServers, BrittleSettings, Freshness, Quarantine, QuarantineSettings, QuotaSettings,
+    QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings, ServerLimits,
+    ServerPaths, StreamOrigins, UsageCounter, UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -109,6 +109,8 @@
     pub(crate) demand: RefCell<DemandTracker>,
     /// Limits that servers state.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Servers that state that they fall over when they refuse many requests.
+    pub(crate) brittle_servers: RefCell<BrittleServers>,
     /// Whether this entry reaches the servers.
     pub(crate) server_paths: RefCell<ServerPaths>,
     /// Signals a change of a path to servers.
@@ -239,6 +241,7 @@
             picker: RefCell::new(Picker::new(LatencyModel::default())),
             demand: RefCell::default(),
             server_limits: RefCell::new(server_limits),
+            brittle_servers: RefCell::new(BrittleServers::new(BrittleSettings::default())),
             server_paths: RefCell::default(),
             paths_changed: watch::Sender::new(0),
             services_probed: RefCell::default(),
@@ -427,6 +430,7 @@
             self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
         self.quarantine.borrow_mut().set_entries(names.clone());
         self.origins.borrow_mut().set_entries(names.clone());
+        self.brittle_servers.borrow_mut().set_entries(names.len());
         self.server_limits.borrow_mut().set_entries(names, boot_ms());
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::entry_headers;
 use crate::forward;
 use crate::headers::{build_server_request, forwarded_reply};
+use crate::limits::full_brittle_servers;
 use crate::path_probe;
 use crate::paths;
 use crate::peers;
@@ -279,7 +280,8 @@
     software_version: Option<&Name>,
 ) -> Option<Choice> {
     let now = boot_ms();
-    let exhausted = cx.server_limits.borrow_mut().exhausted(now);
+    let mut exhausted = cx.server_limits.borrow_mut().exhausted(now);
+    exhausted.extend(full_brittle_servers(cx, &request.service, now));
     let requirements = Requirements {
         service: &request.service,
         prompt: request.prompt.as_ref(),
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum Message {
     /// The present state of the sender.
-    State(EntryState),
+    State(Box<EntryState>),
     /// Requests the freshness of the receiver's rules, and the changes that the sender lacks.
     #[serde(rename = "Vouch")]
     FreshnessQuery {
@@ -175,6 +175,11 @@
     /// milliseconds.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) limits: BTreeMap<Name, (Option<f64>, Millis)>,
+    /// Servers that are or were brittle: the number of refusals in a second at which they fall over, `None` if
+    /// they no longer do, the age of that news, and the time since they last refused a request. Times
+    /// are in milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) brittle: BTreeMap<Name, (Option<f64>, Millis, Option<Millis>)>,
     /// Time since the sender last reached a server, in milliseconds, by service; only recent ones.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) reached: BTreeMap<Name, Millis>,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::context::{Context, PeerStatus};
 use crate::dispatch::AdmittedRequest;
-use crate::limits::record_peer_limits;
+use crate::limits::{brittle_news, record_peer_brittle, record_peer_limits};
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::origins;
 use crate::paths;
@@ -121,7 +121,7 @@
 /// Sends the state of this entry to a random sample of the peers. If `with_counts`, also sends it
 /// together with the usage counts to the leader and [`COUNT_KEEPERS`] random peers.
 pub(crate) fn send_state(cx: &Context, with_counts: bool) {
-    let state = current_state(cx);
+    let state = Box::new(current_state(cx));
     let roster = cx.roster.borrow();
     let others: Vec<&Entry> =
         roster.present().filter(|entry| entry.name != cx.settings.name).collect();
@@ -131,7 +131,7 @@
             usage.prune(Clock::unix_ms());
             usage.recent().clone()
         };
-        let state = EntryState { counts, ..state.clone() };
+        let state = Box::new(EntryState { counts, ..*state.clone() });
         let leader = cx.leader.borrow();
         let leader = others.iter().filter(|entry| Some(&entry.name) == leader.as_ref());
         let keepers = others.iter().sample(&mut rand::rng(), COUNT_KEEPERS);
@@ -158,6 +158,7 @@
         .map(|(server, news)| (server.clone(), (news.per_s, now.saturating_sub(news.at))));
     EntryState {
         limits: limits.collect(),
+        brittle: brittle_news(cx, now),
         reached: paths::news(cx, now),
         cut: cx.server_paths.borrow().cut_services().cloned().collect(),
         quarantine: cx.quarantine.borrow().news(now),
@@ -193,7 +194,7 @@
 fn handle(cx: &Rc<Context>, envelope: Envelope) {
     let Envelope { from, incarnation, message } = envelope;
     match message {
-        Message::State(state) => handle_state(cx, from, incarnation, state),
+        Message::State(state) => handle_state(cx, from, incarnation, *state),
         Message::FreshnessQuery { asked_at, known } => {
             reply_to_freshness_query(cx, &from, asked_at, &known)
         }
@@ -307,6 +308,7 @@
         reports.record(&from, incarnation, state.counts, Clock::unix_ms());
     }
     record_peer_limits(cx, &from, &state.limits);
+    record_peer_brittle(cx, &from, &state.brittle);
     paths::check_for_peer(cx, &state.cut);
     quarantine::record_peer_news(cx, state.quarantine);
     let mut peer_status = cx.peer_status.borrow_mut();
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -77,6 +77,13 @@
     /// [`kernel::Code::MalformedHeader`] for a limit that is not a number of at least 0.
     fn parse_server_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, Failure>;
 
+    /// Parses the number of refusals in a second beyond which a server states that it falls over. `None` if
+    /// it states nothing.
+    ///
+    /// # Errors
+    /// [`kernel::Code::MalformedHeader`] for a value that is not a number of at least 0.
+    fn parse_brittle(&self, headers: &HeaderMap) -> Result<Option<f64>, Failure>;
+
     /// Returns whether a server states in a response that it leaves.
     fn states_leaving(&self, headers: &HeaderMap) -> bool;
 
--- a/crates/relay/src/server_news.rs
+++ b/crates/relay/src/server_news.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use crate::dispatch::AdmittedRequest;
-use crate::limits::record_stated_limit;
+use crate::limits::{record_brittle, record_stated_limit};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
@@ -21,6 +21,7 @@
     sent_at: Millis,
 ) {
     record_stated_limit(cx, request, server, response, sent_at);
+    record_brittle(cx, request, server, response, sent_at);
     record_leaving(cx, request, server, response);
     record_refusal(cx, request, server, response);
 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -349,6 +349,7 @@
 fn remove_server(cx: &Context, id: &Name) {
     let was_leaving = cx.picker.borrow().get(id).is_some_and(Server::is_leaving);
     cx.server_limits.borrow_mut().remove(id);
+    cx.brittle_servers.borrow_mut().remove(id);
     let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
     if let Some(service) = &service {
         cx.server_paths.borrow_mut().remove_server(service, id);
