coord, relay: a call that fails late does not begin another outage of the store

A call that it had sent before failed at 22.23 s, and was taken for a new loss, regained at 23.08 s. A server's registration had been removed at 22.06 s; the 2.2 s in which servers may register again counted from 23.08 s, so that the entry, in touch again, sent it a request at 25.02 s.

Class: news of before, taken for news of now.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -17,6 +17,7 @@
 mod roster;
 mod server_limit;
 mod server_paths;
+mod store_health;
 mod usage;
 mod usage_step;
 
@@ -33,5 +34,6 @@
 pub use roster::{Entry, Roster};
 pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
 pub use server_paths::{Path, PathChange, PathSettings, ServerPaths};
+pub use store_health::{StoreChange, StoreHealth};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
 pub use usage_step::{CLOCK_TOLERANCE_MS, DueWindow, ReportStep, Restore, next_report_step};
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -9,7 +9,7 @@
 use coord::{
     BrittleServers, BrittleSettings, Freshness, Quarantine, QuarantineSettings, QuotaSettings,
     QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings, ServerLimits,
-    ServerPaths, StreamOrigins, UsageCounter, UsageReports,
+    ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -149,9 +149,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Schedule and start of the planned stop.
     pub(crate) shutdown: Cell<Option<(Shutdown, Instant)>>,
-    /// Time on the boot clock at which the store last became reachable again, in milliseconds.
-    pub(crate) store_regained_at: Cell<Millis>,
-    pub(crate) store_lost: Cell<bool>,
+    /// Whether the store answers this entry.
+    pub(crate) store_health: Cell<StoreHealth>,
     /// Number of restores of the store as of its newest answer; `None` before one has told.
     pub(crate) restores: Cell<Option<u64>>,
     /// The last restore of the store from an older copy that may have undone changes of this deployment,
@@ -262,8 +261,7 @@
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
             shutdown: Cell::default(),
-            store_regained_at: Cell::new(0),
-            store_lost: Cell::new(false),
+            store_health: Cell::default(),
             restores: Cell::new(None),
             restore: Cell::new(None),
             store_regained: watch::Sender::new(0),
@@ -302,19 +300,26 @@
         !self.stopping.get() && self.is_fresh()
     }
 
-    /// Records the result of a call to the store.
-    pub(crate) fn record_store_call(&self, call: &'static str, failure: Option<&Failure>) {
+    /// Records the result of a call to the store that was sent at `sent` on the boot clock.
+    pub(crate) fn record_store_call(
+        &self,
+        call: &'static str,
+        sent: Millis,
+        failure: Option<&Failure>,
+    ) {
         let result = if failure.is_some() { "failed" } else { "answered" };
         self.meters
             .store_calls
             .add(1, &[KeyValue::new("call", call), KeyValue::new("result", result)]);
         self.observe_restores();
-        match failure {
-            Some(failure) if !self.store_lost.replace(true) => {
+        let mut health = self.store_health.get();
+        let change = health.record(sent, failure.is_some(), boot_ms());
+        self.store_health.set(health);
+        match (change, failure) {
+            (Some(StoreChange::Lost), Some(failure)) => {
                 warn!(self.log, "store lost"; "call" => call, "cause" => %failure);
             }
-            None if self.store_lost.replace(false) => {
-                self.store_regained_at.set(boot_ms());
+            (Some(StoreChange::Regained), _) => {
                 self.store_regained.send_modify(|count| *count += 1);
                 info!(self.log, "store regained"; "call" => call);
             }
@@ -337,7 +342,9 @@
             self.restore.set(Some(Restore { number, heard_at_unix_ms: Clock::unix_ms() }));
             warn!(self.log, "store restored"; "restores" => number, "before" => before);
             // Servers write again what the copy lacks.
-            self.store_regained_at.set(boot_ms());
+            let mut health = self.store_health.get();
+            health.record_restore(boot_ms());
+            self.store_health.set(health);
         }
         self.restore.get()
     }
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -133,8 +133,9 @@
         removes: vec![LEADER_KEY.to_owned()],
         ..Commit::default()
     };
+    let sent = boot_ms();
     let released = cx.store.commit(&commit).await;
-    cx.record_store_call("resign", released.as_ref().err());
+    cx.record_store_call("resign", sent, released.as_ref().err());
     info!(cx.log, "lease of the duties"; "held" => false, "number" => number,
         "freed" => format!("{released:?}"));
 }
@@ -142,7 +143,7 @@
 async fn run_step(cx: &Context, step: LeaseAction) -> LeaseEvent {
     let now = boot_ms();
     let failed = |failure: Failure| {
-        cx.record_store_call("lease", Some(&failure));
+        cx.record_store_call("lease", now, Some(&failure));
         LeaseEvent::Failed
     };
     match step {
@@ -301,8 +302,9 @@
 async fn initial_server_count(cx: &Context, lease: &LeaderLease, service: &Name) -> Option<u32> {
     let number = lease.fencing_number()?;
     let key = format!("{INITIAL_COUNT_PREFIX}{service}");
+    let sent = boot_ms();
     let existing = cx.store.get(&key).await;
-    cx.record_store_call("found", existing.as_ref().err());
+    cx.record_store_call("found", sent, existing.as_ref().err());
     if let Some(stored) = existing.ok()? {
         return serde_json::from_slice(&stored.value).ok();
     }
@@ -317,8 +319,9 @@
         puts: vec![put],
         removes: Vec::new(),
     };
+    let sent = boot_ms();
     let committed = cx.store.commit(&commit).await;
-    cx.record_store_call("found", committed.as_ref().err());
+    cx.record_store_call("found", sent, committed.as_ref().err());
     info!(cx.log, "servers found"; "service" => %service, "count" => found,
         "result" => format!("{committed:?}"));
     matches!(committed, Ok(Committed::Done(_))).then_some(found)
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -261,7 +261,8 @@
     let readers = roster.present().filter(|entry| named.contains(&entry.name));
     let candidates: Vec<&Entry> = live.iter().filter(is_named).chain(readers).collect();
     // An entry that reaches the store gets the changes from there.
-    let revisions = if cx.store_lost.get() { sync::known_revisions(cx) } else { BTreeMap::new() };
+    let revisions =
+        if cx.store_health.get().is_lost() { sync::known_revisions(cx) } else { BTreeMap::new() };
     for entry in candidates.into_iter().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS) {
         cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: revisions.clone() });
     }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -44,11 +44,12 @@
     let mut written: Option<(Lease, i64)> = None;
     let mut is_first = true;
     while !cx.stopping.get() {
+        let sent = boot_ms();
         let registered = match written {
             Some((lease, _)) => cx.store.renew(lease).await,
             None => Ok(false),
         };
-        cx.record_store_call("renew", registered.as_ref().err());
+        cx.record_store_call("renew", sent, registered.as_ref().err());
         let pause = match registered {
             Ok(true) => RENEW_INTERVAL,
             Err(_) => RETRY_DELAY,
@@ -70,8 +71,9 @@
     let key = registration_key(&cx);
     let commit =
         Commit { expected: vec![(key.clone(), revision)], removes: vec![key], ..Commit::default() };
+    let sent = boot_ms();
     let removed = cx.store.commit(&commit).await;
-    cx.record_store_call("commit", removed.as_ref().err());
+    cx.record_store_call("commit", sent, removed.as_ref().err());
 }
 
 fn registration_key(cx: &Context) -> String {
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -79,7 +79,7 @@
         }
         let sent = boot_ms();
         let read = cx.store.get(cx.protocol.rules_key()).await;
-        cx.record_store_call("rules", read.as_ref().err());
+        cx.record_store_call("rules", sent, read.as_ref().err());
         let is_read = read.is_ok();
         let pause = match read {
             Ok(Some(stored)) => {
@@ -217,8 +217,9 @@
     let mut regained = cx.store_regained.subscribe();
     loop {
         regained.mark_unchanged();
+        let sent = boot_ms();
         let listed = cx.store.list(&key_prefix).await;
-        cx.record_store_call("list", listed.as_ref().err());
+        cx.record_store_call("list", sent, listed.as_ref().err());
         let Ok(listing) = listed else {
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
@@ -227,12 +228,13 @@
         prefix.apply_listing(&cx, listing.items);
         loop {
             let after = prefix.change_log(&cx).borrow().through().unwrap_or(listing.revision);
+            let sent = boot_ms();
             let watched = tokio::select! {
                 watched = cx.store.watch(&key_prefix, after, prefix.wait_ms()) => watched,
                 // A watch that was opened before an outage of the store may never return a change.
                 _ = regained.changed() => break,
             };
-            cx.record_store_call("watch", watched.as_ref().err());
+            cx.record_store_call("watch", sent, watched.as_ref().err());
             match watched {
                 Ok(Watched::Changes(changes, through)) => {
                     let has_changes = !changes.is_empty();
@@ -281,8 +283,7 @@
     loop {
         tokio::time::sleep(MISSING_CHECK_INTERVAL).await;
         cx.update_shares();
-        let regained_at = cx.store_regained_at.get();
-        if cx.store_lost.get() || boot_ms().saturating_sub(regained_at) < REREGISTRATION_MS {
+        if !is_reregistration_over(&cx) {
             continue;
         }
         let missing = std::mem::take(&mut *cx.missing_servers.borrow_mut());
@@ -337,15 +338,19 @@
 /// servers get [`REREGISTRATION_MS`] to register again.
 fn handle_server_removal(cx: &Context, id: Name) {
     // A peer may send the removal before this entry has reached the store again.
-    let reregistration_is_over =
-        boot_ms().saturating_sub(cx.store_regained_at.get()) >= REREGISTRATION_MS;
-    if cx.store_lost.get() || !reregistration_is_over {
-        cx.missing_servers.borrow_mut().insert(id);
-    } else {
+    if is_reregistration_over(cx) {
         remove_server(cx, &id);
+    } else {
+        cx.missing_servers.borrow_mut().insert(id);
     }
 }
 
+/// Whether servers have had the time to register again after the last outage of the store.
+fn is_reregistration_over(cx: &Context) -> bool {
+    let health = cx.store_health.get();
+    !health.is_lost() && boot_ms().saturating_sub(health.regained_at()) >= REREGISTRATION_MS
+}
+
 fn remove_server(cx: &Context, id: &Name) {
     let was_leaving = cx.picker.borrow().get(id).is_some_and(Server::is_leaving);
     cx.server_limits.borrow_mut().remove(id);
--- a/crates/relay/src/usage_report.rs
+++ b/crates/relay/src/usage_report.rs
@@ -5,6 +5,7 @@
 use crate::sync::LEADER_KEY;
 use coord::{Counts, DueWindow, ReportStep, Window, next_report_step};
 use infra::{Commit, Committed, Duties, Holder as Leader, Put, Stored};
+use kernel::boot_ms;
 use kernel::prelude::*;
 use std::collections::BTreeSet;
 
@@ -64,8 +65,9 @@
         if due.is_empty() {
             return;
         }
+        let sent = boot_ms();
         let listed = cx.store.list(FINAL_COUNTS_PREFIX).await;
-        cx.record_store_call("decided", listed.as_ref().err());
+        cx.record_store_call("decided", sent, listed.as_ref().err());
         let Ok(listing) = listed else { return };
         let is_expired = |window| end_ms(window) + FINAL_COUNTS_RETENTION_MS < unix_ms;
         let stored = parse_listing(cx, listing.items, is_expired);
@@ -183,8 +185,9 @@
         puts: vec![Put { key, value: value.into(), lease: None }],
         removes: Vec::new(),
     };
+    let sent = boot_ms();
     let committed = cx.store.commit(&commit).await;
-    cx.record_store_call("decide", committed.as_ref().err());
+    cx.record_store_call("decide", sent, committed.as_ref().err());
     info!(cx.log, "usage decided"; "window" => window, "number" => number,
         "restores" => cx.restores(), "counts" => format!("{counts:?}"),
         "result" => format!("{committed:?}"));
@@ -194,7 +197,8 @@
 async fn delete_keys(cx: &Context, keys: Vec<String>) {
     for part in keys.chunks(MAX_COMMIT_CHANGES) {
         let commit = Commit { removes: part.to_vec(), ..Commit::default() };
+        let sent = boot_ms();
         let cleared = cx.store.commit(&commit).await;
-        cx.record_store_call("clear", cleared.as_ref().err());
+        cx.record_store_call("clear", sent, cleared.as_ref().err());
     }
 }
