coord: one of two marks that were in the same crashes is tried soon

Now a mark in quarantine for whose crashes another held mark accounts gets one trial after a second. The guilty one of a perfect tie gets one as well, which the rule allows.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -49,6 +49,9 @@
     /// Interval at which one request with the part is allowed, to find out whether servers survive
     /// it now, in milliseconds.
     pub trial_interval_ms: Millis,
+    /// Time after which one request with a mark is allowed if another mark in quarantine accounts for all
+    /// crashes under it, in milliseconds. One of both may be innocent.
+    pub tie_trial_ms: Millis,
 }
 
 impl Default for QuarantineSettings {
@@ -64,6 +67,7 @@
             news_ms: 3_000,
             idle_ms: 120_000,
             trial_interval_ms: 120_000,
+            tie_trial_ms: 1_000,
         }
     }
 }
@@ -101,6 +105,8 @@
     requested_at: Millis,
     /// Time of the last trial, or of the beginning.
     tried_at: Millis,
+    /// Whether this entry has sent a trial because another mark may be to blame.
+    tie_tried: bool,
 }
 
 /// Marks in quarantine, with the evidence of this entry and of the others.
@@ -206,6 +212,7 @@
             let told = Hold {
                 requested_at: now.saturating_sub(told.request_age),
                 tried_at: now.saturating_sub(told.trial_age),
+                tie_tried: false,
             };
             if self.is_disproved(mark, &told) || self.is_explained(mark) {
                 continue;
@@ -325,7 +332,7 @@
             })
             .collect();
         guilty.sort_unstable();
-        let hold = Hold { requested_at: now, tried_at: now };
+        let hold = Hold { requested_at: now, tried_at: now, tie_tried: false };
         self.held.extend(guilty.iter().map(|(mark, _)| (*mark, hold)));
         guilty.into_iter().map(|(mark, crashes)| QuarantineChange::Held(mark, crashes)).collect()
     }
@@ -408,17 +415,34 @@
         })
     }
 
+    /// Whether another mark in quarantine was in all crashes under a mark, so that either may be to blame.
+    fn is_tied(&self, mark: u64) -> bool {
+        let mut under = self.crashes.values().filter(|crash| crash.suspects.contains_key(&mark));
+        let Some(first) = under.next() else { return false };
+        let others = first.suspects.keys().filter(|other| **other != mark);
+        let mut held = others.filter(|other| self.held.contains_key(other));
+        held.any(|other| under.clone().all(|crash| crash.suspects.contains_key(other)))
+    }
+
     /// Decides whether a request with these marks may be sent to a server.
     ///
     /// One entry allows a trial from time to time, so that a mark under which servers no longer crash
-    /// does not stay in quarantine.
+    /// does not stay in quarantine, and one soon if another mark may be to blame instead.
     pub fn check(&mut self, marks: impl Iterator<Item = u64>, now: Millis) -> QuarantineCheck {
         for mark in marks {
+            let Some(hold) = self.held.get(&mark) else { continue };
+            let is_tie_trial = !hold.tie_tried && self.is_tied(mark);
+            let interval_ms = if is_tie_trial {
+                self.settings.tie_trial_ms
+            } else {
+                self.settings.trial_interval_ms
+            };
             let Some(hold) = self.held.get_mut(&mark) else { continue };
             hold.requested_at = now;
-            let trial_at = hold.tried_at + self.settings.trial_interval_ms;
+            let trial_at = hold.tried_at + interval_ms;
             if now >= trial_at && rendezvous::rank(&self.own_name, &self.entries, mark) == Some(0) {
                 hold.tried_at = now;
+                hold.tie_tried |= is_tie_trial;
                 continue;
             }
             let retry_after_ms = trial_at.saturating_sub(now);
--- a/crates/coord/tests/crashing_requests.rs
+++ b/crates/coord/tests/crashing_requests.rs
@@ -226,6 +226,24 @@
     assert!(is_allowed(&mut quarantine, mark("sound"), 11_000));
 }
 
+#[test]
+fn a_sound_request_that_was_in_the_same_crashes_as_another_is_tried_after_a_second() {
+    let mut quarantine = quarantine("a");
+    for number in 0..3 {
+        let at = 10_000 + 50 * number;
+        crash_under(&mut quarantine, number, &[mark("bad"), mark("sound")], at);
+    }
+    assert!(!is_allowed(&mut quarantine, mark("sound"), 11_000));
+    assert!(is_allowed(&mut quarantine, mark("sound"), 11_200));
+    survive(&mut quarantine, mark("sound"), 11_200);
+    quarantine.update(11_300);
+    assert!(is_allowed(&mut quarantine, mark("sound"), 11_300));
+    // The other one gets one trial as well, and no further one soon.
+    let tried = (11_300..20_000).step_by(100);
+    let allowed = tried.filter(|at| is_allowed(&mut quarantine, mark("bad"), *at)).count();
+    assert!(allowed <= 1, "{allowed} trials");
+}
+
 #[test]
 fn a_request_is_held_although_a_sound_one_was_at_its_servers_and_at_one_that_crashed_before() {
     let mut quarantine = quarantine("a");
