relay: probes go on while all servers of a service rest, and whole paths cost nothing to check

Found by reading: the probes of a service ended when all of its servers had asked for rest, so that a path in doubt stayed so until a request failed to connect, which none does while the path counts as cut. A refusal of a server that comes through another entry is no longer taken for a run. The path of a request is decided anew only while it is in doubt.

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -68,6 +68,10 @@
 }
 
 impl ServicePath {
+    fn is_in_doubt(&self) -> bool {
+        self.failing.is_some() || self.path != Path::Direct
+    }
+
     fn silent_since(&self) -> Option<Millis> {
         let since = self.failing.as_ref()?.since;
         self.reached_at.is_none_or(|at| at <= since).then_some(since)
@@ -241,6 +245,11 @@
         self.services.get(service).and_then(ServicePath::silent_since)
     }
 
+    /// Returns whether connections to servers of a service fail, or its path is cut.
+    pub fn is_in_doubt(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(ServicePath::is_in_doubt)
+    }
+
     /// Returns whether connections to servers of a service fail.
     pub fn is_failing(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|known| known.failing.is_some())
@@ -248,8 +257,8 @@
 
     /// Returns the services to which connections fail, or whose path is cut.
     pub fn in_doubt(&self) -> impl Iterator<Item = &Name> {
-        let in_doubt = |known: &ServicePath| known.failing.is_some() || known.path != Path::Direct;
-        self.services.iter().filter(move |(_, known)| in_doubt(known)).map(|(service, _)| service)
+        let in_doubt = self.services.iter().filter(|(_, known)| known.is_in_doubt());
+        in_doubt.map(|(service, _)| service)
     }
 
     /// Returns the services whose servers this entry does not reach.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -220,7 +220,7 @@
             }
         }
         if let Target::Entry(entry) = &target
-            && result != AttemptResult::Unsent
+            && !matches!(result, AttemptResult::Unsent | AttemptResult::NotRun)
             && let Ok(address) = entry.peer.parse()
         {
             let is_lost = result == AttemptResult::ResponseLost;
--- a/crates/relay/src/path_probe.rs
+++ b/crates/relay/src/path_probe.rs
@@ -32,10 +32,8 @@
 
 async fn probe_until_reached(cx: &Rc<Context>, service: &Name) {
     loop {
+        // Servers that want no requests now are not probed, so that there may be none for some time.
         let targets = targets(cx, service);
-        if targets.is_empty() {
-            return;
-        }
         join_all(targets.iter().map(|(server, address)| probe(cx, service, server, *address)))
             .await;
         paths::update(cx, service);
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -50,6 +50,9 @@
 
 /// Decides the path to the servers of a service by what is known now, and logs a change.
 pub(crate) fn update(cx: &Context, service: &Name) -> Path {
+    if !cx.server_paths.borrow().is_in_doubt(service) {
+        return Path::Direct;
+    }
     let now = boot_ms();
     let servers = cx.picker.borrow().staying(service).count();
     let others = others_reached_at(cx, service);
