--- a/crates/relay/src/attempt_guard.rs
+++ b/crates/relay/src/attempt_guard.rs
@@ -1,7 +1,7 @@
 //! A request that is open at a backend server.
 
 use crate::context::Context;
-use crate::dispatch::AdmittedRequest;
+use crate::request::AdmittedRequest;
 use coord::SendId;
 use kernel::boot_ms;
 use kernel::prelude::*;
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -17,22 +17,19 @@
 use crate::pool::{Connection, SendError};
 use crate::quarantine;
 use crate::reply::error_reply;
+use crate::request::AdmittedRequest;
 use crate::server_check::check_server;
 use crate::server_news;
 use crate::stream;
 use crate::target::{Target, choose_target, try_target};
-use bytes::Bytes;
-use coord::{AnswerId, QuarantineCheck, part_mark};
+use coord::{AnswerId, QuarantineCheck};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Response};
+use hyper::{HeaderMap, Response};
 use kernel::boot_ms;
 use kernel::prelude::*;
-use pick::{Choice, Outcome, Prompt, Requirements};
-use rules::{Organisation, Route};
-use std::cell::Cell;
+use pick::{Choice, Outcome, Requirements};
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -50,66 +47,6 @@
 /// Minimum retry-after time for a request that could not be dispatched.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// A request that passed admission.
-pub(crate) struct AdmittedRequest {
-    pub(crate) id: HeaderValue,
-    pub(crate) method: Method,
-    pub(crate) target: PathAndQuery,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: Name,
-    pub(crate) organisation: Option<Arc<Organisation>>,
-    pub(crate) prompt: Option<Prompt>,
-    pub(crate) priority: u8,
-    /// Version that began the stream which the request resumes; `None` for a new request.
-    pub(crate) software_version: Option<Name>,
-    pub(crate) started: Instant,
-    pub(crate) deadline: Instant,
-    /// Whether the usage of the organisation includes this request.
-    pub(crate) usage_counted: Cell<bool>,
-    /// Mark of all requests with the same content.
-    pub(crate) mark: u64,
-    /// Version of the rules by which the request was admitted.
-    pub(crate) rules_version: u64,
-    /// Entry that passed the request on to this one; `None` for a request of a caller.
-    pub(crate) sender: Option<Name>,
-    /// Number of servers that may have run the request before it came here.
-    pub(crate) runs_before: u32,
-}
-
-impl AdmittedRequest {
-    /// Returns the time to the deadline in milliseconds.
-    pub(crate) fn remaining_ms(&self) -> u64 {
-        self.deadline.saturating_duration_since(Instant::now()).as_millis() as u64
-    }
-
-    /// Returns the marks of the parts of the prompt that other requests may share.
-    pub(crate) fn part_marks(&self) -> impl Iterator<Item = u64> {
-        self.prompt.iter().flat_map(Prompt::shared_parts).map(|part| part_mark(part.id))
-    }
-
-    /// Returns the marks of the request under which servers may crash.
-    pub(crate) fn marks(&self) -> impl Iterator<Item = u64> {
-        self.part_marks().chain([self.mark])
-    }
-
-    /// Returns the shared parts of the prompt for logs.
-    pub(crate) fn prompt_parts(&self) -> Option<String> {
-        self.prompt.as_ref().map(Prompt::shared_ids)
-    }
-
-    /// Returns the mark of the request's content for logs.
-    pub(crate) fn mark_text(&self) -> String {
-        format!("{:x}", self.mark)
-    }
-
-    /// Returns the request ID for logs.
-    pub(crate) fn id_text(&self) -> &str {
-        self.id.to_str().unwrap_or("unreadable")
-    }
-}
-
 /// Response of a backend server whose body has not been read yet.
 pub(crate) struct ServerResponse {
     pub(crate) head: Response<()>,
--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -3,10 +3,11 @@
 use crate::admit::request_host;
 use crate::body::Reply;
 use crate::context::Context;
-use crate::dispatch::{AdmittedRequest, dispatch};
+use crate::dispatch::dispatch;
 use crate::entry_headers as fields;
 use crate::paths;
 use crate::reply::error_reply;
+use crate::request::AdmittedRequest;
 use crate::serve::read_body;
 use coord::{Path, request_mark};
 use hyper::body::Incoming;
@@ -102,7 +103,7 @@
     }
     let runs_before = fields::number(&headers, &fields::RUNS).unwrap_or(0) as u32;
     let software_version = fields::name(&headers, &fields::SOFTWARE_VERSION);
-    let sender = fields::name(&headers, &fields::SENDER);
+    let sender = fields::name(&headers, &fields::SENDER).unwrap_or_default();
     let prompt = cx.protocol.parse_prompt(&headers).filter(|_| route.has_prompt);
     let priority = organisation.as_ref().and_then(|owner| owner.priority).unwrap_or(route.priority);
     let body = read_body(body, rules.limits.max_body_bytes).await;
@@ -133,7 +134,7 @@
         usage_counted: Cell::new(runs_before > 0),
         mark,
         rules_version: rules.version,
-        sender: sender.or_else(|| Some(Name::default())),
+        sender: Some(sender),
         runs_before,
         route,
     })
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -2,8 +2,9 @@
 
 use crate::body::{Body, Reply};
 use crate::context::Context;
-use crate::dispatch::{AdmittedRequest, ResumePoint};
+use crate::dispatch::ResumePoint;
 use crate::pool::ServerRequest;
+use crate::request::AdmittedRequest;
 use http_body_util::Full;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -2,7 +2,7 @@
 //! are brittle.
 
 use crate::context::Context;
-use crate::dispatch::AdmittedRequest;
+use crate::request::AdmittedRequest;
 use coord::{BrittleNews, ServerLimitNews, ServerRoom};
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -1,8 +1,8 @@
 //! Finds the software version that began a stream which its caller resumes, perhaps at another entry.
 
 use crate::context::Context;
-use crate::dispatch::AdmittedRequest;
 use crate::message::Message;
+use crate::request::AdmittedRequest;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rules::RetryPolicy;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,12 +1,12 @@
 //! Exchanges state, freshness of the rules, quota units and retries with the peers.
 
 use crate::context::{Context, PeerStatus};
-use crate::dispatch::AdmittedRequest;
 use crate::limits::{brittle_news, record_peer_brittle, record_peer_limits};
 use crate::message::{EntryState, Envelope, Message, WatchedPrefix};
 use crate::origins;
 use crate::paths;
 use crate::quarantine;
+use crate::request::AdmittedRequest;
 use crate::sync;
 use coord::{Entry, Transfer};
 use kernel::boot_ms;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,8 +1,8 @@
 //! Keeps requests under which servers crash away from servers.
 
 use crate::context::Context;
-use crate::dispatch::AdmittedRequest;
 use crate::peers;
+use crate::request::AdmittedRequest;
 use crate::server_check::wait_for_check;
 use coord::{
     AnswerId, QuarantineChange, QuarantineCheck, QuarantineNews, ServerRun, is_request_mark,
--- a/crates/relay/src/server_news.rs
+++ b/crates/relay/src/server_news.rs
@@ -1,8 +1,8 @@
 //! Takes in what a server states about itself in the head of a response.
 
 use crate::context::Context;
-use crate::dispatch::AdmittedRequest;
 use crate::limits::{record_brittle, record_stated_limit};
+use crate::request::AdmittedRequest;
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -2,9 +2,10 @@
 
 use crate::attempt::AttemptHistory;
 use crate::context::Context;
-use crate::dispatch::{AdmittedRequest, Attempt, ResumePoint, choose_server, try_server};
+use crate::dispatch::{Attempt, ResumePoint, choose_server, try_server};
 use crate::forward::{choose_entry, try_entry};
 use crate::paths;
+use crate::request::AdmittedRequest;
 use coord::{Entry, Path};
 use kernel::boot_ms;
 use kernel::prelude::*;
