coord, relay: above 12 entries, eight readers watch the store and tell the others

Cause: each entry watched the servers and the entries itself, so that a change cost a priced call for each entry. A copy older than 0.7 of the drain time makes the entry watch itself.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -6,6 +6,7 @@
 //! would still consider its rules fresh after a suspension.
 
 mod brittle;
+mod copy_age;
 mod fingerprint;
 mod freshness;
 mod origin;
@@ -22,6 +23,7 @@
 mod usage_step;
 
 pub use brittle::{BrittleNews, BrittleServers, BrittleSettings, ServerRoom};
+pub use copy_age::{ChangeSource, CopyAge};
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
 pub use origin::StreamOrigins;
--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -1,6 +1,8 @@
-//! Recent changes under a key prefix of the store, to send to peers that cannot reach the store.
+//! Recent changes under a key prefix of the store, to send to peers that do not read the store.
 
+use coord::CopyAge;
 use infra::Change;
+use kernel::Millis;
 use std::collections::VecDeque;
 
 /// Maximum number of changes kept for peers.
@@ -16,12 +18,31 @@
     since: Option<i64>,
     through: i64,
     changes: VecDeque<Change>,
+    /// Highest revision of a listed item or a change under the prefix.
+    newest: i64,
+    /// Age of the copy that the listing and the changes make up.
+    pub(crate) age: CopyAge,
+}
+
+/// A reader's statement that it has all changes up to a revision.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReaderConfirmation {
+    /// Revision up to which the reader has all changes.
+    pub through: i64,
+    /// Time on the receiver's boot clock at which the reader had them, in milliseconds.
+    pub at: Millis,
 }
 
 impl ChangeLog {
-    /// Starts over from a listing at a revision.
-    pub fn reset(&mut self, revision: i64) {
-        *self = Self { since: Some(revision), through: revision, changes: VecDeque::new() };
+    /// Starts over from a listing at a revision, whose items changed last at the revision `newest`.
+    pub fn reset(&mut self, revision: i64, newest: i64) {
+        *self = Self {
+            since: Some(revision),
+            through: revision,
+            changes: VecDeque::new(),
+            newest,
+            age: self.age,
+        };
     }
 
     /// Returns the revision up to which all changes are known; `None` before the first listing.
@@ -41,6 +62,7 @@
         let known = self.through;
         let new: Vec<Change> =
             changes.into_iter().filter(|change| change.revision > known).collect();
+        self.newest = new.iter().map(|change| change.revision).fold(self.newest, i64::max);
         self.changes.extend(new.iter().cloned());
         self.through = known.max(through);
         while self.changes.len() > MAX_CHANGES {
@@ -49,6 +71,19 @@
         new
     }
 
+    /// Records that a reader has all changes, after those that it sent were applied; returns whether the
+    /// copy is complete.
+    ///
+    /// A reader that lacks a change which is known here is behind, so that its word does not count. A
+    /// difference between `through` alone says nothing: that is the revision of the whole store.
+    pub fn record_confirmation(&mut self, confirmation: ReaderConfirmation) -> bool {
+        let is_complete = self.since.is_some() && confirmation.through >= self.newest;
+        if is_complete {
+            self.age.record_confirmation(confirmation.at);
+        }
+        is_complete
+    }
+
     /// Returns about `limit` changes after a revision, and the revision up to which they are
     /// complete; `None` if some of them are not kept.
     ///
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -125,6 +125,12 @@
     pub(crate) changes: Vec<PeerChange>,
     /// Revision up to which the batch is complete.
     pub(crate) through: i64,
+    /// Whether the sender knows of no later change.
+    #[serde(default)]
+    pub(crate) is_last: bool,
+    /// Age of what the store itself told the sender, in milliseconds; `None` if it does not know.
+    #[serde(default)]
+    pub(crate) age: Option<Millis>,
 }
 
 /// A change of one key, as sent by a peer.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -200,8 +200,12 @@
         }
         Message::FreshnessReply { asked_at, version, age, batches } => {
             handle_freshness_reply(cx, &from, asked_at, version, age);
+            let mut has_more = false;
             for batch in batches {
-                sync::apply_batch(cx, batch);
+                has_more |= sync::apply_batch(cx, batch, asked_at);
+            }
+            if has_more {
+                query_freshness(cx, &[from]);
             }
         }
         Message::QuotaRequest { number, organisation, units } => {
@@ -255,16 +259,16 @@
 /// for the freshness of their rules and for changes in the store.
 pub(crate) fn query_freshness(cx: &Context, named: &[Name]) {
     let asked_at = boot_ms();
-    let live = sample_live_peers(cx, asked_at, MAX_STATE_RECIPIENTS);
-    let is_named = |entry: &&Entry| named.is_empty() || named.contains(&entry.name);
-    let roster = cx.roster.borrow();
-    let readers = roster.present().filter(|entry| named.contains(&entry.name));
-    let candidates: Vec<&Entry> = live.iter().filter(is_named).chain(readers).collect();
-    // An entry that reaches the store gets the changes from there.
-    let revisions =
-        if cx.store_health.get().is_lost() { sync::known_revisions(cx) } else { BTreeMap::new() };
-    for entry in candidates.into_iter().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS) {
-        cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: revisions.clone() });
+    let asked = if named.is_empty() {
+        sample_live_peers(cx, asked_at, FRESHNESS_QUERY_PEERS)
+    } else {
+        let roster = cx.roster.borrow();
+        let readers = roster.present().filter(|entry| named.contains(&entry.name));
+        readers.cloned().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS)
+    };
+    let known = sync::known_revisions(cx);
+    for entry in &asked {
+        cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: known.clone() });
     }
 }
 
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,13 +1,13 @@
 //! Keeps the entry's copy of the rules, the servers and the entries up to date with the store.
 
-use crate::change_log::ChangeLog;
+use crate::change_log::{ChangeLog, ReaderConfirmation};
 use crate::context::Context;
 use crate::duty;
 use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
 use crate::origins;
 use crate::peers;
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
-use coord::Confirmation;
+use coord::{ChangeSource, Confirmation};
 use infra::{Change, Stored, Watched};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -21,7 +21,7 @@
 const POLL_FRACTION: f64 = 0.6;
 /// The same interval in a deployment where only the readers poll the rules. The other entries query
 /// the readers in between.
-const READER_POLL_FRACTION: f64 = 0.4;
+const READER_POLL_FRACTION: f64 = 0.25;
 /// Interval between two freshness queries to the readers, as a fraction of the time allowed to
 /// apply new rules.
 const QUERY_FRACTION: f64 = 0.2;
@@ -30,12 +30,15 @@
 const MAX_AGE_FRACTION: f64 = 0.7;
 /// Time to wait for replies to a freshness query.
 const FRESHNESS_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Largest number of entries with which every entry polls the rules itself.
+/// Largest number of entries with which every entry reads the store itself.
 const MAX_ENTRIES_ALL_POLL: usize = 12;
-/// Number of readers, the entries that poll the rules in a larger deployment.
+/// Number of readers, the entries that poll the rules and watch the store in a larger deployment.
 const READER_COUNT: usize = 8;
 /// Delay before the retry of a failed call to the store.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
+/// An entry whose copy is older watches the store itself. The rest of that time covers the call.
+const MAX_COPY_AGE_FRACTION: f64 = 0.7;
 /// Duration of one watch of the servers, in milliseconds. Keep-alive probes detect a dead
 /// connection sooner.
 const SERVERS_WATCH_MS: u64 = 6_000;
@@ -44,6 +47,8 @@
 /// Delay between a change and the next watch, as a fraction of the time allowed to react to a
 /// leaving server. Changes that arrive together are then received in one call.
 const BATCH_FRACTION: f64 = 0.3;
+/// The same delay of a reader, whose changes reach the other entries only with their next query.
+const READER_BATCH_FRACTION: f64 = 0.15;
 /// Approximate maximum number of changes in one message: a few kilobytes. All changes of one
 /// revision stay in the same message.
 const MAX_CHANGES_PER_MESSAGE: usize = 24;
@@ -57,12 +62,12 @@
 pub(crate) const LEADER_KEY: &str = "fennelfold/live/leader";
 
 /// Polls the rules in the store, or queries the readers that do. Each reply confirms the freshness
-/// of the rules.
+/// of the rules, and the copies of the servers and entries.
 pub(crate) async fn poll_rules(cx: Rc<Context>) {
     let apply = cx.settings.promises.apply;
     loop {
         let readers = readers(&cx);
-        let is_reader = readers.as_ref().is_none_or(|all| all.contains(&cx.settings.name));
+        let is_reader = is_reader(&cx, readers.as_deref());
         if let (false, Some(readers)) = (is_reader, &readers) {
             peers::query_freshness(&cx, readers);
             tokio::time::sleep(FRESHNESS_REPLY_TIMEOUT).await;
@@ -100,7 +105,12 @@
     }
 }
 
-/// Returns the readers, or `None` if every entry polls the rules itself.
+/// Whether this entry reads the rules and watches the prefixes itself.
+fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
+    readers.is_none_or(|all| all.contains(&cx.settings.name))
+}
+
+/// Returns the readers, or `None` if every entry reads the store itself.
 fn readers(cx: &Context) -> Option<Vec<Name>> {
     let roster = cx.roster.borrow();
     let names: Vec<&Name> = roster.present().map(|entry| &entry.name).collect();
@@ -190,16 +200,37 @@
     prefix: WatchedPrefix,
     after: i64,
 ) -> Option<ChangeBatch> {
-    let (changes, through) =
-        prefix.change_log(cx).borrow().changes_after(after, MAX_CHANGES_PER_MESSAGE)?;
+    let log = prefix.change_log(cx).borrow();
+    let (changes, through) = log.changes_after(after, MAX_CHANGES_PER_MESSAGE)?;
     let changes = changes.into_iter().map(PeerChange::from).collect();
-    Some(ChangeBatch { prefix, changes, through })
+    let age = confirmed_age(cx, &log, boot_ms());
+    let is_last = log.through() == Some(through);
+    Some(ChangeBatch { prefix, changes, through, is_last, age })
+}
+
+/// Returns the age of the store's last answer that shows that this entry has all changes of a prefix;
+/// `None` if there is none.
+///
+/// A watch whose connection hangs looks like one that waits, so the last read of the rules counts too.
+fn confirmed_age(cx: &Context, log: &ChangeLog, now: Millis) -> Option<Millis> {
+    if cx.store_health.get().is_lost() {
+        return None;
+    }
+    let (copy_age, rules_age) = (log.age.read_age(now)?, cx.freshness.borrow().age(now)?);
+    Some(copy_age.max(rules_age))
 }
 
-/// Applies a batch of changes sent by a peer.
-pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch) {
-    let ChangeBatch { prefix, changes, through } = batch;
+/// Applies a batch of changes that a peer sent in reply to a query of the time `asked_at`. Returns
+/// whether the peer has more.
+pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch, asked_at: Millis) -> bool {
+    let ChangeBatch { prefix, changes, through, is_last, age } = batch;
     apply_changes(cx, prefix, changes.into_iter().map(Change::from).collect(), through);
+    if let (true, Some(age)) = (is_last, age) {
+        let at = asked_at.saturating_sub(age);
+        let confirmation = ReaderConfirmation { through, at };
+        prefix.change_log(cx).borrow_mut().record_confirmation(confirmation);
+    }
+    !is_last
 }
 
 /// Applies the changes up to the revision `through` and skips those that are known.
@@ -210,10 +241,10 @@
     }
 }
 
-/// Watches a prefix of the store: applies a listing first, then every change after it.
+/// Keeps the copy of a prefix of the store up to date: applies a listing first, then every change
+/// after it, as the readers or the store tell it.
 pub(crate) async fn watch_prefix(cx: Rc<Context>, prefix: WatchedPrefix) {
     let key_prefix = prefix.prefix(&cx).to_owned();
-    let drain = cx.settings.promises.drain;
     let mut regained = cx.store_regained.subscribe();
     loop {
         regained.mark_unchanged();
@@ -224,23 +255,36 @@
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
-        prefix.change_log(&cx).borrow_mut().reset(listing.revision);
+        let newest = listing.items.iter().map(|(_, stored)| stored.revision).max().unwrap_or(0);
+        prefix.change_log(&cx).borrow_mut().reset(listing.revision, newest);
+        prefix.change_log(&cx).borrow_mut().age.record_listing(sent);
         prefix.apply_listing(&cx, listing.items);
         loop {
+            if let ChangeSource::Readers { remaining_ms } = next_source(&cx, prefix) {
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_millis(remaining_ms)) => continue,
+                    // Only a listing is certain to show what changed during an outage of the store.
+                    _ = regained.changed() => break,
+                }
+            }
             let after = prefix.change_log(&cx).borrow().through().unwrap_or(listing.revision);
             let sent = boot_ms();
+            prefix.change_log(&cx).borrow_mut().age.begin_watch();
             let watched = tokio::select! {
-                watched = cx.store.watch(&key_prefix, after, prefix.wait_ms()) => watched,
+                watched = cx.store.watch(&key_prefix, after, prefix.wait_ms()) => Some(watched),
                 // A watch that was opened before an outage of the store may never return a change.
-                _ = regained.changed() => break,
+                _ = regained.changed() => None,
             };
+            let succeeded = matches!(watched, Some(Ok(Watched::Changes(..))));
+            prefix.change_log(&cx).borrow_mut().age.end_watch(succeeded, boot_ms());
+            let Some(watched) = watched else { break };
             cx.record_store_call("watch", sent, watched.as_ref().err());
             match watched {
                 Ok(Watched::Changes(changes, through)) => {
                     let has_changes = !changes.is_empty();
                     apply_changes(&cx, prefix, changes, through);
                     if has_changes {
-                        tokio::time::sleep(drain.mul_f64(BATCH_FRACTION)).await;
+                        tokio::time::sleep(batch_delay(&cx)).await;
                     }
                 }
                 Ok(Watched::Forgotten) => {
@@ -258,6 +302,24 @@
     }
 }
 
+/// Decides where this entry learns the next changes of a prefix.
+fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
+    let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
+    let is_reader = is_reader(cx, readers(cx).as_deref());
+    prefix.change_log(cx).borrow().age.next_source(is_reader, limit, boot_ms())
+}
+
+/// Returns the delay between a change and the next watch.
+fn batch_delay(cx: &Context) -> Duration {
+    let fraction = match readers(cx) {
+        None => BATCH_FRACTION,
+        Some(readers) if readers.contains(&cx.settings.name) => READER_BATCH_FRACTION,
+        // The readers tell the next changes.
+        Some(_) => return Duration::ZERO,
+    };
+    cx.settings.promises.drain.mul_f64(fraction)
+}
+
 fn apply_server_listing(cx: &Context, items: Vec<(String, Stored)>) {
     let listed = items.iter().filter_map(|(key, stored)| upsert_server(cx, key, stored));
     let listed: BTreeSet<Name> = listed.collect();
--- a/crates/relay/tests/change_log.rs
+++ b/crates/relay/tests/change_log.rs
@@ -2,7 +2,7 @@
 
 use infra::{Change, Stored};
 use proptest::prelude::*;
-use relay::ChangeLog;
+use relay::{ChangeLog, ReaderConfirmation};
 use std::collections::BTreeMap;
 
 fn change(key: u8, revision: i64, exists: bool) -> Change {
@@ -12,7 +12,7 @@
 
 fn listed_log() -> ChangeLog {
     let mut log = ChangeLog::default();
-    log.reset(10);
+    log.reset(10, 8);
     log
 }
 
@@ -97,9 +97,9 @@
             snapshots.push(copy);
         }
         let mut senders = [ChangeLog::default(), ChangeLog::default()];
-        senders.iter_mut().for_each(|sender| sender.reset(0));
+        senders.iter_mut().for_each(|sender| sender.reset(0, 0));
         let mut receiver = ChangeLog::default();
-        receiver.reset(0);
+        receiver.reset(0, 0);
         let mut copy = BTreeMap::new();
         let mut delayed = Vec::new();
         for (sender, advances, is_delayed, limit) in steps {
@@ -123,3 +123,25 @@
         }
     }
 }
+
+#[test]
+fn a_reader_that_lacks_a_known_change_confirms_nothing() {
+    let mut log = listed_log();
+    log.apply(vec![change(1, 14, true)], 20);
+    assert!(!log.record_confirmation(ReaderConfirmation { through: 13, at: 500 }));
+    assert!(log.record_confirmation(ReaderConfirmation { through: 14, at: 500 }));
+}
+
+#[test]
+fn a_reader_that_has_only_not_seen_changes_of_other_prefixes_confirms_the_copy() {
+    // The listing is of revision 10, its newest item of revision 8.
+    let mut log = listed_log();
+    assert!(log.record_confirmation(ReaderConfirmation { through: 9, at: 500 }));
+    assert!(!log.record_confirmation(ReaderConfirmation { through: 7, at: 500 }));
+}
+
+#[test]
+fn nobody_confirms_a_copy_that_does_not_exist() {
+    let mut log = ChangeLog::default();
+    assert!(!log.record_confirmation(ReaderConfirmation { through: 14, at: 500 }));
+}
