coord, relay: streams that callers take up keep their version although all entries were killed

Cause: an entry that had just started took the only listed version for the one that began a stream if its servers had started long ago, although those of another version had just left (joined text, answered 200); and while two versions served, nobody knew after a kill of all entries (every take-up refused). Now the store holds which versions served lately (written at changes), and, while there are several or that is not known, the version of each new resumable stream, written by two entries in batches of 0.2 s. When a second version comes, streams that began before are written, too. In quiet times nothing is written.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -21,6 +21,7 @@
 mod store_health;
 mod usage;
 mod usage_step;
+mod version_history;
 
 pub use brittle::{BrittleNews, BrittleServers, BrittleSettings, ServerRoom};
 pub use copy_age::{ChangeSource, CopyAge};
@@ -39,3 +40,4 @@
 pub use store_health::{StoreChange, StoreHealth};
 pub use usage::{Counts, UsageCounter, UsageReports, Window};
 pub use usage_step::{CLOCK_TOLERANCE_MS, DueWindow, ReportStep, Restore, next_report_step};
+pub use version_history::{MIXED_VERSIONS_MS, VersionHistory};
--- a/crates/coord/tests/origin.rs
+++ b/crates/coord/tests/origin.rs
@@ -2,6 +2,7 @@
 
 use coord::StreamOrigins;
 use kernel::Name;
+use std::collections::BTreeSet;
 
 fn entries(count: usize) -> Vec<Name> {
     (0..count).map(|number| Name::from(format!("e{number}"))).collect()
@@ -61,3 +62,35 @@
         assert!(is_asked || holders.contains(&Name::from("e1")), "{request}");
     }
 }
+
+#[test]
+fn only_streams_that_began_here_at_the_version_and_lately_are_told_again() {
+    let mut origins = origins("e0", 3);
+    let (v1, v2) = (Name::from("v1"), Name::from("v2"));
+    origins.record_begun(&Name::from("old"), &v1, 1_000);
+    origins.record(&Name::from("told"), &v1, 30_000);
+    origins.record_begun(&Name::from("other"), &v2, 30_000);
+    origins.record_begun(&Name::from("meant"), &v1, 30_000);
+    assert_eq!(origins.begun_here(&v1, 20_000, 40_000), [Name::from("meant")]);
+}
+
+#[test]
+fn all_entries_agree_on_two_recorders_and_one_of_them_keeps_the_history() {
+    let recorder = |own: &Name, request: &str| origins(own, 195).recorder(request).cloned();
+    let requests: Vec<String> = (0..100).map(|number| format!("r{number}")).collect();
+    let chosen: BTreeSet<Name> =
+        requests.iter().filter_map(|request| recorder(&Name::from("e0"), request)).collect();
+    assert_eq!(chosen.len(), 2);
+    for request in &requests {
+        assert_eq!(recorder(&Name::from("e0"), request), recorder(&Name::from("e77"), request));
+    }
+    let keepers: Vec<Name> =
+        entries(195).into_iter().filter(|name| origins(name, 195).keeps_history()).collect();
+    assert_eq!(keepers.len(), 1);
+    assert!(chosen.contains(&keepers[0]));
+}
+
+#[test]
+fn an_entry_that_knows_of_no_other_has_no_recorder() {
+    assert_eq!(StreamOrigins::new(Name::from("e0")).recorder("r1"), None);
+}
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -5,7 +5,7 @@
 use crate::outcome::{Outcome, OutcomeCounts};
 use crate::server::{Load, Server, ServerInfo};
 use kernel::{Millis, Name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Backoff after a server was unreachable, in milliseconds; doubles each time until the server
 /// answers.
@@ -170,16 +170,10 @@
         self.servers.values()
     }
 
-    /// Returns the software version of all servers of a service, leaving ones included; `None` if they
-    /// differ or there is no server.
-    pub fn sole_software_version(&self, service: &str) -> Option<&Name> {
-        let mut versions = self
-            .servers
-            .values()
-            .filter(|server| server.info.service == *service)
-            .map(|server| &server.info.software_version);
-        let first = versions.next()?;
-        versions.all(|version| version == first).then_some(first)
+    /// Returns the software versions of all servers of a service, leaving ones included.
+    pub fn software_versions(&self, service: &str) -> BTreeSet<Name> {
+        let servers = self.servers.values().filter(|server| server.info.service == *service);
+        servers.map(|server| server.info.software_version.clone()).collect()
     }
 
     /// Returns the latency model.
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -1,6 +1,7 @@
 //! Shared state of one entry, read and updated by all of its tasks and requests.
 
 use crate::change_log::ChangeLog;
+use crate::origin_store::OriginStore;
 use crate::origins::{PendingQuery, ServedVersions};
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -123,6 +124,8 @@
     pub(crate) origins: RefCell<StreamOrigins>,
     /// Queries for the versions of streams that wait for replies, by number.
     pub(crate) origin_queries: RefCell<BTreeMap<u64, Rc<PendingQuery>>>,
+    /// What this entry knows of the origins of streams that are kept in the store.
+    pub(crate) origin_store: OriginStore,
     /// Software versions that serve, by service.
     pub(crate) served_versions: RefCell<BTreeMap<Name, ServedVersions>>,
     /// Prompt parts under which servers crash.
@@ -247,6 +250,7 @@
             open_forwarded: Cell::new(0),
             origins: RefCell::new(StreamOrigins::new(settings.name.clone())),
             origin_queries: RefCell::default(),
+            origin_store: OriginStore::default(),
             served_versions: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             quarantine_changed: watch::Sender::new(0),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod log;
 mod message;
+mod origin_store;
 mod origins;
 mod path_probe;
 mod paths;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -80,6 +80,13 @@
         /// Version of the server that wrote the first event.
         software_version: Name,
     },
+    /// Asks the receiver to write to the store which software version began these streams.
+    RecordOrigins {
+        /// Version of the servers that wrote the first events.
+        software_version: Name,
+        /// IDs of the callers' requests.
+        requests: Vec<Name>,
+    },
     /// Asks which software version began a stream.
     StreamQuery {
         /// Query number; copied into the reply.
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -2,29 +2,35 @@
 
 use crate::context::Context;
 use crate::message::Message;
+use crate::origin_store;
 use crate::request::AdmittedRequest;
+use coord::MIXED_VERSIONS_MS;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rules::RetryPolicy;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
 /// Time to wait for the replies of peers.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(40);
-/// Time after a change of the versions of a service for which a stream may still be of an earlier one, in
-/// milliseconds.
-const MIXED_VERSIONS_MS: Millis = 30_000;
 
 /// Software versions of the servers of a service, as far as this entry has seen them.
 #[derive(Clone, Debug)]
 pub(crate) struct ServedVersions {
-    /// The version, if all servers have the same one.
-    sole: Option<Name>,
+    pub(crate) present: BTreeSet<Name>,
     /// Time of the last change on the boot clock; `None` if there was none since this entry started.
     changed_at: Option<Millis>,
 }
 
+impl ServedVersions {
+    /// Returns the version if all servers have the same one.
+    fn sole(&self) -> Option<&Name> {
+        self.present.first().filter(|_| self.present.len() == 1)
+    }
+}
+
 /// A query for the version of a stream that waits for replies.
 #[derive(Default)]
 pub(crate) struct PendingQuery {
@@ -34,14 +40,17 @@
 }
 
 /// Records that a caller gets the first event of its stream from a server of this version, and tells
-/// the entries that keep it.
+/// the entries that keep it. While several versions serve, the store keeps it as well.
 pub(crate) fn record_began(cx: &Context, request: &AdmittedRequest, software_version: &Name) {
     let is_resumable = request.route.retry_policy == RetryPolicy::Stream { resumable: true };
     if !is_resumable || request.software_version.is_some() {
         return;
     }
     let id = Name::from(request.id_text());
-    cx.origins.borrow_mut().record(&id, software_version, boot_ms());
+    cx.origins.borrow_mut().record_begun(&id, software_version, boot_ms());
+    if sole_version(cx, &request.service).is_none() {
+        origin_store::record(cx, software_version, vec![id.clone()]);
+    }
     let holders = cx.origins.borrow().holders(&id);
     let roster = cx.roster.borrow();
     for entry in holders.iter().filter_map(|name| roster.get(name)) {
@@ -63,7 +72,13 @@
     if let Some(sole) = sole_version(cx, service) {
         return Some(sole);
     }
-    query_peers(cx, resumes?).await
+    let resumes = resumes?;
+    let known = query_peers(cx, resumes).await;
+    if known.is_some() {
+        return known;
+    }
+    origin_store::load(cx).await;
+    cx.origins.borrow().get(resumes).cloned()
 }
 
 async fn query_peers(cx: &Rc<Context>, resumes: &str) -> Option<Name> {
@@ -104,29 +119,40 @@
 
 /// Notes the versions that serve a service; to be called after each change of its servers.
 pub(crate) fn observe_versions(cx: &Context, service: &Name) {
-    let sole = cx.picker.borrow().sole_software_version(service).cloned();
-    let mut services = cx.served_versions.borrow_mut();
-    match services.get_mut(service) {
-        Some(served) if served.sole == sole => {}
-        Some(served) => *served = ServedVersions { sole, changed_at: Some(boot_ms()) },
-        None => drop(services.insert(service.clone(), ServedVersions { sole, changed_at: None })),
+    let present = cx.picker.borrow().software_versions(service);
+    let only_before = sole_version(cx, service);
+    {
+        let mut services = cx.served_versions.borrow_mut();
+        match services.get_mut(service) {
+            Some(served) if served.present == present => return,
+            Some(served) => {
+                *served = ServedVersions { present, changed_at: Some(boot_ms()) };
+            }
+            None => {
+                services.insert(service.clone(), ServedVersions { present, changed_at: None });
+            }
+        }
+    }
+    // What began at the only version had not been worth a record until now.
+    if let Some(version) = only_before {
+        let begun = cx.origins.borrow().begun_here(&version, MIXED_VERSIONS_MS, boot_ms());
+        origin_store::record(cx, &version, begun);
     }
 }
 
 /// Returns the version of a service if no other one can have begun a stream that is still open.
 fn sole_version(cx: &Context, service: &Name) -> Option<Name> {
     let services = cx.served_versions.borrow();
-    let ServedVersions { sole, changed_at } = services.get(service)?;
-    let is_recent = |at: &Millis| boot_ms().saturating_sub(*at) < MIXED_VERSIONS_MS;
-    if changed_at.as_ref().is_some_and(is_recent) {
+    let served = services.get(service)?;
+    let sole = served.sole()?;
+    let is_recent = |at: Millis| boot_ms().saturating_sub(at) < MIXED_VERSIONS_MS;
+    if served.changed_at.is_some_and(is_recent) {
         return None;
     }
-    // An entry that has just started did not see earlier servers. A new version starts new ones.
+    // An entry that has just started did not see which servers left before.
     let now_unix = Clock::unix_ms();
-    let has_just_started = |started: u64| now_unix.saturating_sub(started) < MIXED_VERSIONS_MS;
-    let is_unsure = has_just_started(cx.incarnation)
-        && cx.picker.borrow().servers().any(|server| {
-            server.info.service == *service && has_just_started(server.info.started_unix_ms)
-        });
-    sole.clone().filter(|_| !is_unsure)
+    let has_seen_enough = cx.settings.first_start
+        || now_unix.saturating_sub(cx.incarnation) >= MIXED_VERSIONS_MS
+        || cx.origin_store.sole_version(service, now_unix).as_ref() == Some(sole);
+    has_seen_enough.then(|| sole.clone())
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -239,6 +239,9 @@
         Message::StreamBegan { request, software_version } => {
             cx.origins.borrow_mut().record(&request, &software_version, boot_ms());
         }
+        Message::RecordOrigins { software_version, requests } => {
+            cx.origin_store.add(cx, &software_version, requests);
+        }
         Message::StreamQuery { number, request } => {
             let software_version = cx.origins.borrow().get(&request).cloned();
             if let Some(entry) = cx.roster.borrow().get(&from) {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::duty::{self, LeaderLease};
 use crate::message::WatchedPrefix;
+use crate::origin_store;
 use crate::path_probe;
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
@@ -71,6 +72,7 @@
     spawn_local(peers::receive(cx.clone()));
     spawn_local(peers::broadcast_state(cx.clone()));
     spawn_local(sync::remove_missing_servers(cx.clone()));
+    spawn_local(origin_store::run(cx.clone()));
     spawn_local(sweep(cx.clone()));
     spawn_local(path_probe::watch_connections(cx.clone()));
     let lease = Rc::new(LeaderLease::new(cx.clone()));
