--- a/crates/coord/src/copy_age.rs
+++ b/crates/coord/src/copy_age.rs
@@ -58,9 +58,11 @@
     }
 
     /// Decides where to learn the next changes, if no copy may be older than `limit_ms`.
+    ///
+    /// What the store told does not count, however new it is: that readers tell what comes next is known
+    /// only once one of them has confirmed the copy.
     pub fn next_source(&self, is_reader: bool, limit_ms: Millis, now: Millis) -> ChangeSource {
-        let current_at = self.read_at.max(self.confirmed_at);
-        let age = current_at.map_or(Millis::MAX, |at| now.saturating_sub(at));
+        let age = self.confirmed_at.map_or(Millis::MAX, |at| now.saturating_sub(at));
         if is_reader || age >= limit_ms {
             ChangeSource::Store
         } else {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod quarantine_news;
 mod quota;
+mod readers;
 mod rendezvous;
 mod retry;
 mod roster;
@@ -33,6 +34,7 @@
 };
 pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
+pub use readers::readers;
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
 pub use server_limit::{ServerLimitNews, ServerLimitSettings, ServerLimits};
--- a/crates/coord/tests/copy_age.rs
+++ b/crates/coord/tests/copy_age.rs
@@ -23,13 +23,20 @@
 #[test]
 fn a_copy_that_no_reader_confirms_grows_too_old() {
     let mut age = CopyAge::default();
-    age.record_listing(1_000);
+    age.record_confirmation(1_000);
     assert_eq!(source(&age, 1_300), ChangeSource::Readers { remaining_ms: 2_500 });
     assert_eq!(source(&age, 1_000 + LIMIT_MS), ChangeSource::Store);
     age.record_confirmation(3_000);
     assert_eq!(source(&age, 1_000 + LIMIT_MS), ChangeSource::Readers { remaining_ms: 2_000 });
 }
 
+#[test]
+fn an_entry_whose_copy_no_reader_has_confirmed_watches_the_store_however_new_the_copy_is() {
+    let mut age = CopyAge::default();
+    age.record_listing(1_000);
+    assert_eq!(source(&age, 1_001), ChangeSource::Store);
+}
+
 #[test]
 fn a_late_confirmation_makes_no_copy_older() {
     let mut age = CopyAge::default();
--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -20,6 +20,8 @@
     changes: VecDeque<Change>,
     /// Highest revision of a listed item or a change under the prefix.
     newest: i64,
+    /// Time at which this entry learned of that change.
+    newest_at: Millis,
     /// Age of the copy that the listing and the changes make up.
     pub(crate) age: CopyAge,
 }
@@ -35,12 +37,13 @@
 
 impl ChangeLog {
     /// Starts over from a listing at a revision, whose items changed last at the revision `newest`.
-    pub fn reset(&mut self, revision: i64, newest: i64) {
+    pub fn reset(&mut self, revision: i64, newest: i64, now: Millis) {
         *self = Self {
             since: Some(revision),
             through: revision,
             changes: VecDeque::new(),
             newest,
+            newest_at: if newest > self.newest { now } else { self.newest_at },
             age: self.age,
         };
     }
@@ -55,14 +58,17 @@
     ///
     /// `changes` must hold every change after some revision at or before [`Self::through`], because
     /// a gap would not be detected.
-    pub fn apply(&mut self, changes: Vec<Change>, through: i64) -> Vec<Change> {
+    pub fn apply(&mut self, changes: Vec<Change>, through: i64, now: Millis) -> Vec<Change> {
         if self.since.is_none() {
             return Vec::new();
         }
         let known = self.through;
         let new: Vec<Change> =
             changes.into_iter().filter(|change| change.revision > known).collect();
-        self.newest = new.iter().map(|change| change.revision).fold(self.newest, i64::max);
+        if let Some(newest) = new.iter().map(|change| change.revision).max() {
+            self.newest = newest;
+            self.newest_at = now;
+        }
         self.changes.extend(new.iter().cloned());
         self.through = known.max(through);
         while self.changes.len() > MAX_CHANGES {
@@ -74,12 +80,14 @@
     /// Records that a reader has all changes, after those that it sent were applied; returns whether the
     /// copy is complete.
     ///
-    /// A reader that lacks a change which is known here is behind, so that its word does not count. A
-    /// difference between `through` alone says nothing: that is the revision of the whole store.
+    /// A reader that lacks a change which was known here by then is behind, so that its word does not
+    /// count. A difference between `through` alone says nothing: that is the revision of the whole store.
     pub fn record_confirmation(&mut self, confirmation: ReaderConfirmation) -> bool {
-        let is_complete = self.since.is_some() && confirmation.through >= self.newest;
+        let ReaderConfirmation { through, at } = confirmation;
+        let is_behind = through < self.newest && self.newest_at <= at;
+        let is_complete = self.since.is_some() && !is_behind;
         if is_complete {
-            self.age.record_confirmation(confirmation.at);
+            self.age.record_confirmation(at);
         }
         is_complete
     }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -134,6 +134,9 @@
     pub(crate) quarantine_changed: watch::Sender<u64>,
     /// Time on the boot clock at which a server was last added, in milliseconds.
     pub(crate) server_added_at: Cell<Millis>,
+    /// Time on the boot clock at which this entry last relied on readers to tell changes of servers, in
+    /// milliseconds.
+    pub(crate) servers_followed_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
     /// Servers for which a check is under way whether they have ended.
@@ -255,6 +258,7 @@
             quarantine: RefCell::new(quarantine),
             quarantine_changed: watch::Sender::new(0),
             server_added_at: Cell::default(),
+            servers_followed_at: Cell::default(),
             missing_servers: RefCell::default(),
             servers_checked: RefCell::default(),
             server_check_ended: Notify::new(),
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -309,8 +309,9 @@
         return serde_json::from_slice(&stored.value).ok();
     }
     let found: u32 = observe(cx, service).serving.values().sum();
-    let added_at = cx.server_added_at.get();
-    if found == 0 || boot_ms().saturating_sub(added_at) < REGISTRATION_PAUSE_MS {
+    // Readers tell of new servers with a delay.
+    let last_news = cx.server_added_at.get().max(cx.servers_followed_at.get());
+    if found == 0 || boot_ms().saturating_sub(last_news) < REGISTRATION_PAUSE_MS {
         return None;
     }
     let put = Put { key: key.clone(), value: found.to_string().into(), lease: None };
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -30,10 +30,6 @@
 const MAX_AGE_FRACTION: f64 = 0.7;
 /// Time to wait for replies to a freshness query.
 const FRESHNESS_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Largest number of entries with which every entry reads the store itself.
-const MAX_ENTRIES_ALL_POLL: usize = 12;
-/// Number of readers, the entries that poll the rules and watch the store in a larger deployment.
-const READER_COUNT: usize = 8;
 /// Delay before the retry of a failed call to the store.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
@@ -44,6 +40,8 @@
 const SERVERS_WATCH_MS: u64 = 6_000;
 /// Duration of one watch of the entries, in milliseconds.
 const ENTRIES_WATCH_MS: u64 = 12_000;
+/// Maximum interval between two decisions whether to rely on the readers.
+const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay between a change and the next watch, as a fraction of the time allowed to react to a
 /// leaving server. Changes that arrive together are then received in one call.
 const BATCH_FRACTION: f64 = 0.3;
@@ -113,13 +111,8 @@
 /// Returns the readers, or `None` if every entry reads the store itself.
 fn readers(cx: &Context) -> Option<Vec<Name>> {
     let roster = cx.roster.borrow();
-    let names: Vec<&Name> = roster.present().map(|entry| &entry.name).collect();
-    if names.len() <= MAX_ENTRIES_ALL_POLL {
-        return None;
-    }
-    // Names that are far apart in sort order are likely to be in different data centres.
-    let step = names.len().div_ceil(READER_COUNT);
-    Some(names.into_iter().step_by(step).cloned().collect())
+    let names: Vec<Name> = roster.present().map(|entry| entry.name.clone()).collect();
+    coord::readers(&names)
 }
 
 fn apply_rules(cx: &Context, stored: &Stored, sent: Millis) {
@@ -213,7 +206,8 @@
 ///
 /// A watch whose connection hangs looks like one that waits, so the last read of the rules counts too.
 fn confirmed_age(cx: &Context, log: &ChangeLog, now: Millis) -> Option<Millis> {
-    if cx.store_health.get().is_lost() {
+    // Only a reader goes on to read.
+    if cx.store_health.get().is_lost() || !is_reader(cx, readers(cx).as_deref()) {
         return None;
     }
     let (copy_age, rules_age) = (log.age.read_age(now)?, cx.freshness.borrow().age(now)?);
@@ -235,7 +229,7 @@
 
 /// Applies the changes up to the revision `through` and skips those that are known.
 fn apply_changes(cx: &Context, prefix: WatchedPrefix, changes: Vec<Change>, through: i64) {
-    let new = prefix.change_log(cx).borrow_mut().apply(changes, through);
+    let new = prefix.change_log(cx).borrow_mut().apply(changes, through, boot_ms());
     for change in new {
         prefix.apply_change(cx, change);
     }
@@ -256,13 +250,17 @@
             continue;
         };
         let newest = listing.items.iter().map(|(_, stored)| stored.revision).max().unwrap_or(0);
-        prefix.change_log(&cx).borrow_mut().reset(listing.revision, newest);
+        prefix.change_log(&cx).borrow_mut().reset(listing.revision, newest, sent);
         prefix.change_log(&cx).borrow_mut().age.record_listing(sent);
         prefix.apply_listing(&cx, listing.items);
         loop {
             if let ChangeSource::Readers { remaining_ms } = next_source(&cx, prefix) {
+                if prefix == WatchedPrefix::Servers {
+                    cx.servers_followed_at.set(boot_ms());
+                }
+                let pause = Duration::from_millis(remaining_ms).min(SOURCE_CHECK_INTERVAL);
                 tokio::select! {
-                    () = tokio::time::sleep(Duration::from_millis(remaining_ms)) => continue,
+                    () = tokio::time::sleep(pause) => continue,
                     // Only a listing is certain to show what changed during an outage of the store.
                     _ = regained.changed() => break,
                 }
@@ -302,20 +300,20 @@
     }
 }
 
-/// Decides where this entry learns the next changes of a prefix.
+/// Decides where this entry learns the next changes of a prefix. The leader orders servers by what it
+/// knows, so that it watches the store itself.
 fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
     let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
-    let is_reader = is_reader(cx, readers(cx).as_deref());
-    prefix.change_log(cx).borrow().age.next_source(is_reader, limit, boot_ms())
+    let is_leader = cx.leader.borrow().as_ref() == Some(&cx.settings.name);
+    let watches = is_leader || is_reader(cx, readers(cx).as_deref());
+    prefix.change_log(cx).borrow().age.next_source(watches, limit, boot_ms())
 }
 
 /// Returns the delay between a change and the next watch.
 fn batch_delay(cx: &Context) -> Duration {
     let fraction = match readers(cx) {
-        None => BATCH_FRACTION,
         Some(readers) if readers.contains(&cx.settings.name) => READER_BATCH_FRACTION,
-        // The readers tell the next changes.
-        Some(_) => return Duration::ZERO,
+        _ => BATCH_FRACTION,
     };
     cx.settings.promises.drain.mul_f64(fraction)
 }
--- a/crates/relay/tests/change_log.rs
+++ b/crates/relay/tests/change_log.rs
@@ -12,7 +12,7 @@
 
 fn listed_log() -> ChangeLog {
     let mut log = ChangeLog::default();
-    log.reset(10, 8);
+    log.reset(10, 8, 100);
     log
 }
 
@@ -20,24 +20,24 @@
 fn returns_no_changes_before_the_first_listing() {
     let mut log = ChangeLog::default();
     assert_eq!(log.through(), None);
-    assert!(log.apply(vec![change(1, 5, true)], 5).is_empty());
+    assert!(log.apply(vec![change(1, 5, true)], 5, 200).is_empty());
     assert_eq!(log.changes_after(0, 10), None);
 }
 
 #[test]
 fn applies_a_repeated_change_once() {
     let mut log = listed_log();
-    assert_eq!(log.apply(vec![change(1, 11, true)], 12).len(), 1);
+    assert_eq!(log.apply(vec![change(1, 11, true)], 12, 200).len(), 1);
     let repeated = vec![change(1, 11, true), change(2, 13, true)];
-    assert_eq!(log.apply(repeated, 13), [change(2, 13, true)]);
+    assert_eq!(log.apply(repeated, 13, 200), [change(2, 13, true)]);
     assert_eq!(log.through(), Some(13));
 }
 
 #[test]
 fn a_late_reply_does_not_lower_the_revision() {
     let mut log = listed_log();
-    log.apply(Vec::new(), 20);
-    assert!(log.apply(vec![change(1, 11, true)], 15).is_empty());
+    log.apply(Vec::new(), 20, 200);
+    assert!(log.apply(vec![change(1, 11, true)], 15, 200).is_empty());
     assert_eq!(log.through(), Some(20));
 }
 
@@ -52,7 +52,7 @@
 fn returns_none_for_changes_that_are_no_longer_kept() {
     let mut log = listed_log();
     for revision in 11..2_000 {
-        log.apply(vec![change(1, revision, true)], revision);
+        log.apply(vec![change(1, revision, true)], revision, 200);
     }
     assert_eq!(log.changes_after(10, 10), None);
     assert!(log.changes_after(1_990, 10).is_some());
@@ -62,7 +62,7 @@
 fn returns_all_changes_of_one_revision_together() {
     let mut log = listed_log();
     let together = vec![change(1, 11, true), change(2, 11, true), change(3, 12, true)];
-    log.apply(together, 12);
+    log.apply(together, 12, 200);
     let (changes, through) = log.changes_after(10, 1).expect("all changes are kept");
     assert_eq!((changes.len(), through), (2, 11));
 }
@@ -97,9 +97,9 @@
             snapshots.push(copy);
         }
         let mut senders = [ChangeLog::default(), ChangeLog::default()];
-        senders.iter_mut().for_each(|sender| sender.reset(0, 0));
+        senders.iter_mut().for_each(|sender| sender.reset(0, 0, 0));
         let mut receiver = ChangeLog::default();
-        receiver.reset(0, 0);
+        receiver.reset(0, 0, 0);
         let mut copy = BTreeMap::new();
         let mut delayed = Vec::new();
         for (sender, advances, is_delayed, limit) in steps {
@@ -107,16 +107,16 @@
             if advances {
                 let from = log.through().unwrap_or(0) as usize;
                 let to = (from + limit).min(history.len());
-                log.apply(history[from..to].to_vec(), to as i64);
+                log.apply(history[from..to].to_vec(), to as i64, 200);
             }
             let revision = receiver.through().unwrap_or(0);
             let Some((changes, through)) = log.changes_after(revision, limit) else { continue };
             if is_delayed {
                 delayed.push((changes.clone(), through));
             }
-            apply_to(&mut copy, receiver.apply(changes, through));
+            apply_to(&mut copy, receiver.apply(changes, through, 200));
             if let Some((changes, through)) = delayed.pop().filter(|_| !is_delayed) {
-                apply_to(&mut copy, receiver.apply(changes, through));
+                apply_to(&mut copy, receiver.apply(changes, through, 200));
             }
             let reached = receiver.through().unwrap_or(0) as usize;
             prop_assert_eq!(&copy, &snapshots[reached.min(history.len())]);
@@ -127,9 +127,11 @@
 #[test]
 fn a_reader_that_lacks_a_known_change_confirms_nothing() {
     let mut log = listed_log();
-    log.apply(vec![change(1, 14, true)], 20);
+    log.apply(vec![change(1, 14, true)], 20, 200);
     assert!(!log.record_confirmation(ReaderConfirmation { through: 13, at: 500 }));
     assert!(log.record_confirmation(ReaderConfirmation { through: 14, at: 500 }));
+    // The change had not come yet when the reader had all.
+    assert!(log.record_confirmation(ReaderConfirmation { through: 13, at: 199 }));
 }
 
 #[test]
