relay: a stopping entry sends its responses to their end

Cause: a complete response counted as sent when it was handed to the connection, so that an entry without open requests stopped 4 s after SIGTERM although a caller that reads slowly had not got all of it.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::pool::set_socket_options;
 use crate::reply::{empty_reply, error_reply};
 use crate::request::AdmittedRequest;
+use crate::tracked_io::TrackedIo;
 use coord::{Charge, request_mark};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rules::{Quota, RetryPolicy, Route};
@@ -62,7 +63,11 @@
 }
 
 /// Accepts connections for as long as the process lives.
-pub(crate) async fn accept_connections(cx: Rc<Context>, listener: TcpListener, kind: ListenerKind) {
+pub(crate) async fn accept_connections(
+    cx: Rc<Context>,
+    listener: Rc<TcpListener>,
+    kind: ListenerKind,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -109,7 +114,7 @@
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(READ_BUFFER_BYTES);
     // A connection error affects only its caller, who notices it too.
-    drop(builder.serve_connection(TokioIo::new(stream), service).await);
+    drop(builder.serve_connection(TrackedIo::new(cx.clone(), stream), service).await);
 }
 
 /// Counts a request as open until dropped.
@@ -162,7 +167,8 @@
     track_body(reply, open_request)
 }
 
-/// Keeps a request counted as open until the body of its response has been sent.
+/// Keeps a request counted as open until the body of its response has been handed to the connection, which
+/// counts as blocked until it has sent all of it.
 fn track_body(reply: Reply, open_request: OpenRequest) -> Reply {
     use futures::StreamExt;
     reply.map(|body| match body {
