relay: malformed messages, panics and bytes without events end neither tasks nor progress

Four faults, each with a test that failed on: - a peer's largest figures overflowed a sum; the task that hears messages ended for good, and nobody noticed (malformed::an_entry_hears_its_peers_...).

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -152,6 +152,8 @@
     /// Signals a change of `departures`.
     pub(crate) departures_changed: watch::Sender<u64>,
     pub(crate) open_requests: Cell<u32>,
+    /// Number of callers' connections with bytes that wait to be sent.
+    pub(crate) blocked_connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Schedule and start of the planned stop.
     pub(crate) shutdown: Cell<Option<(Shutdown, Instant)>>,
@@ -267,6 +269,7 @@
             departures: RefCell::default(),
             departures_changed: watch::Sender::new(0),
             open_requests: Cell::new(0),
+            blocked_connections: Cell::new(0),
             stopping: Cell::new(false),
             shutdown: Cell::default(),
             store_health: Cell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,8 +37,10 @@
 mod server_news;
 mod shutdown;
 mod stream;
+mod supervise;
 mod sync;
 mod target;
+mod tracked_io;
 mod usage_report;
 
 pub use attempt::{
@@ -52,3 +54,4 @@
 pub use protocol::{HeaderNames, Protocol, ResolveQuery};
 pub use run::{Parts, run, run_until};
 pub use shutdown::{Shutdown, ShutdownStep};
+pub use supervise::supervise;
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -46,7 +46,7 @@
     let now = boot_ms();
     for (server, (per_s, age)) in limits {
         // A peer may not have noticed yet that a server is gone.
-        if cx.picker.borrow().get(server).is_none() {
+        if cx.picker.borrow().get(server).is_none() || !is_valid(cx, from, server, *per_s) {
             continue;
         }
         let news = ServerLimitNews { per_s: *per_s, at: now.saturating_sub(*age) };
@@ -57,6 +57,16 @@
     }
 }
 
+/// Whether a peer's figure per second for a server can be one.
+fn is_valid(cx: &Context, from: &Name, server: &Name, per_s: Option<f64>) -> bool {
+    let is_valid = per_s.is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
+    if !is_valid {
+        warn!(cx.log, "limit of a server ignored"; "server" => %server, "other" => %from,
+            "per_s" => per_s);
+    }
+    is_valid
+}
+
 /// Records whether a server states in its response to a request sent at `sent_at` that it is brittle, and
 /// whether it has refused the request.
 pub(crate) fn record_brittle(
@@ -121,7 +131,8 @@
     let now = boot_ms();
     let time = |age: Millis| now.saturating_sub(age);
     for (server, (refusals_per_s, age, refused_age)) in brittle {
-        if cx.picker.borrow().get(server).is_none() {
+        let is_known = cx.picker.borrow().get(server).is_some();
+        if !is_known || !is_valid(cx, from, server, *refusals_per_s) {
             continue;
         }
         let news = BrittleNews {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -112,6 +112,7 @@
 pub(crate) async fn broadcast_state(cx: Rc<Context>) {
     for round in 0_u64.. {
         tokio::time::sleep(STATE_INTERVAL).await;
+        update_remote_loads(&cx);
         quarantine::update(&cx);
         paths::update_all(&cx);
         send_state(&cx, round % COUNTS_PERIOD == 0);
@@ -198,6 +199,9 @@
         Message::FreshnessQuery { asked_at, known } => {
             reply_to_freshness_query(cx, &from, asked_at, &known)
         }
+        Message::FreshnessReply { asked_at, .. } if asked_at > boot_ms() => {
+            warn!(cx.log, "reply to a question that was not asked"; "other" => %from);
+        }
         Message::FreshnessReply { asked_at, version, age, batches } => {
             handle_freshness_reply(cx, &from, asked_at, version, age);
             let mut has_more = false;
@@ -344,16 +348,21 @@
         work: state.work,
         cut: state.cut,
     };
+    drop(peer_status);
+    update_remote_loads(cx);
+}
+
+/// Sums up the loads that the live peers told. What a peer told ends with its silence.
+fn update_remote_loads(cx: &Context) {
+    let (now, silence) = (boot_ms(), cx.silence_ms());
     let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
-    let silence = cx.silence_ms();
-    for status in
-        peer_status.values().filter(|status| now.saturating_sub(status.received_at) < silence)
-    {
-        for (id, load) in &status.loads {
-            let total = sum.entry(id.clone()).or_default();
-            total.open += load.open;
-            total.pending_prompt_tokens += load.pending_prompt_tokens;
-        }
+    let peer_status = cx.peer_status.borrow();
+    let is_live = |status: &&PeerStatus| now.saturating_sub(status.received_at) < silence;
+    for (id, load) in peer_status.values().filter(is_live).flat_map(|status| &status.loads) {
+        let total = sum.entry(id.clone()).or_default();
+        total.open = total.open.saturating_add(load.open);
+        total.pending_prompt_tokens =
+            total.pending_prompt_tokens.saturating_add(load.pending_prompt_tokens);
     }
     cx.picker.borrow_mut().set_remote_loads(&sum);
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -10,6 +10,7 @@
 use crate::registration;
 use crate::serve::{ListenerKind, accept_connections};
 use crate::shutdown::{Shutdown, ShutdownStep};
+use crate::supervise::supervise;
 use crate::sync;
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -65,20 +66,22 @@
         "front" => %cx.settings.front, "data_centre" => %cx.settings.data_centre,
         "first_start" => cx.settings.first_start);
     listen(&cx).await?;
-    spawn_local(sync::poll_rules(cx.clone()));
-    spawn_local(sync::watch_prefix(cx.clone(), WatchedPrefix::Servers));
-    spawn_local(sync::watch_prefix(cx.clone(), WatchedPrefix::Live));
+    supervise_with(&cx, "rules", sync::poll_rules);
+    supervise_with(&cx, "servers", |cx| sync::watch_prefix(cx, WatchedPrefix::Servers));
+    supervise_with(&cx, "entries", |cx| sync::watch_prefix(cx, WatchedPrefix::Live));
     let registration = spawn_local(registration::keep_registered(cx.clone()));
-    spawn_local(peers::receive(cx.clone()));
-    spawn_local(peers::broadcast_state(cx.clone()));
-    spawn_local(sync::remove_missing_servers(cx.clone()));
-    spawn_local(origin_store::run(cx.clone()));
-    spawn_local(sweep(cx.clone()));
-    spawn_local(path_probe::watch_connections(cx.clone()));
+    supervise_with(&cx, "messages", peers::receive);
+    supervise_with(&cx, "state", peers::broadcast_state);
+    supervise_with(&cx, "missing servers", sync::remove_missing_servers);
+    supervise_with(&cx, "origins", origin_store::run);
+    supervise_with(&cx, "idle connections", sweep);
+    supervise_with(&cx, "paths", path_probe::watch_connections);
     let lease = Rc::new(LeaderLease::new(cx.clone()));
     if let Some(duties) = cx.duties.clone() {
-        spawn_local(duty::hold_lease(cx.clone(), lease.clone()));
-        spawn_local(duty::run_duties(cx.clone(), duties, lease.clone()));
+        let held = lease.clone();
+        supervise_with(&cx, "lease", move |cx| duty::hold_lease(cx, held.clone()));
+        let held = lease.clone();
+        supervise_with(&cx, "duties", move |cx| duty::run_duties(cx, duties.clone(), held.clone()));
     }
     stopped.await?;
     spawn_local(duty::release_lease(cx.clone(), lease));
@@ -88,6 +91,18 @@
     Ok(())
 }
 
+/// Runs a background task of the entry and starts it again if it panics.
+fn supervise_with<F>(
+    cx: &Rc<Context>,
+    name: &'static str,
+    start: impl Fn(Rc<Context>) -> F + 'static,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let shared = cx.clone();
+    supervise(&cx.log, name, move || start(shared.clone()));
+}
+
 async fn listen(cx: &Rc<Context>) -> Result<(), Failure> {
     let settings = &cx.settings;
     let port_in_use = |address: SocketAddr, e: std::io::Error| {
@@ -105,7 +120,8 @@
     }
     for (address, kind) in listeners {
         let listener = bind(address).map_err(|e| port_in_use(address, e))?;
-        spawn_local(accept_connections(cx.clone(), listener, kind));
+        let listener = Rc::new(listener);
+        supervise_with(cx, "connections", move |cx| accept_connections(cx, listener.clone(), kind));
     }
     Ok(())
 }
@@ -137,15 +153,16 @@
     }
 }
 
-/// Serves open requests, and new callers for some time. Ends once no request is open, or with the
-/// grace period.
+/// Serves open requests, and new callers for some time. Ends once no request is open and every response
+/// is sent, or with the grace period.
 async fn stop(cx: &Rc<Context>) {
     let schedule = Shutdown::new(cx.settings.promises.grace);
     let began = Instant::now();
     cx.stopping.set(true);
     cx.shutdown.set(Some((schedule, began)));
     info!(cx.log, "stopping"; "open" => cx.open_requests.get());
-    while schedule.next_step(cx.open_requests.get(), began.elapsed()) == ShutdownStep::Serve {
+    let unfinished = || cx.open_requests.get() + cx.blocked_connections.get();
+    while schedule.next_step(unfinished(), began.elapsed()) == ShutdownStep::Serve {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
     peers::send_state(cx, true);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -48,6 +48,9 @@
     departing_server: Option<Name>,
     /// Whether to wait for a stalled server because the stream cannot resume elsewhere.
     ignores_stall: bool,
+    /// Time from which a stall counts: when the caller could take the next event, or a response began. Bytes
+    /// that complete no event are no progress.
+    progress_at: Instant,
 }
 
 /// Input from the stream of a server.
@@ -88,6 +91,7 @@
         departures_changed,
         departing_server: None,
         ignores_stall: false,
+        progress_at: Instant::now(),
     };
     let chunks = stream::unfold(relay, |mut relay| async move {
         let next = relay.next_chunk().await?;
@@ -99,6 +103,7 @@
 impl StreamRelay {
     /// Returns the next bytes for the caller; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, Failure>> {
+        self.progress_at = Instant::now();
         loop {
             match self.read_input().await {
                 StreamInput::Bytes(bytes) => {
@@ -146,7 +151,7 @@
         let read_until = match stall_timeout(&self.request, self.history, self.chunks) {
             Some(stall_timeout) if !self.ignores_stall => {
                 let stall_timeout = stall_timeout + extra;
-                self.request.deadline.min(Instant::now() + stall_timeout)
+                self.request.deadline.min(self.progress_at + stall_timeout)
             }
             _ => self.request.deadline,
         };
@@ -175,8 +180,8 @@
         if self.chunks == 0 {
             record_usage(&self.cx, &self.request);
         }
+        let is_first = self.chunks == 0;
         self.chunks += 1;
-        self.ignores_stall = false;
         if self.response.as_ref().is_some_and(|response| !response.is_forwarded) {
             paths::record_answer(&self.cx, &self.request.service);
         }
@@ -186,6 +191,12 @@
             quarantine::record_progress(&self.cx, response.answer);
         }
         let complete = self.events.push(bytes);
+        if is_first {
+            self.progress_at = Instant::now();
+        }
+        if !complete.is_empty() {
+            self.ignores_stall = false;
+        }
         if !complete.is_empty() && self.software_version.is_none() {
             let version = self.response.as_ref().map(|response| response.software_version.clone());
             if let Some(version) = &version {
@@ -288,6 +299,7 @@
         let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
         let is_moved = match attempted {
             Attempt::Answered(response) if response.head.status().is_success() => {
+                self.progress_at = Instant::now();
                 if let Some(previous) = self.response.replace(*response) {
                     previous.guard.outcome.set(Outcome::Answered);
                 }
@@ -323,6 +335,7 @@
         let is_replaced = match attempted {
             Ok(Attempt::Answered(response)) if response.head.status().is_success() => {
                 self.events.discard_incomplete();
+                self.progress_at = Instant::now();
                 if let Some(previous) = self.response.replace(*response) {
                     previous.guard.outcome.set(Outcome::Failed);
                 }
@@ -379,6 +392,7 @@
                     info!(cx.log, "stream goes on"; "request" => request.id_text(),
                         "server" => %target.name(), "chunks" => self.chunks);
                     self.response = Some(*response);
+                    self.progress_at = Instant::now();
                     return None;
                 }
                 // The other entry has used the attempts that were left.
