relay: an outage of the store costs fewer calls, and few entries request a free lease

Cause, by size: while the store was away each entry retried three or four kinds of calls every 250 ms, all of them listed everything anew afterwards (page by page), and all entries requested the free lease at each change of the leader. All calls are priced, refused ones too. Now the renewal, a tenth of the price, probes the store and the others wait for it; a listing of a reader is kept as changes, so that the others need none; the readers are the candidates for the lease, the others wait 3 s.

Tests first: relay/tests/change_log (four of listings).

--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -1,9 +1,9 @@
 //! Recent changes under a key prefix of the store, to send to peers that do not read the store.
 
 use coord::CopyAge;
-use infra::Change;
+use infra::{Change, Stored};
 use kernel::Millis;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 /// Maximum number of changes kept for peers.
 const MAX_CHANGES: usize = 512;
@@ -35,7 +35,51 @@
     pub at: Millis,
 }
 
+/// How to apply a listing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ListingStep {
+    /// Replace all that is known: it is not known what changed.
+    Replace,
+    /// Apply these changes.
+    Apply(Vec<Change>),
+}
+
 impl ChangeLog {
+    /// Takes in a listing at a revision. `known` are the keys that exist as far as this entry knows.
+    ///
+    /// The changes since the last known revision are kept, so that peers that know less can still be told.
+    /// The log starts over with the first listing, and with one of an earlier revision: the store was
+    /// restored from an older copy.
+    pub fn apply_listing(
+        &mut self,
+        items: &[(String, Stored)],
+        revision: i64,
+        known: &BTreeSet<String>,
+        now: Millis,
+    ) -> ListingStep {
+        if self.since.is_none() || revision < self.through {
+            let newest = items.iter().map(|(_, stored)| stored.revision).max().unwrap_or(0);
+            self.reset(revision, newest, now);
+            return ListingStep::Replace;
+        }
+        // What changed while the listing was read comes with the next watch.
+        let is_new = |stored: &Stored| (self.through + 1..=revision).contains(&stored.revision);
+        let upserts = items.iter().filter(|(_, stored)| is_new(stored)).map(|(key, stored)| {
+            let (key, revision) = (key.clone(), stored.revision);
+            Change { key, stored: Some(stored.clone()), revision }
+        });
+        let listed: BTreeSet<&String> = items.iter().map(|(key, _)| key).collect();
+        let removed = known.iter().filter(|key| !listed.contains(key));
+        let removals = removed.map(|key| Change { key: key.clone(), stored: None, revision });
+        let mut changes: Vec<Change> = upserts.chain(removals).collect();
+        changes.sort_by_key(|change| change.revision);
+        if revision == self.through {
+            // Nothing can have changed but what a lost answer of a watch told.
+            return ListingStep::Apply(changes);
+        }
+        ListingStep::Apply(self.apply(changes, revision, now))
+    }
+
     /// Starts over from a listing at a revision, whose items changed last at the revision `newest`.
     pub fn reset(&mut self, revision: i64, newest: i64, now: Millis) {
         *self = Self {
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -2,7 +2,7 @@
 //! servers.
 
 use crate::context::Context;
-use crate::sync::LEADER_KEY;
+use crate::sync::{self, LEADER_KEY};
 use crate::usage_report::UsageDuty;
 use coord::Restore;
 use infra::{Commit, Committed, Duties, Holder as Leader, Lease, Ordered, Put, ServerOrder, Swap};
@@ -28,6 +28,8 @@
 /// Poll interval of an entry that waits for the lease, in milliseconds. The watch of the lease
 /// record also reports the end of the lease.
 const LEASE_POLL_MS: Millis = 15_000;
+/// Time after which the other entries request a lease that no candidate has taken.
+const CANDIDATES_HEAD_START: Duration = Duration::from_secs(3);
 /// Interval between two checks for due duties.
 const DUTY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -102,9 +104,13 @@
 pub(crate) async fn hold_lease(cx: Rc<Context>, lease: Rc<LeaderLease>) {
     let mut event = LeaseEvent::Waited;
     let mut held = false;
+    let mut is_creating = false;
     while !cx.stopping.get() {
         let is_taken = event == LeaseEvent::Found(KeyOwner::OtherEntry);
+        // An entry that may have created the record finds out at once.
+        is_creating &= matches!(event, LeaseEvent::Waited | LeaseEvent::Failed);
         let step = lease.next(event);
+        is_creating |= matches!(step, LeaseAction::Create { .. });
         let holds =
             matches!(step, LeaseAction::Renew(_)) || (held && matches!(step, LeaseAction::Wait(_)));
         if holds != held {
@@ -112,19 +118,45 @@
             held = holds;
         }
         event = match step {
-            LeaseAction::Wait(_) if is_taken => {
-                let wait = tokio::time::sleep(Duration::from_millis(LEASE_POLL_MS));
-                tokio::select! {
-                    () = wait => {}
-                    () = cx.leader_vacant.notified() => {}
-                }
-                LeaseEvent::Waited
-            }
+            LeaseAction::Wait(_) if is_taken => wait_for_vacancy(&cx).await,
+            LeaseAction::Read if !is_creating => read_owner(&cx).await,
             _ => run_step(&cx, step).await,
         };
     }
 }
 
+/// Waits until the lease may be free.
+async fn wait_for_vacancy(cx: &Context) -> LeaseEvent {
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_millis(LEASE_POLL_MS)) => return LeaseEvent::Waited,
+        () = cx.leader_vacant.notified() => {}
+    }
+    if is_candidate(cx) {
+        return LeaseEvent::Waited;
+    }
+    tokio::time::sleep(CANDIDATES_HEAD_START).await;
+    match *cx.leader.borrow() {
+        Some(_) => LeaseEvent::Found(KeyOwner::OtherEntry),
+        None => LeaseEvent::Waited,
+    }
+}
+
+/// Reads who holds the lease. If nobody does, the candidates may take it first.
+async fn read_owner(cx: &Context) -> LeaseEvent {
+    let event = run_step(cx, LeaseAction::Read).await;
+    if event != LeaseEvent::Found(KeyOwner::Nobody) || is_candidate(cx) {
+        return event;
+    }
+    tokio::time::sleep(CANDIDATES_HEAD_START).await;
+    run_step(cx, LeaseAction::Read).await
+}
+
+/// Whether this entry is one of the few that request a free lease at once. If all did, each change of the
+/// leader would cost several calls of every entry.
+fn is_candidate(cx: &Context) -> bool {
+    cx.settings.first_start || sync::is_reader(cx, sync::readers(cx).as_deref())
+}
+
 /// Releases the lease when the entry stops, so that another entry need not wait until it expires.
 pub(crate) async fn release_lease(cx: Rc<Context>, lease: Rc<LeaderLease>) {
     let Some(number) = lease.holder.borrow_mut().release(boot_ms()) else { return };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -47,7 +47,7 @@
     AttemptHistory, AttemptResult, NextStep, ResponseClass, classify, next_step,
     next_step_without_budget,
 };
-pub use change_log::{ChangeLog, ReaderConfirmation};
+pub use change_log::{ChangeLog, ListingStep, ReaderConfirmation};
 pub use context::Context;
 pub use events::EventSplitter;
 pub use log::{LogQueue, queue};
--- a/crates/relay/src/origin_store.rs
+++ b/crates/relay/src/origin_store.rs
@@ -5,7 +5,7 @@
 
 use crate::context::Context;
 use crate::message::Message;
-use crate::sync::RETRY_DELAY;
+use crate::sync::wait_for_store;
 use coord::VersionHistory;
 use infra::{Commit, Committed, Lease, Put, Swap};
 use kernel::boot_ms;
@@ -102,7 +102,7 @@
 pub(crate) async fn run(cx: Rc<Context>) {
     while let Err(failure) = read_histories(&cx).await {
         debug!(cx.log, "histories of versions not read"; "cause" => %failure);
-        tokio::time::sleep(RETRY_DELAY).await;
+        wait_for_store(&cx, |_| {}).await;
     }
     loop {
         tokio::time::sleep(WRITE_INTERVAL).await;
@@ -114,7 +114,7 @@
         };
         if let Err(failure) = written.await {
             debug!(cx.log, "versions not written"; "cause" => %failure);
-            tokio::time::sleep(RETRY_DELAY).await;
+            wait_for_store(&cx, |_| {}).await;
         }
     }
 }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -13,6 +13,8 @@
 pub(crate) const ENTRIES_PREFIX: &str = "fennelfold/live/entries/";
 /// Interval between two renewals of the registration. Two renewals in a row may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+/// Delay before the retry of a failed registration. It takes dearer calls than a renewal.
+const UNREGISTERED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time to live of an entry's registration, in seconds. The shares of an entry that is cut off from
 /// the store stay unused for this time plus the time in which it stops serving by itself.
 const REGISTRATION_TTL_S: i64 = 3;
@@ -60,7 +62,7 @@
                 }
                 Err(failure) => {
                     debug!(cx.log, "not registered"; "cause" => %failure);
-                    RETRY_DELAY
+                    UNREGISTERED_RETRY_DELAY
                 }
             },
         };
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,6 +1,6 @@
 //! Keeps the entry's copy of the rules, the servers and the entries up to date with the store.
 
-use crate::change_log::{ChangeLog, ReaderConfirmation};
+use crate::change_log::{ChangeLog, ListingStep, ReaderConfirmation};
 use crate::context::Context;
 use crate::duty;
 use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
@@ -8,13 +8,14 @@
 use crate::peers;
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
 use coord::{ChangeSource, Confirmation};
-use infra::{Change, Stored, Watched};
+use infra::{Change, Listing, Stored, Watched};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Server;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// Interval between two polls of the rules, as a fraction of the time allowed to apply new rules.
 /// The rest of that time covers a slow or lost read.
@@ -32,6 +33,9 @@
 const FRESHNESS_REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Delay before the retry of a failed call to the store.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// The same delay while the store is away, unless it has answered another call meanwhile. The renewals of
+/// the registration, the cheapest calls, find out.
+const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
 /// An entry whose copy is older watches the store itself. The rest of that time covers the call.
 const MAX_COPY_AGE_FRACTION: f64 = 0.7;
@@ -91,9 +95,12 @@
             }
             Ok(None) => RETRY_DELAY,
             Err(_) => {
-                // Peers that still reach the store can confirm that these rules are the newest.
-                peers::query_freshness(&cx, &[]);
-                RETRY_DELAY
+                wait_for_store(&cx, |cx| {
+                    // Peers that still reach the store can confirm that these rules are the newest.
+                    peers::query_freshness(cx, &[]);
+                })
+                .await;
+                Duration::ZERO
             }
         };
         tokio::select! {
@@ -103,13 +110,30 @@
     }
 }
 
+/// Waits before the next call after one to the store has failed: until the store answers another call, or
+/// for [`OUTAGE_RETRY_DELAY`]. Calls `meanwhile` every [`RETRY_DELAY`].
+pub(crate) async fn wait_for_store(cx: &Context, meanwhile: impl Fn(&Context)) {
+    let mut regained = cx.store_regained.subscribe();
+    let until = Instant::now() + OUTAGE_RETRY_DELAY;
+    loop {
+        meanwhile(cx);
+        tokio::select! {
+            () = tokio::time::sleep(RETRY_DELAY) => {}
+            _ = regained.changed() => return,
+        }
+        if !cx.store_health.get().is_lost() || Instant::now() >= until {
+            return;
+        }
+    }
+}
+
 /// Whether this entry reads the rules and watches the prefixes itself.
-fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
+pub(crate) fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
     readers.is_none_or(|all| all.contains(&cx.settings.name))
 }
 
 /// Returns the readers, or `None` if every entry reads the store itself.
-fn readers(cx: &Context) -> Option<Vec<Name>> {
+pub(crate) fn readers(cx: &Context) -> Option<Vec<Name>> {
     let roster = cx.roster.borrow();
     let names: Vec<Name> = roster.present().map(|entry| entry.name.clone()).collect();
     coord::readers(&names)
@@ -163,6 +187,24 @@
         }
     }
 
+    /// Returns the keys under the prefix that this entry knows.
+    fn known_keys(self, cx: &Context) -> BTreeSet<String> {
+        match self {
+            Self::Live => {
+                let roster = cx.roster.borrow();
+                let entries =
+                    roster.present().map(|entry| format!("{ENTRIES_PREFIX}{}", entry.name));
+                let leader = cx.leader.borrow().as_ref().map(|_| LEADER_KEY.to_owned());
+                entries.chain(leader).collect()
+            }
+            Self::Servers => {
+                let picker = cx.picker.borrow();
+                let ids = picker.servers().map(|server| &server.info.id);
+                ids.map(|id| format!("{}{id}", cx.protocol.servers_prefix())).collect()
+            }
+        }
+    }
+
     fn apply_listing(self, cx: &Context, items: Vec<(String, Stored)>) {
         match self {
             Self::Live => apply_entry_listing(cx, items),
@@ -246,13 +288,11 @@
         let listed = cx.store.list(&key_prefix).await;
         cx.record_store_call("list", sent, listed.as_ref().err());
         let Ok(listing) = listed else {
-            tokio::time::sleep(RETRY_DELAY).await;
+            wait_for_store(&cx, |_| {}).await;
             continue;
         };
-        let newest = listing.items.iter().map(|(_, stored)| stored.revision).max().unwrap_or(0);
-        prefix.change_log(&cx).borrow_mut().reset(listing.revision, newest, sent);
-        prefix.change_log(&cx).borrow_mut().age.record_listing(sent);
-        prefix.apply_listing(&cx, listing.items);
+        let revision = listing.revision;
+        apply_listing(&cx, prefix, listing, sent);
         loop {
             if let ChangeSource::Readers { remaining_ms } = next_source(&cx, prefix) {
                 if prefix == WatchedPrefix::Servers {
@@ -261,11 +301,11 @@
                 let pause = Duration::from_millis(remaining_ms).min(SOURCE_CHECK_INTERVAL);
                 tokio::select! {
                     () = tokio::time::sleep(pause) => continue,
-                    // Only a listing is certain to show what changed during an outage of the store.
-                    _ = regained.changed() => break,
+                    // The readers list what changed during an outage of the store.
+                    _ = regained.changed() => continue,
                 }
             }
-            let after = prefix.change_log(&cx).borrow().through().unwrap_or(listing.revision);
+            let after = prefix.change_log(&cx).borrow().through().unwrap_or(revision);
             let sent = boot_ms();
             prefix.change_log(&cx).borrow_mut().age.begin_watch();
             let watched = tokio::select! {
@@ -291,7 +331,7 @@
                     break;
                 }
                 Err(_) => {
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    wait_for_store(&cx, |_| {}).await;
                     // Only a listing is certain to show the keys that were removed in between.
                     break;
                 }
@@ -300,6 +340,27 @@
     }
 }
 
+/// Applies a listing that was requested at `sent`. What it shows to have changed since the last one is kept
+/// like changes of a watch, so that the others can still be told.
+fn apply_listing(cx: &Context, prefix: WatchedPrefix, listing: Listing, sent: Millis) {
+    let Listing { items, revision } = listing;
+    let known = prefix.known_keys(cx);
+    let mut log = prefix.change_log(cx).borrow_mut();
+    log.age.record_listing(sent);
+    match log.apply_listing(&items, revision, &known, sent) {
+        ListingStep::Replace => {
+            drop(log);
+            prefix.apply_listing(cx, items);
+        }
+        ListingStep::Apply(changes) => {
+            drop(log);
+            for change in changes {
+                prefix.apply_change(cx, change);
+            }
+        }
+    }
+}
+
 /// Decides where this entry learns the next changes of a prefix. The leader orders servers by what it
 /// knows, so that it watches the store itself.
 fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
--- a/crates/relay/tests/change_log.rs
+++ b/crates/relay/tests/change_log.rs
@@ -2,8 +2,8 @@
 
 use infra::{Change, Stored};
 use proptest::prelude::*;
-use relay::{ChangeLog, ReaderConfirmation};
-use std::collections::BTreeMap;
+use relay::{ChangeLog, ListingStep, ReaderConfirmation};
+use std::collections::{BTreeMap, BTreeSet};
 
 fn change(key: u8, revision: i64, exists: bool) -> Change {
     let stored = exists.then(|| Stored { value: revision.to_string().into(), revision });
@@ -147,3 +147,46 @@
     let mut log = ChangeLog::default();
     assert!(!log.record_confirmation(ReaderConfirmation { through: 14, at: 500 }));
 }
+
+fn item(key: u8, revision: i64) -> (String, Stored) {
+    (key.to_string(), Stored { value: revision.to_string().into(), revision })
+}
+
+fn keys(keys: &[u8]) -> BTreeSet<String> {
+    keys.iter().map(u8::to_string).collect()
+}
+
+#[test]
+fn the_first_listing_replaces_all_that_is_known() {
+    let mut log = ChangeLog::default();
+    let step = log.apply_listing(&[item(1, 5)], 10, &keys(&[]), 100);
+    assert_eq!(step, ListingStep::Replace);
+    assert_eq!(log.through(), Some(10));
+}
+
+#[test]
+fn a_later_listing_tells_peers_what_changed_since_the_last_one() {
+    let mut log = listed_log();
+    let items = [item(1, 5), item(2, 12), item(3, 11), item(4, 21)];
+    let step = log.apply_listing(&items, 20, &keys(&[1, 9]), 200);
+    // The item of revision 21 comes with the watch after revision 20.
+    let changes = vec![change(3, 11, true), change(2, 12, true), change(9, 20, false)];
+    assert_eq!(step, ListingStep::Apply(changes.clone()));
+    assert_eq!(log.changes_after(10, 24), Some((changes, 20)));
+    assert_eq!(log.through(), Some(20));
+}
+
+#[test]
+fn a_listing_of_an_older_copy_replaces_all_that_is_known() {
+    let mut log = listed_log();
+    log.apply(vec![change(1, 14, true)], 20, 200);
+    assert_eq!(log.apply_listing(&[item(1, 5)], 12, &keys(&[1]), 300), ListingStep::Replace);
+    assert_eq!(log.changes_after(10, 24), None);
+}
+
+#[test]
+fn a_listing_without_a_later_change_removes_what_it_lacks() {
+    let mut log = listed_log();
+    let step = log.apply_listing(&[item(1, 5)], 10, &keys(&[1, 2]), 300);
+    assert_eq!(step, ListingStep::Apply(vec![change(2, 10, false)]));
+}
