coord, relay: above 12 entries, four pools hold most of the quota units that are saved

Cause, by size: each of 195 entries saved 1/195 of a quota, and a request asked at most 40 of them, so that a large request did not find its units although its organisation stayed within its quota (429). Now entries deposit what they do not need at one of four pools (rendezvous hashing) every 0.45 s, and ask the pools first. Units are only moved; a pool that becomes none drops what it holds; the pools' capacity is part of the total as before.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -33,7 +33,7 @@
     AnswerId, Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId,
 };
 pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
-pub use quota::{Charge, QuotaSettings, QuotaShares, TokenBucket, Transfer};
+pub use quota::{Charge, PoolRole, QuotaSettings, QuotaShares, TokenBucket, Transfer, quota_pools};
 pub use readers::readers;
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -5,11 +5,47 @@
 //! the sender before it reaches the receiver. If the message is lost, its units are lost too. The
 //! total that all entries spend therefore stays within the quota during network partitions, after
 //! restarts and while entries are suspended.
+//!
+//! Where entries are many, the share of one is less than a large request needs. Then a few entries, the
+//! pools, hold most of what is saved: the others deposit what they do not need, and ask the pools first.
 
+use crate::rendezvous;
 use kernel::{Millis, Name};
 use rules::Quota;
 use std::collections::BTreeMap;
 
+/// Largest number of entries without pools.
+const MAX_ENTRIES_WITHOUT_POOLS: usize = 12;
+/// Number of pools in a larger deployment.
+const POOL_COUNT: usize = 4;
+/// Key hash by which the pools are chosen.
+const POOLS_KEY_HASH: u64 = 0x706f_6f6c;
+/// Capacity of all pools together, as a fraction of that of all buckets.
+const POOL_FRACTION: f64 = 0.6;
+/// Fill level above which an entry deposits units, as a fraction of its capacity.
+const DEPOSIT_LEVEL: f64 = 0.1;
+
+/// Returns the entries that pool quota units; `None` if each entry keeps its own.
+pub fn quota_pools(entries: &[Name]) -> Option<Vec<Name>> {
+    if entries.len() <= MAX_ENTRIES_WITHOUT_POOLS {
+        return None;
+    }
+    let ranked = rendezvous::ranked(entries, POOLS_KEY_HASH);
+    Some(ranked.into_iter().take(POOL_COUNT).cloned().collect())
+}
+
+/// Part of an entry in the pooling of quota units.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoolRole {
+    /// There are no pools.
+    #[default]
+    None,
+    /// The entry deposits units in pools.
+    Depositor,
+    /// The entry is a pool.
+    Pool,
+}
+
 /// Settings of the token buckets of an entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaSettings {
@@ -41,11 +77,24 @@
 
 impl QuotaSettings {
     /// Returns the capacity of one bucket if the quota is shared by `entries` entries.
-    pub fn capacity(&self, quota: &Quota, entries: usize) -> f64 {
+    pub fn capacity(&self, quota: &Quota, entries: usize, role: PoolRole) -> f64 {
+        let total = self.total_capacity(quota);
+        let even = total / entries.max(1) as f64;
+        match role {
+            PoolRole::None => even,
+            PoolRole::Depositor => (1.0 - POOL_FRACTION) * even,
+            PoolRole::Pool => {
+                (1.0 - POOL_FRACTION) * even + POOL_FRACTION * total / POOL_COUNT as f64
+            }
+        }
+    }
+
+    /// Returns the capacity of all buckets together.
+    fn total_capacity(&self, quota: &Quota) -> f64 {
         let quota_units = quota.per_s * self.window_ms as f64 / 1000.0;
         let allowed = (quota_units + quota.burst) * (1.0 + self.overshoot) + self.slack;
         let remaining = (allowed - quota_units * self.refill_factor).max(0.0);
-        self.capacity_fraction * remaining / entries.max(1) as f64
+        self.capacity_fraction * remaining
     }
 }
 
@@ -77,6 +126,7 @@
 pub struct QuotaShares {
     settings: QuotaSettings,
     entries: usize,
+    role: PoolRole,
     refill_from: Millis,
     buckets: BTreeMap<Name, TokenBucket>,
 }
@@ -85,7 +135,7 @@
     /// Creates empty buckets that refill from `refill_from` on. By then all other entries must
     /// count this one among the entries that share the quotas.
     pub fn new(settings: QuotaSettings, refill_from: Millis) -> Self {
-        Self { settings, entries: 1, refill_from, buckets: BTreeMap::new() }
+        Self { settings, entries: 1, role: PoolRole::None, refill_from, buckets: BTreeMap::new() }
     }
 
     /// Empties all buckets and refills them from `refill_from` on.
@@ -99,6 +149,43 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets the part of this entry in the pooling of units.
+    ///
+    /// A pool that becomes none loses what it holds: another one takes its place, and together they would
+    /// hold too much.
+    pub fn set_role(&mut self, role: PoolRole) {
+        if self.role == PoolRole::Pool && role != PoolRole::Pool {
+            self.buckets.values_mut().for_each(|bucket| bucket.units = 0.0);
+        }
+        self.role = role;
+    }
+
+    /// Deducts what this entry should deposit in a pool; 0 if it is not a depositor or has too little.
+    pub fn take_deposit(&mut self, organisation: &Name, quota: &Quota, now: Millis) -> Transfer {
+        let kept = DEPOSIT_LEVEL * self.capacity(quota);
+        if self.role != PoolRole::Depositor {
+            return Transfer { units: 0.0 };
+        }
+        let units = self.refill(organisation, quota, now);
+        let deposit = (*units - kept).max(0.0);
+        *units -= deposit;
+        Transfer { units: deposit }
+    }
+
+    /// Adds units that another entry deposits here, as far as there is room for them. An entry that is no
+    /// pool, or not yet, has little.
+    pub fn receive_deposit(
+        &mut self,
+        organisation: &Name,
+        quota: &Quota,
+        deposit: Transfer,
+        now: Millis,
+    ) {
+        let capacity = self.capacity(quota);
+        let units = self.refill(organisation, quota, now);
+        *units = units.max((*units + deposit.units.max(0.0)).min(capacity));
+    }
+
     /// Deducts the cost of a request from the bucket if it holds enough units.
     pub fn charge(&mut self, organisation: &Name, quota: &Quota, cost: f64, now: Millis) -> Charge {
         let units = self.refill(organisation, quota, now);
@@ -111,12 +198,12 @@
 
     /// Returns the capacity of the bucket of one entry for a quota.
     pub fn capacity(&self, quota: &Quota) -> f64 {
-        self.settings.capacity(quota, self.entries)
+        self.settings.capacity(quota, self.entries, self.role)
     }
 
     /// Refunds the cost of a request that did not run.
     pub fn refund(&mut self, organisation: &Name, quota: &Quota, cost: f64, now: Millis) {
-        let limit = self.settings.capacity(quota, self.entries).max(cost);
+        let limit = self.capacity(quota).max(cost);
         let units = self.refill(organisation, quota, now);
         *units = (*units + cost).min(limit);
     }
@@ -148,7 +235,7 @@
 
     /// Refills a bucket up to `now` and returns its units.
     fn refill(&mut self, organisation: &Name, quota: &Quota, now: Millis) -> &mut f64 {
-        let capacity = self.settings.capacity(quota, self.entries);
+        let capacity = self.capacity(quota);
         // A bucket is created empty when its organisation is first seen, and like all others it has
         // refilled since `refill_from`.
         let new = TokenBucket { units: 0.0, refilled_at: self.refill_from };
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -8,9 +8,10 @@
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
 use coord::{
-    BrittleServers, BrittleSettings, Freshness, Quarantine, QuarantineSettings, QuotaSettings,
-    QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings, ServerLimits,
-    ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
+    BrittleServers, BrittleSettings, Freshness, PoolRole, Quarantine, QuarantineSettings,
+    QuotaSettings, QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings,
+    ServerLimits, ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
+    quota_pools,
 };
 use infra::{Duties, Store};
 use kernel::prelude::*;
@@ -101,6 +102,8 @@
     /// Last state received from each peer.
     pub(crate) peer_status: RefCell<BTreeMap<Name, PeerStatus>>,
     pub(crate) quota_shares: RefCell<QuotaShares>,
+    /// Entries that pool quota units; empty if each entry keeps its own.
+    pub(crate) quota_pools: RefCell<Vec<Name>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// Requests that began at this entry, for the usage reports.
     pub(crate) usage: RefCell<UsageCounter>,
@@ -242,6 +245,7 @@
             share_count: Cell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
+            quota_pools: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             usage: RefCell::new(UsageCounter::new(millis(promises.usage_window))),
             usage_reports: RefCell::default(),
@@ -442,10 +446,18 @@
             info!(self.log, "limits shared"; "entries" => entries,
                 "registered" => self.roster.borrow().present().count());
         }
-        self.quota_shares.borrow_mut().set_entries(entries);
-        self.retry_budget.borrow_mut().set_entries(entries);
         let names: Vec<Name> =
             self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
+        let pools = quota_pools(&names);
+        let role = match &pools {
+            None => PoolRole::None,
+            Some(pools) if pools.contains(&self.settings.name) => PoolRole::Pool,
+            Some(_) => PoolRole::Depositor,
+        };
+        self.quota_shares.borrow_mut().set_entries(entries);
+        self.quota_shares.borrow_mut().set_role(role);
+        *self.quota_pools.borrow_mut() = pools.unwrap_or_default();
+        self.retry_budget.borrow_mut().set_entries(entries);
         self.quarantine.borrow_mut().set_entries(names.clone());
         self.origins.borrow_mut().set_entries(names.clone());
         self.brittle_servers.borrow_mut().set_entries(names.len());
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -53,6 +53,8 @@
         /// Quota units requested.
         units: f64,
     },
+    /// Deposits quota units, by organisation, at an entry that pools them.
+    QuotaDeposit(BTreeMap<Name, f64>),
     /// Requests retries from the retry budget.
     #[serde(rename = "AskRepeats")]
     RetryRequest {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -29,6 +29,8 @@
 const COUNT_KEEPERS: usize = 2;
 /// One in this many state messages carries the usage counts.
 const COUNTS_PERIOD: u64 = 4;
+/// Number of state messages between two deposits of quota units.
+const DEPOSIT_PERIOD: u64 = 3;
 /// Maximum number of peers that one state message goes to.
 const MAX_STATE_RECIPIENTS: usize = 12;
 /// Time to wait for quota units or retries from peers.
@@ -115,6 +117,9 @@
         update_remote_loads(&cx);
         quarantine::update(&cx);
         paths::update_all(&cx);
+        if round % DEPOSIT_PERIOD == 0 {
+            deposit_quota(&cx);
+        }
         send_state(&cx, round % COUNTS_PERIOD == 0);
     }
 }
@@ -225,6 +230,7 @@
                 cx.peers().send(cx, entry, message);
             }
         }
+        Message::QuotaDeposit(deposits) => receive_deposits(cx, deposits),
         Message::QuotaGrant { number, organisation, units } => {
             let rules = cx.rules.borrow().clone();
             let owner = rules.organisation_named(&organisation);
@@ -367,8 +373,41 @@
     cx.picker.borrow_mut().set_remote_loads(&sum);
 }
 
+/// Deposits quota units that this entry does not need at one of the pools.
+fn deposit_quota(cx: &Context) {
+    let pool = cx.quota_pools.borrow().iter().choose(&mut rand::rng()).cloned();
+    let roster = cx.roster.borrow();
+    let Some(pool) = pool.as_ref().and_then(|pool| roster.get(pool)) else { return };
+    let rules = cx.rules.borrow().clone();
+    let now = boot_ms();
+    let mut shares = cx.quota_shares.borrow_mut();
+    let mut deposits = BTreeMap::new();
+    for organisation in rules.organisations() {
+        let Some(quota) = organisation.quota else { continue };
+        let Transfer { units } = shares.take_deposit(&organisation.name, &quota, now);
+        if units > 0.0 {
+            deposits.insert(organisation.name.clone(), units);
+        }
+    }
+    if !deposits.is_empty() {
+        cx.peers().send(cx, pool, Message::QuotaDeposit(deposits));
+    }
+}
+
+fn receive_deposits(cx: &Context, deposits: BTreeMap<Name, f64>) {
+    let rules = cx.rules.borrow().clone();
+    for (organisation, units) in deposits {
+        let owner = rules.organisation_named(&organisation);
+        if let Some(quota) = owner.and_then(|owner| owner.quota) {
+            let deposit = Transfer { units };
+            let mut shares = cx.quota_shares.borrow_mut();
+            shares.receive_deposit(&organisation, &quota, deposit, boot_ms());
+        }
+    }
+}
+
 /// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
-/// their replies.
+/// their replies. The pools are asked first.
 pub(crate) async fn request_quota(
     cx: &Rc<Context>,
     organisation: &Name,
@@ -379,10 +418,13 @@
         return;
     }
     let capacity = cx.quota_shares.borrow().capacity(quota).max(1.0);
+    let mut granted = request_from_pools(cx, organisation, shortfall).await;
+    if granted >= shortfall {
+        return;
+    }
     // The first round asks as many peers as are expected to hold the missing units together. If
     // they grant too little, a second round asks twice as many.
     let first_round = (shortfall / (EXPECTED_FILL * capacity)).ceil() as usize;
-    let mut granted = 0.0;
     for peer_count in [first_round.max(MIN_PEERS_ASKED), 2 * first_round.max(MIN_PEERS_ASKED)] {
         let live = sample_live_peers(cx, boot_ms(), peer_count.min(MAX_PEERS_ASKED));
         if live.is_empty() {
@@ -404,6 +446,23 @@
     pause_requests(cx, organisation);
 }
 
+/// Requests units from the pools; returns how many they granted.
+async fn request_from_pools(cx: &Rc<Context>, organisation: &Name, shortfall: f64) -> f64 {
+    let pools: Vec<Entry> = {
+        let (roster, pools) = (cx.roster.borrow(), cx.quota_pools.borrow());
+        let others = pools.iter().filter(|name| **name != cx.settings.name);
+        others.filter_map(|name| roster.get(name).cloned()).collect()
+    };
+    if pools.is_empty() {
+        return 0.0;
+    }
+    // No more than twice an even share from each pool, to limit the units in transit.
+    let share = (2.0 * shortfall / pools.len() as f64).clamp(1.0, shortfall.max(1.0));
+    let message =
+        |number| Message::QuotaRequest { number, organisation: organisation.clone(), units: share };
+    request_from_peers(cx, &pools, message, shortfall).await
+}
+
 /// Takes a retry of a request from the retry budget. If this entry's share is used up, requests some
 /// from the peers. Returns whether the retry is allowed.
 pub(crate) async fn take_retry(cx: &Rc<Context>, request: &AdmittedRequest) -> bool {
--- a/crates/rules/src/rules.rs
+++ b/crates/rules/src/rules.rs
@@ -167,6 +167,11 @@
         self.organisations.get(name)
     }
 
+    /// Returns all organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.values()
+    }
+
     /// Returns a service by its name.
     pub fn service_named(&self, service: &str) -> Option<&Arc<Service>> {
         self.services.get(service)
