--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,8 @@
 mod pool;
 mod protocol;
 mod quarantine;
+mod quota_exchange;
+mod readers;
 mod registration;
 mod reply;
 mod request;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,14 +6,14 @@
 use crate::origins;
 use crate::paths;
 use crate::quarantine;
+use crate::quota_exchange;
+use crate::readers;
 use crate::request::AdmittedRequest;
-use crate::sync;
 use coord::{Entry, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::Load;
 use rand::seq::IteratorRandom;
-use rules::Quota;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,12 +35,6 @@
 const MAX_STATE_RECIPIENTS: usize = 12;
 /// Time to wait for quota units or retries from peers.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
-/// Expected fill level of a peer's token bucket, as a fraction of its capacity.
-const EXPECTED_FILL: f64 = 0.4;
-/// Minimum number of peers that one request for quota units goes to.
-const MIN_PEERS_ASKED: usize = 3;
-/// Maximum number of peers that one request for quota units goes to.
-const MAX_PEERS_ASKED: usize = 40;
 /// Number of peers that one request for retries goes to.
 const RETRY_PEERS: usize = 4;
 /// Number of retries requested from each of these peers.
@@ -118,7 +112,7 @@
         quarantine::update(&cx);
         paths::update_all(&cx);
         if round % DEPOSIT_PERIOD == 0 {
-            deposit_quota(&cx);
+            quota_exchange::deposit(&cx);
         }
         send_state(&cx, round % COUNTS_PERIOD == 0);
     }
@@ -211,7 +205,7 @@
             handle_freshness_reply(cx, &from, asked_at, version, age);
             let mut has_more = false;
             for batch in batches {
-                has_more |= sync::apply_batch(cx, batch, asked_at);
+                has_more |= readers::apply_batch(cx, batch, asked_at);
             }
             if has_more {
                 query_freshness(cx, &[from]);
@@ -230,7 +224,7 @@
                 cx.peers().send(cx, entry, message);
             }
         }
-        Message::QuotaDeposit(deposits) => receive_deposits(cx, deposits),
+        Message::QuotaDeposit(deposits) => quota_exchange::receive_deposits(cx, deposits),
         Message::QuotaGrant { number, organisation, units } => {
             let rules = cx.rules.borrow().clone();
             let owner = rules.organisation_named(&organisation);
@@ -279,7 +273,7 @@
         let readers = roster.present().filter(|entry| named.contains(&entry.name));
         readers.cloned().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS)
     };
-    let known = sync::known_revisions(cx);
+    let known = readers::known_revisions(cx);
     for entry in &asked {
         cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: known.clone() });
     }
@@ -297,7 +291,7 @@
     if let Some(((version, age), entry)) = confirmed {
         let batches = revisions
             .iter()
-            .filter_map(|(prefix, after)| sync::changes_for_peer(cx, *prefix, *after));
+            .filter_map(|(prefix, after)| readers::changes_for_peer(cx, *prefix, *after));
         let message =
             Message::FreshnessReply { asked_at, version, age, batches: batches.collect() };
         cx.peers().send(cx, entry, message);
@@ -373,96 +367,6 @@
     cx.picker.borrow_mut().set_remote_loads(&sum);
 }
 
-/// Deposits quota units that this entry does not need at one of the pools.
-fn deposit_quota(cx: &Context) {
-    let pool = cx.quota_pools.borrow().iter().choose(&mut rand::rng()).cloned();
-    let roster = cx.roster.borrow();
-    let Some(pool) = pool.as_ref().and_then(|pool| roster.get(pool)) else { return };
-    let rules = cx.rules.borrow().clone();
-    let now = boot_ms();
-    let mut shares = cx.quota_shares.borrow_mut();
-    let mut deposits = BTreeMap::new();
-    for organisation in rules.organisations() {
-        let Some(quota) = organisation.quota else { continue };
-        let Transfer { units } = shares.take_deposit(&organisation.name, &quota, now);
-        if units > 0.0 {
-            deposits.insert(organisation.name.clone(), units);
-        }
-    }
-    if !deposits.is_empty() {
-        cx.peers().send(cx, pool, Message::QuotaDeposit(deposits));
-    }
-}
-
-fn receive_deposits(cx: &Context, deposits: BTreeMap<Name, f64>) {
-    let rules = cx.rules.borrow().clone();
-    for (organisation, units) in deposits {
-        let owner = rules.organisation_named(&organisation);
-        if let Some(quota) = owner.and_then(|owner| owner.quota) {
-            let deposit = Transfer { units };
-            let mut shares = cx.quota_shares.borrow_mut();
-            shares.receive_deposit(&organisation, &quota, deposit, boot_ms());
-        }
-    }
-}
-
-/// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
-/// their replies. The pools are asked first.
-pub(crate) async fn request_quota(
-    cx: &Rc<Context>,
-    organisation: &Name,
-    quota: &Quota,
-    shortfall: f64,
-) {
-    if is_paused(cx, organisation) {
-        return;
-    }
-    let capacity = cx.quota_shares.borrow().capacity(quota).max(1.0);
-    let mut granted = request_from_pools(cx, organisation, shortfall).await;
-    if granted >= shortfall {
-        return;
-    }
-    // The first round asks as many peers as are expected to hold the missing units together. If
-    // they grant too little, a second round asks twice as many.
-    let first_round = (shortfall / (EXPECTED_FILL * capacity)).ceil() as usize;
-    for peer_count in [first_round.max(MIN_PEERS_ASKED), 2 * first_round.max(MIN_PEERS_ASKED)] {
-        let live = sample_live_peers(cx, boot_ms(), peer_count.min(MAX_PEERS_ASKED));
-        if live.is_empty() {
-            break;
-        }
-        let remaining = shortfall - granted;
-        // Requests no more than twice an even share from each peer, to limit the units in transit.
-        let share = (2.0 * remaining / live.len() as f64).clamp(1.0, remaining.max(1.0));
-        let message = |number| Message::QuotaRequest {
-            number,
-            organisation: organisation.clone(),
-            units: share,
-        };
-        granted += request_from_peers(cx, &live, message, remaining).await;
-        if granted >= shortfall {
-            return;
-        }
-    }
-    pause_requests(cx, organisation);
-}
-
-/// Requests units from the pools; returns how many they granted.
-async fn request_from_pools(cx: &Rc<Context>, organisation: &Name, shortfall: f64) -> f64 {
-    let pools: Vec<Entry> = {
-        let (roster, pools) = (cx.roster.borrow(), cx.quota_pools.borrow());
-        let others = pools.iter().filter(|name| **name != cx.settings.name);
-        others.filter_map(|name| roster.get(name).cloned()).collect()
-    };
-    if pools.is_empty() {
-        return 0.0;
-    }
-    // No more than twice an even share from each pool, to limit the units in transit.
-    let share = (2.0 * shortfall / pools.len() as f64).clamp(1.0, shortfall.max(1.0));
-    let message =
-        |number| Message::QuotaRequest { number, organisation: organisation.clone(), units: share };
-    request_from_peers(cx, &pools, message, shortfall).await
-}
-
 /// Takes a retry of a request from the retry budget. If this entry's share is used up, requests some
 /// from the peers. Returns whether the retry is allowed.
 pub(crate) async fn take_retry(cx: &Rc<Context>, request: &AdmittedRequest) -> bool {
@@ -521,13 +425,13 @@
     }
 }
 
-fn is_paused(cx: &Context, name: &Name) -> bool {
+pub(crate) fn is_paused(cx: &Context, name: &Name) -> bool {
     let paused_until = cx.peers().paused_until.borrow();
     paused_until.get(name).is_some_and(|until| boot_ms() < *until)
 }
 
 /// Pauses requests for this quota or retry budget because the peers have too little left of it.
-fn pause_requests(cx: &Context, name: &Name) {
+pub(crate) fn pause_requests(cx: &Context, name: &Name) {
     cx.peers().paused_until.borrow_mut().insert(name.clone(), boot_ms() + REQUEST_PAUSE_MS);
 }
 
@@ -546,7 +450,7 @@
 
 /// Sends a request to peers and waits until they granted enough, all replied, or the timeout
 /// [`REPLY_TIMEOUT`] passed. Returns the amount granted.
-async fn request_from_peers(
+pub(crate) async fn request_from_peers(
     cx: &Rc<Context>,
     live: &[Entry],
     message: impl Fn(u64) -> Message,
--- /dev/null
+++ b/crates/relay/src/quota_exchange.rs
@@ -0,0 +1,103 @@
+//! Moves units of quotas between entries: deposits at the pools, and requests for units that are lacking.
+
+use crate::context::Context;
+use crate::message::Message;
+use crate::peers::{is_paused, pause_requests, request_from_peers, sample_live_peers};
+use coord::{Entry, Transfer};
+use kernel::boot_ms;
+use kernel::prelude::*;
+use rand::seq::IteratorRandom;
+use rules::Quota;
+use std::rc::Rc;
+
+/// Expected fill level of a peer's token bucket, as a fraction of its capacity.
+const EXPECTED_FILL: f64 = 0.4;
+/// Minimum number of peers that one request for quota units goes to.
+const MIN_PEERS_ASKED: usize = 3;
+/// Maximum number of peers that one request for quota units goes to.
+const MAX_PEERS_ASKED: usize = 40;
+
+/// Deposits quota units that this entry does not need at one of the pools.
+pub(crate) fn deposit(cx: &Context) {
+    let pool = cx.quota_pools.borrow().iter().choose(&mut rand::rng()).cloned();
+    let roster = cx.roster.borrow();
+    let Some(pool) = pool.as_ref().and_then(|pool| roster.get(pool)) else { return };
+    let rules = cx.rules.borrow().clone();
+    let now = boot_ms();
+    let mut shares = cx.quota_shares.borrow_mut();
+    let mut deposits = BTreeMap::new();
+    for organisation in rules.organisations() {
+        let Some(quota) = organisation.quota else { continue };
+        let Transfer { units } = shares.take_deposit(&organisation.name, &quota, now);
+        if units > 0.0 {
+            deposits.insert(organisation.name.clone(), units);
+        }
+    }
+    if !deposits.is_empty() {
+        cx.peers().send(cx, pool, Message::QuotaDeposit(deposits));
+    }
+}
+
+pub(crate) fn receive_deposits(cx: &Context, deposits: BTreeMap<Name, f64>) {
+    let rules = cx.rules.borrow().clone();
+    for (organisation, units) in deposits {
+        let owner = rules.organisation_named(&organisation);
+        if let Some(quota) = owner.and_then(|owner| owner.quota) {
+            let deposit = Transfer { units };
+            let mut shares = cx.quota_shares.borrow_mut();
+            shares.receive_deposit(&organisation, &quota, deposit, boot_ms());
+        }
+    }
+}
+
+/// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
+/// their replies. The pools are asked first.
+pub(crate) async fn request(cx: &Rc<Context>, organisation: &Name, quota: &Quota, shortfall: f64) {
+    if is_paused(cx, organisation) {
+        return;
+    }
+    let capacity = cx.quota_shares.borrow().capacity(quota).max(1.0);
+    let mut granted = request_from_pools(cx, organisation, shortfall).await;
+    if granted >= shortfall {
+        return;
+    }
+    // The first round asks as many peers as are expected to hold the missing units together. If
+    // they grant too little, a second round asks twice as many.
+    let first_round = (shortfall / (EXPECTED_FILL * capacity)).ceil() as usize;
+    for peer_count in [first_round.max(MIN_PEERS_ASKED), 2 * first_round.max(MIN_PEERS_ASKED)] {
+        let live = sample_live_peers(cx, boot_ms(), peer_count.min(MAX_PEERS_ASKED));
+        if live.is_empty() {
+            break;
+        }
+        let remaining = shortfall - granted;
+        // Requests no more than twice an even share from each peer, to limit the units in transit.
+        let share = (2.0 * remaining / live.len() as f64).clamp(1.0, remaining.max(1.0));
+        let message = |number| Message::QuotaRequest {
+            number,
+            organisation: organisation.clone(),
+            units: share,
+        };
+        granted += request_from_peers(cx, &live, message, remaining).await;
+        if granted >= shortfall {
+            return;
+        }
+    }
+    pause_requests(cx, organisation);
+}
+
+/// Requests units from the pools; returns how many they granted.
+async fn request_from_pools(cx: &Rc<Context>, organisation: &Name, shortfall: f64) -> f64 {
+    let pools: Vec<Entry> = {
+        let (roster, pools) = (cx.roster.borrow(), cx.quota_pools.borrow());
+        let others = pools.iter().filter(|name| **name != cx.settings.name);
+        others.filter_map(|name| roster.get(name).cloned()).collect()
+    };
+    if pools.is_empty() {
+        return 0.0;
+    }
+    // No more than twice an even share from each pool, to limit the units in transit.
+    let share = (2.0 * shortfall / pools.len() as f64).clamp(1.0, shortfall.max(1.0));
+    let message =
+        |number| Message::QuotaRequest { number, organisation: organisation.clone(), units: share };
+    request_from_peers(cx, &pools, message, shortfall).await
+}
--- /dev/null
+++ b/crates/relay/src/readers.rs
@@ -0,0 +1,101 @@
+//! The entries that watch the store for the others, and what they tell.
+
+use crate::change_log::{ChangeLog, ReaderConfirmation};
+use crate::context::Context;
+use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
+use crate::sync::apply_changes;
+use coord::ChangeSource;
+use infra::Change;
+use kernel::boot_ms;
+use kernel::prelude::*;
+
+/// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
+/// An entry whose copy is older watches the store itself. The rest of that time covers the call.
+const MAX_COPY_AGE_FRACTION: f64 = 0.7;
+/// Delay between a change and the next watch, as a fraction of the time allowed to react to a
+/// leaving server. Changes that arrive together are then received in one call.
+const BATCH_FRACTION: f64 = 0.3;
+/// The same delay of a reader, whose changes reach the other entries only with their next query.
+const READER_BATCH_FRACTION: f64 = 0.15;
+/// Approximate maximum number of changes in one message: a few kilobytes. All changes of one
+/// revision stay in the same message.
+const MAX_CHANGES_PER_MESSAGE: usize = 24;
+
+/// Whether this entry reads the rules and watches the prefixes itself.
+pub(crate) fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
+    readers.is_none_or(|all| all.contains(&cx.settings.name))
+}
+
+/// Returns the readers, or `None` if every entry reads the store itself.
+pub(crate) fn readers(cx: &Context) -> Option<Vec<Name>> {
+    let roster = cx.roster.borrow();
+    let names: Vec<Name> = roster.present().map(|entry| entry.name.clone()).collect();
+    coord::readers(&names)
+}
+
+/// Decides where this entry learns the next changes of a prefix. The leader orders servers by what it
+/// knows, so that it watches the store itself.
+pub(crate) fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
+    let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
+    let is_leader = cx.leader.borrow().as_ref() == Some(&cx.settings.name);
+    let watches = is_leader || is_reader(cx, readers(cx).as_deref());
+    prefix.change_log(cx).borrow().age.next_source(watches, limit, boot_ms())
+}
+
+/// Returns the delay between a change and the next watch.
+pub(crate) fn batch_delay(cx: &Context) -> Duration {
+    let fraction = match readers(cx) {
+        Some(readers) if readers.contains(&cx.settings.name) => READER_BATCH_FRACTION,
+        _ => BATCH_FRACTION,
+    };
+    cx.settings.promises.drain.mul_f64(fraction)
+}
+
+/// Returns the revision up to which this entry has all changes, by prefix.
+pub(crate) fn known_revisions(cx: &Context) -> BTreeMap<WatchedPrefix, i64> {
+    let known = |prefix: WatchedPrefix| {
+        prefix.change_log(cx).borrow().through().map(|through| (prefix, through))
+    };
+    WatchedPrefix::ALL.into_iter().filter_map(known).collect()
+}
+
+/// Returns the changes that a peer lacks if it has all changes up to the revision `after`; `None`
+/// if some of them are no longer kept.
+pub(crate) fn changes_for_peer(
+    cx: &Context,
+    prefix: WatchedPrefix,
+    after: i64,
+) -> Option<ChangeBatch> {
+    let log = prefix.change_log(cx).borrow();
+    let (changes, through) = log.changes_after(after, MAX_CHANGES_PER_MESSAGE)?;
+    let changes = changes.into_iter().map(PeerChange::from).collect();
+    let age = confirmed_age(cx, &log, boot_ms());
+    let is_last = log.through() == Some(through);
+    Some(ChangeBatch { prefix, changes, through, is_last, age })
+}
+
+/// Returns the age of the store's last answer that shows that this entry has all changes of a prefix;
+/// `None` if there is none.
+///
+/// A watch whose connection hangs looks like one that waits, so the last read of the rules counts too.
+fn confirmed_age(cx: &Context, log: &ChangeLog, now: Millis) -> Option<Millis> {
+    // Only a reader goes on to read.
+    if cx.store_health.get().is_lost() || !is_reader(cx, readers(cx).as_deref()) {
+        return None;
+    }
+    let (copy_age, rules_age) = (log.age.read_age(now)?, cx.freshness.borrow().age(now)?);
+    Some(copy_age.max(rules_age))
+}
+
+/// Applies a batch of changes that a peer sent in reply to a query of the time `asked_at`. Returns
+/// whether the peer has more.
+pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch, asked_at: Millis) -> bool {
+    let ChangeBatch { prefix, changes, through, is_last, age } = batch;
+    apply_changes(cx, prefix, changes.into_iter().map(Change::from).collect(), through);
+    if let (true, Some(age)) = (is_last, age) {
+        let at = asked_at.saturating_sub(age);
+        let confirmation = ReaderConfirmation { through, at };
+        prefix.change_log(cx).borrow_mut().record_confirmation(confirmation);
+    }
+    !is_last
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,8 +8,8 @@
 use crate::forwarded;
 use crate::headers::{LAST_EVENT_ID, strip_hop_by_hop_headers};
 use crate::origins;
-use crate::peers;
 use crate::pool::set_socket_options;
+use crate::quota_exchange;
 use crate::reply::{empty_reply, error_reply};
 use crate::request::AdmittedRequest;
 use crate::tracked_io::TrackedIo;
@@ -346,7 +346,7 @@
         || cx.quota_shares.borrow_mut().charge(organisation_name, quota, cost, boot_ms());
     let mut charge = try_charge();
     if let Charge::Short(shortfall) = charge {
-        peers::request_quota(cx, organisation_name, quota, shortfall).await;
+        quota_exchange::request(cx, organisation_name, quota, shortfall).await;
         charge = try_charge();
     }
     match charge {
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -1,11 +1,12 @@
 //! Keeps the entry's copy of the rules, the servers and the entries up to date with the store.
 
-use crate::change_log::{ChangeLog, ListingStep, ReaderConfirmation};
+use crate::change_log::{ChangeLog, ListingStep};
 use crate::context::Context;
 use crate::duty;
-use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
+use crate::message::WatchedPrefix;
 use crate::origins;
 use crate::peers;
+use crate::readers::{batch_delay, is_reader, next_source, readers};
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
 use coord::{ChangeSource, Confirmation};
 use infra::{Change, Listing, Stored, Watched};
@@ -36,9 +37,6 @@
 /// The same delay while the store is away, unless it has answered another call meanwhile. The renewals of
 /// the registration, the cheapest calls, find out.
 const OUTAGE_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
-/// An entry whose copy is older watches the store itself. The rest of that time covers the call.
-const MAX_COPY_AGE_FRACTION: f64 = 0.7;
 /// Duration of one watch of the servers, in milliseconds. Keep-alive probes detect a dead
 /// connection sooner.
 const SERVERS_WATCH_MS: u64 = 6_000;
@@ -46,14 +44,6 @@
 const ENTRIES_WATCH_MS: u64 = 12_000;
 /// Maximum interval between two decisions whether to rely on the readers.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Delay between a change and the next watch, as a fraction of the time allowed to react to a
-/// leaving server. Changes that arrive together are then received in one call.
-const BATCH_FRACTION: f64 = 0.3;
-/// The same delay of a reader, whose changes reach the other entries only with their next query.
-const READER_BATCH_FRACTION: f64 = 0.15;
-/// Approximate maximum number of changes in one message: a few kilobytes. All changes of one
-/// revision stay in the same message.
-const MAX_CHANGES_PER_MESSAGE: usize = 24;
 /// Time allowed for servers to register again after an outage of the store, in milliseconds.
 const REREGISTRATION_MS: Millis = 2_200;
 /// Interval between two checks for servers that did not register again.
@@ -127,18 +117,6 @@
     }
 }
 
-/// Whether this entry reads the rules and watches the prefixes itself.
-pub(crate) fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
-    readers.is_none_or(|all| all.contains(&cx.settings.name))
-}
-
-/// Returns the readers, or `None` if every entry reads the store itself.
-pub(crate) fn readers(cx: &Context) -> Option<Vec<Name>> {
-    let roster = cx.roster.borrow();
-    let names: Vec<Name> = roster.present().map(|entry| entry.name.clone()).collect();
-    coord::readers(&names)
-}
-
 fn apply_rules(cx: &Context, stored: &Stored, sent: Millis) {
     let known = cx.rules.borrow().version;
     let rules = match cx.protocol.parse_rules(&stored.value) {
@@ -163,9 +141,9 @@
 }
 
 impl WatchedPrefix {
-    const ALL: [Self; 2] = [Self::Live, Self::Servers];
+    pub(crate) const ALL: [Self; 2] = [Self::Live, Self::Servers];
 
-    fn change_log(self, cx: &Context) -> &RefCell<ChangeLog> {
+    pub(crate) fn change_log(self, cx: &Context) -> &RefCell<ChangeLog> {
         match self {
             Self::Live => &cx.live_changes,
             Self::Servers => &cx.server_changes,
@@ -220,57 +198,13 @@
     }
 }
 
-/// Returns the revision up to which this entry has all changes, by prefix.
-pub(crate) fn known_revisions(cx: &Context) -> BTreeMap<WatchedPrefix, i64> {
-    let known = |prefix: WatchedPrefix| {
-        prefix.change_log(cx).borrow().through().map(|through| (prefix, through))
-    };
-    WatchedPrefix::ALL.into_iter().filter_map(known).collect()
-}
-
-/// Returns the changes that a peer lacks if it has all changes up to the revision `after`; `None`
-/// if some of them are no longer kept.
-pub(crate) fn changes_for_peer(
+/// Applies the changes up to the revision `through` and skips those that are known.
+pub(crate) fn apply_changes(
     cx: &Context,
     prefix: WatchedPrefix,
-    after: i64,
-) -> Option<ChangeBatch> {
-    let log = prefix.change_log(cx).borrow();
-    let (changes, through) = log.changes_after(after, MAX_CHANGES_PER_MESSAGE)?;
-    let changes = changes.into_iter().map(PeerChange::from).collect();
-    let age = confirmed_age(cx, &log, boot_ms());
-    let is_last = log.through() == Some(through);
-    Some(ChangeBatch { prefix, changes, through, is_last, age })
-}
-
-/// Returns the age of the store's last answer that shows that this entry has all changes of a prefix;
-/// `None` if there is none.
-///
-/// A watch whose connection hangs looks like one that waits, so the last read of the rules counts too.
-fn confirmed_age(cx: &Context, log: &ChangeLog, now: Millis) -> Option<Millis> {
-    // Only a reader goes on to read.
-    if cx.store_health.get().is_lost() || !is_reader(cx, readers(cx).as_deref()) {
-        return None;
-    }
-    let (copy_age, rules_age) = (log.age.read_age(now)?, cx.freshness.borrow().age(now)?);
-    Some(copy_age.max(rules_age))
-}
-
-/// Applies a batch of changes that a peer sent in reply to a query of the time `asked_at`. Returns
-/// whether the peer has more.
-pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch, asked_at: Millis) -> bool {
-    let ChangeBatch { prefix, changes, through, is_last, age } = batch;
-    apply_changes(cx, prefix, changes.into_iter().map(Change::from).collect(), through);
-    if let (true, Some(age)) = (is_last, age) {
-        let at = asked_at.saturating_sub(age);
-        let confirmation = ReaderConfirmation { through, at };
-        prefix.change_log(cx).borrow_mut().record_confirmation(confirmation);
-    }
-    !is_last
-}
-
-/// Applies the changes up to the revision `through` and skips those that are known.
-fn apply_changes(cx: &Context, prefix: WatchedPrefix, changes: Vec<Change>, through: i64) {
+    changes: Vec<Change>,
+    through: i64,
+) {
     let new = prefix.change_log(cx).borrow_mut().apply(changes, through, boot_ms());
     for change in new {
         prefix.apply_change(cx, change);
@@ -361,24 +295,6 @@
     }
 }
 
-/// Decides where this entry learns the next changes of a prefix. The leader orders servers by what it
-/// knows, so that it watches the store itself.
-fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
-    let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
-    let is_leader = cx.leader.borrow().as_ref() == Some(&cx.settings.name);
-    let watches = is_leader || is_reader(cx, readers(cx).as_deref());
-    prefix.change_log(cx).borrow().age.next_source(watches, limit, boot_ms())
-}
-
-/// Returns the delay between a change and the next watch.
-fn batch_delay(cx: &Context) -> Duration {
-    let fraction = match readers(cx) {
-        Some(readers) if readers.contains(&cx.settings.name) => READER_BATCH_FRACTION,
-        _ => BATCH_FRACTION,
-    };
-    cx.settings.promises.drain.mul_f64(fraction)
-}
-
 fn apply_server_listing(cx: &Context, items: Vec<(String, Stored)>) {
     let listed = items.iter().filter_map(|(key, stored)| upsert_server(cx, key, stored));
     let listed: BTreeSet<Name> = listed.collect();
