relay: entries that come back after a few seconds have their share of the quotas at once

Now a claim in the store, kept every 1.8 s, outlives the registration by as long as the others still count the entry, less 2 s. It counts only for the same VM, and ends with the registration at a planned stop.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod serve;
 mod server_check;
 mod server_news;
+mod share_claim;
 mod shutdown;
 mod stream;
 mod supervise;
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -1,6 +1,7 @@
 //! Registration of this entry and of its peers in the store.
 
 use crate::context::Context;
+use crate::share_claim::{self, ShareClaim};
 use crate::sync::RETRY_DELAY;
 use coord::Entry;
 use infra::{Commit, Committed, Lease, Put, Stored};
@@ -44,7 +45,7 @@
 /// Keeps this entry registered until it stops, then removes the registration.
 pub(crate) async fn keep_registered(cx: Rc<Context>) {
     let mut written: Option<(Lease, i64)> = None;
-    let mut is_first = true;
+    let mut claim: Option<ShareClaim> = None;
     while !cx.stopping.get() {
         let sent = boot_ms();
         let registered = match written {
@@ -53,9 +54,14 @@
         };
         cx.record_store_call("renew", sent, registered.as_ref().err());
         let pause = match registered {
-            Ok(true) => RENEW_INTERVAL,
+            Ok(true) => {
+                if let Some(claim) = &mut claim {
+                    claim.keep(&cx, REGISTRATION_TTL_S).await;
+                }
+                RENEW_INTERVAL
+            }
             Err(_) => RETRY_DELAY,
-            Ok(false) => match write_registration(&cx, &mut is_first).await {
+            Ok(false) => match write_registration(&cx, &mut claim).await {
                 Ok(registration) => {
                     written = Some(registration);
                     RENEW_INTERVAL
@@ -68,11 +74,15 @@
         };
         tokio::time::sleep(pause).await;
     }
-    let Some((_, revision)) = written else { return };
+    let Some((lease, revision)) = written else { return };
     // The store may execute the removal after the next process has registered under the same name.
     let key = registration_key(&cx);
-    let commit =
-        Commit { expected: vec![(key.clone(), revision)], removes: vec![key], ..Commit::default() };
+    let end_of_claim = claim.and_then(|claim| claim.end_with(&cx, lease));
+    let commit = Commit {
+        expected: vec![(key.clone(), revision)],
+        puts: end_of_claim.into_iter().collect(),
+        removes: vec![key],
+    };
     let sent = boot_ms();
     let removed = cx.store.commit(&commit).await;
     cx.record_store_call("commit", sent, removed.as_ref().err());
@@ -83,9 +93,12 @@
 }
 
 /// Registers this entry; returns the lease and the revision of its registration.
-async fn write_registration(cx: &Context, is_first: &mut bool) -> Result<(Lease, i64), Failure> {
+async fn write_registration(
+    cx: &Context,
+    claim: &mut Option<ShareClaim>,
+) -> Result<(Lease, i64), Failure> {
     let key = registration_key(cx);
-    let earlier = cx.store.get(&key).await?;
+    let was_counted = share_claim::exists(cx).await?;
     let lease = cx.store.grant(REGISTRATION_TTL_S).await?;
     let registration = Registration {
         incarnation: cx.incarnation,
@@ -99,15 +112,13 @@
     let commit = Commit { puts: vec![put], ..Commit::default() };
     match cx.store.commit(&commit).await? {
         Committed::Done(revision) => {
-            let was_counted = earlier.is_some();
             info!(cx.log, "registered"; "revision" => revision, "was_counted" => was_counted);
-            if *is_first {
-                *is_first = false;
-                // The quota shares of this entry refill only once all peers count it. They do so
-                // already if an earlier registration still exists.
+            if claim.is_none() {
+                // The quota shares of this entry refill only once all peers count it.
                 let revoke_ms = cx.settings.promises.revoke.as_millis() as Millis;
                 let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
                 cx.quota_shares.borrow_mut().start_refill_at(from);
+                *claim = Some(ShareClaim::new(from));
             }
             Ok((lease, revision))
         }
