--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -13,7 +13,7 @@
     ServerLimits, ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
     quota_pools,
 };
-use infra::{Duties, Store};
+use infra::{Duties, Lease, Store};
 use kernel::prelude::*;
 use kernel::{Metrics, boot_ms};
 use opentelemetry::KeyValue;
@@ -102,6 +102,10 @@
     /// Last state received from each peer.
     pub(crate) peer_status: RefCell<BTreeMap<Name, PeerStatus>>,
     pub(crate) quota_shares: RefCell<QuotaShares>,
+    /// Time on the boot clock from which all others count this entry; `None` before it has registered.
+    pub(crate) counted_from: Cell<Option<Millis>>,
+    /// Lease of this entry's claim to a share of the quotas, if it has written one.
+    pub(crate) claim: Cell<Option<Lease>>,
     /// Entries that pool quota units; empty if each entry keeps its own.
     pub(crate) quota_pools: RefCell<Vec<Name>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
@@ -245,6 +249,8 @@
             share_count: Cell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
+            counted_from: Cell::default(),
+            claim: Cell::default(),
             quota_pools: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             usage: RefCell::new(UsageCounter::new(millis(promises.usage_window))),
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -1,7 +1,7 @@
 //! Registration of this entry and of its peers in the store.
 
 use crate::context::Context;
-use crate::share_claim::{self, ShareClaim};
+use crate::share_claim;
 use crate::sync::RETRY_DELAY;
 use coord::Entry;
 use infra::{Commit, Committed, Lease, Put, Stored};
@@ -18,7 +18,7 @@
 const UNREGISTERED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time to live of an entry's registration, in seconds. The shares of an entry that is cut off from
 /// the store stay unused for this time plus the time in which it stops serving by itself.
-const REGISTRATION_TTL_S: i64 = 3;
+pub(crate) const REGISTRATION_TTL_S: i64 = 3;
 /// Registration of an entry, as stored under its key.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Registration {
@@ -45,7 +45,6 @@
 /// Keeps this entry registered until it stops, then removes the registration.
 pub(crate) async fn keep_registered(cx: Rc<Context>) {
     let mut written: Option<(Lease, i64)> = None;
-    let mut claim: Option<ShareClaim> = None;
     while !cx.stopping.get() {
         let sent = boot_ms();
         let registered = match written {
@@ -54,14 +53,9 @@
         };
         cx.record_store_call("renew", sent, registered.as_ref().err());
         let pause = match registered {
-            Ok(true) => {
-                if let Some(claim) = &mut claim {
-                    claim.keep(&cx, REGISTRATION_TTL_S).await;
-                }
-                RENEW_INTERVAL
-            }
+            Ok(true) => RENEW_INTERVAL,
             Err(_) => RETRY_DELAY,
-            Ok(false) => match write_registration(&cx, &mut claim).await {
+            Ok(false) => match write_registration(&cx).await {
                 Ok(registration) => {
                     written = Some(registration);
                     RENEW_INTERVAL
@@ -77,7 +71,7 @@
     let Some((lease, revision)) = written else { return };
     // The store may execute the removal after the next process has registered under the same name.
     let key = registration_key(&cx);
-    let end_of_claim = claim.and_then(|claim| claim.end_with(&cx, lease));
+    let end_of_claim = share_claim::end_with(&cx, lease);
     let commit = Commit {
         expected: vec![(key.clone(), revision)],
         puts: end_of_claim.into_iter().collect(),
@@ -93,10 +87,7 @@
 }
 
 /// Registers this entry; returns the lease and the revision of its registration.
-async fn write_registration(
-    cx: &Context,
-    claim: &mut Option<ShareClaim>,
-) -> Result<(Lease, i64), Failure> {
+async fn write_registration(cx: &Context) -> Result<(Lease, i64), Failure> {
     let key = registration_key(cx);
     let was_counted = share_claim::exists(cx).await?;
     let lease = cx.store.grant(REGISTRATION_TTL_S).await?;
@@ -113,12 +104,12 @@
     match cx.store.commit(&commit).await? {
         Committed::Done(revision) => {
             info!(cx.log, "registered"; "revision" => revision, "was_counted" => was_counted);
-            if claim.is_none() {
+            if cx.counted_from.get().is_none() {
                 // The quota shares of this entry refill only once all peers count it.
                 let revoke_ms = cx.settings.promises.revoke.as_millis() as Millis;
                 let from = if was_counted { boot_ms() } else { boot_ms() + revoke_ms };
                 cx.quota_shares.borrow_mut().start_refill_at(from);
-                *claim = Some(ShareClaim::new(from));
+                cx.counted_from.set(Some(from));
             }
             Ok((lease, revision))
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,6 +9,7 @@
 use crate::protocol::Protocol;
 use crate::registration;
 use crate::serve::{ListenerKind, accept_connections};
+use crate::share_claim;
 use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::supervise::supervise;
 use crate::sync;
@@ -70,6 +71,7 @@
     supervise_with(&cx, "servers", |cx| sync::watch_prefix(cx, WatchedPrefix::Servers));
     supervise_with(&cx, "entries", |cx| sync::watch_prefix(cx, WatchedPrefix::Live));
     let registration = spawn_local(registration::keep_registered(cx.clone()));
+    supervise_with(&cx, "claim", share_claim::keep);
     supervise_with(&cx, "messages", peers::receive);
     supervise_with(&cx, "state", peers::broadcast_state);
     supervise_with(&cx, "missing servers", sync::remove_missing_servers);
--- a/crates/relay/src/share_claim.rs
+++ b/crates/relay/src/share_claim.rs
@@ -5,64 +5,55 @@
 //! so only for its own time to live; the claim outlives it by nearly as long as the others go on counting.
 
 use crate::context::Context;
+use crate::registration::REGISTRATION_TTL_S;
 use infra::{Commit, Committed, Lease, Put};
 use kernel::boot_ms;
 use kernel::prelude::*;
+use std::rc::Rc;
 
 /// Prefix of the claims.
 const CLAIMS_PREFIX: &str = "fennelfold/claims/";
 /// Time by which a claim ends before the others may stop to count the entry, in seconds. It covers the time
 /// in which they learn that the entry is back.
 const CLAIM_MARGIN_S: i64 = 2;
-/// One in this many renewals of the registration renews the claim as well.
-const RENEWAL_PERIOD: u64 = 2;
+/// Interval between two renewals of the claim.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_800);
 
-/// The claim that a process writes.
-pub(crate) struct ShareClaim {
-    lease: Option<Lease>,
-    /// Time on the boot clock from which all others count this entry.
-    counted_from: Millis,
-    /// Number of renewals of the registration.
-    renewals: u64,
-}
-
-impl ShareClaim {
-    pub(crate) fn new(counted_from: Millis) -> Self {
-        Self { lease: None, counted_from, renewals: 0 }
-    }
-
-    /// Keeps the claim in the store; to be called after each renewal of the registration.
-    pub(crate) async fn keep(&mut self, cx: &Context, registration_ttl_s: i64) {
-        self.renewals += 1;
+/// Keeps the claim in the store from the time on at which all others count this entry.
+///
+/// This is a task of its own, so that a slow answer does not delay the renewals of the registration.
+pub(crate) async fn keep(cx: Rc<Context>) {
+    while !cx.stopping.get() {
+        tokio::time::sleep(RENEW_INTERVAL).await;
         let now = boot_ms();
-        if now < self.counted_from || !self.renewals.is_multiple_of(RENEWAL_PERIOD) {
-            return;
+        if cx.counted_from.get().is_none_or(|from| now < from) || cx.stopping.get() {
+            continue;
         }
-        let kept = match self.lease {
+        let kept = match cx.claim.get() {
             Some(lease) => cx.store.renew(lease).await,
-            None => self.write(cx, registration_ttl_s).await,
+            None => write(&cx).await,
         };
         cx.record_store_call("claim", now, kept.as_ref().err());
         match kept {
             Ok(true) => {}
-            Ok(false) => self.lease = None,
+            Ok(false) => cx.claim.set(None),
             Err(failure) => debug!(cx.log, "claim not kept"; "cause" => %failure),
         }
     }
+}
 
-    async fn write(&mut self, cx: &Context, registration_ttl_s: i64) -> Result<bool, Failure> {
-        let counted_s = registration_ttl_s + cx.settings.promises.revoke.as_secs() as i64;
-        let lease = cx.store.grant((counted_s - CLAIM_MARGIN_S).max(1)).await?;
-        let commit = Commit { puts: vec![claim(cx, lease)], ..Commit::default() };
-        let is_written = matches!(cx.store.commit(&commit).await?, Committed::Done(_));
-        self.lease = is_written.then_some(lease);
-        Ok(is_written)
-    }
+async fn write(cx: &Context) -> Result<bool, Failure> {
+    let counted_s = REGISTRATION_TTL_S + cx.settings.promises.revoke.as_secs() as i64;
+    let lease = cx.store.grant((counted_s - CLAIM_MARGIN_S).max(1)).await?;
+    let commit = Commit { puts: vec![claim(cx, lease)], ..Commit::default() };
+    let is_written = matches!(cx.store.commit(&commit).await?, Committed::Done(_));
+    cx.claim.set(is_written.then_some(lease));
+    Ok(is_written)
+}
 
-    /// Returns the change that lets the claim end with the registration's lease; `None` without a claim.
-    pub(crate) fn end_with(&self, cx: &Context, registration: Lease) -> Option<Put> {
-        self.lease.map(|_| claim(cx, registration))
-    }
+/// Returns the change that lets the claim end with the registration's lease; `None` without a claim.
+pub(crate) fn end_with(cx: &Context, registration: Lease) -> Option<Put> {
+    cx.claim.get().map(|_| claim(cx, registration))
 }
 
 /// Whether the others still count the process that ran before on this VM.
