--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -27,11 +27,7 @@
 
 /// Returns the entries that pool quota units; `None` if each entry keeps its own.
 pub fn quota_pools(entries: &[Name]) -> Option<Vec<Name>> {
-    if entries.len() <= MAX_ENTRIES_WITHOUT_POOLS {
-        return None;
-    }
-    let ranked = rendezvous::ranked(entries, POOLS_KEY_HASH);
-    Some(ranked.into_iter().take(POOL_COUNT).cloned().collect())
+    rendezvous::deputies(entries, MAX_ENTRIES_WITHOUT_POOLS, POOL_COUNT, POOLS_KEY_HASH)
 }
 
 /// Part of an entry in the pooling of quota units.
--- a/crates/coord/src/readers.rs
+++ b/crates/coord/src/readers.rs
@@ -15,9 +15,5 @@
 /// An entry that comes or goes changes at most one of them, so that entries whose lists differ a little
 /// still agree on most readers.
 pub fn readers(entries: &[Name]) -> Option<Vec<Name>> {
-    if entries.len() <= MAX_ENTRIES_ALL_READ {
-        return None;
-    }
-    let ranked = rendezvous::ranked(entries, READERS_KEY_HASH);
-    Some(ranked.into_iter().take(READER_COUNT).cloned().collect())
+    rendezvous::deputies(entries, MAX_ENTRIES_ALL_READ, READER_COUNT, READERS_KEY_HASH)
 }
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -17,6 +17,18 @@
     Some(entries.iter().filter(|entry| weight(entry, key_hash) > own_weight).count())
 }
 
+/// Returns the first `count` entries for a key with this hash; `None` if there are no more entries than
+/// `most_without`, which need nobody to act for them.
+pub(crate) fn deputies(
+    entries: &[Name],
+    most_without: usize,
+    count: usize,
+    key_hash: u64,
+) -> Option<Vec<Name>> {
+    let is_large = entries.len() > most_without;
+    is_large.then(|| ranked(entries, key_hash).into_iter().take(count).cloned().collect())
+}
+
 /// Returns all entries in their order for a key with this hash.
 pub(crate) fn ranked(entries: &[Name], key_hash: u64) -> Vec<&Name> {
     let mut ranked: Vec<&Name> = entries.iter().collect();
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -149,10 +149,12 @@
     if served.changed_at.is_some_and(is_recent) {
         return None;
     }
-    // An entry that has just started did not see which servers left before.
+    // An entry that has just started did not see which servers left before. A store that was restored
+    // from an older copy may lack what its history told.
     let now_unix = Clock::unix_ms();
     let has_seen_enough = cx.settings.first_start
         || now_unix.saturating_sub(cx.incarnation) >= MIXED_VERSIONS_MS
-        || cx.origin_store.sole_version(service, now_unix).as_ref() == Some(sole);
+        || (cx.restore.get().is_none()
+            && cx.origin_store.sole_version(service, now_unix).as_ref() == Some(sole));
     has_seen_enough.then(|| sole.clone())
 }
