--- a/crates/coord/src/copy_age.rs
+++ b/crates/coord/src/copy_age.rs
@@ -49,6 +49,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Records that a reader has more changes than one answer holds. The store tells all of them in one.
+    pub fn record_behind(&mut self) {
+        self.confirmed_at = None;
+    }
+
     /// Returns the age of what the store itself told this entry; `None` before its first answer.
     ///
     /// Only this age may be passed on: a confirmation that went from entry to entry would keep all
--- a/crates/coord/tests/copy_age.rs
+++ b/crates/coord/tests/copy_age.rs
@@ -66,3 +66,11 @@
     age.end_watch(true, 9_500);
     assert_eq!(age.read_age(9_600), Some(100));
 }
+
+#[test]
+fn an_entry_that_lacks_more_than_a_reader_tells_at_once_asks_the_store() {
+    let mut age = CopyAge::default();
+    age.record_confirmation(3_000);
+    age.record_behind();
+    assert_eq!(source(&age, 3_001), ChangeSource::Store);
+}
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -156,6 +156,8 @@
     pub(crate) live_changes: RefCell<ChangeLog>,
     /// Time at which the streams of a leaving server are moved, by server.
     pub(crate) departures: RefCell<BTreeMap<Name, Instant>>,
+    /// Signals that this entry lacks more changes than a reader tells at once.
+    pub(crate) copy_behind: Notify,
     /// Signals a change of `departures`.
     pub(crate) departures_changed: watch::Sender<u64>,
     pub(crate) open_requests: Cell<u32>,
@@ -277,6 +279,7 @@
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
             departures: RefCell::default(),
+            copy_behind: Notify::new(),
             departures_changed: watch::Sender::new(0),
             open_requests: Cell::new(0),
             blocked_connections: Cell::new(0),
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -59,18 +59,21 @@
     WatchedPrefix::ALL.into_iter().filter_map(known).collect()
 }
 
-/// Returns the changes that a peer lacks if it has all changes up to the revision `after`; `None`
-/// if some of them are no longer kept.
+/// Returns changes that a peer lacks if it has all changes up to the revision `after`; `None` before the
+/// first listing.
 pub(crate) fn changes_for_peer(
     cx: &Context,
     prefix: WatchedPrefix,
     after: i64,
 ) -> Option<ChangeBatch> {
     let log = prefix.change_log(cx).borrow();
-    let (changes, through) = log.changes_after(after, MAX_CHANGES_PER_MESSAGE)?;
+    let newest = log.through()?;
+    // If the changes are no longer kept, the answer only says that there are some.
+    let kept = log.changes_after(after, MAX_CHANGES_PER_MESSAGE);
+    let (changes, through) = kept.unwrap_or((Vec::new(), after));
     let changes = changes.into_iter().map(PeerChange::from).collect();
     let age = confirmed_age(cx, &log, boot_ms());
-    let is_last = log.through() == Some(through);
+    let is_last = newest <= through;
     Some(ChangeBatch { prefix, changes, through, is_last, age })
 }
 
@@ -88,7 +91,10 @@
 }
 
 /// Applies a batch of changes that a peer sent in reply to a query of the time `asked_at`. Returns
-/// whether the peer has more.
+/// whether to ask the peer for more.
+///
+/// An entry that lacks more than one batch gets them from the store in one answer. If many servers change at
+/// once, the readers could not tell all entries batch by batch in time.
 pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch, asked_at: Millis) -> bool {
     let ChangeBatch { prefix, changes, through, is_last, age } = batch;
     apply_changes(cx, prefix, changes.into_iter().map(Change::from).collect(), through);
@@ -97,5 +103,10 @@
         let confirmation = ReaderConfirmation { through, at };
         prefix.change_log(cx).borrow_mut().record_confirmation(confirmation);
     }
-    !is_last
+    let asks_peers = age.is_none() || cx.store_health.get().is_lost();
+    if !is_last && !asks_peers {
+        prefix.change_log(cx).borrow_mut().age.record_behind();
+        cx.copy_behind.notify_waiters();
+    }
+    !is_last && asks_peers
 }
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -235,6 +235,7 @@
                 let pause = Duration::from_millis(remaining_ms).min(SOURCE_CHECK_INTERVAL);
                 tokio::select! {
                     () = tokio::time::sleep(pause) => continue,
+                    () = cx.copy_behind.notified() => continue,
                     // The readers list what changed during an outage of the store.
                     _ = regained.changed() => continue,
                 }
