relay: readers tell only what they can; many servers are watched by each entry

What readers tell grows with servers times entries: above 300 servers each entry watches again, an answer that cannot hold all changes holds none, and a copy may be half of the drain time old (0.7 before).

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -273,7 +273,8 @@
         let readers = roster.present().filter(|entry| named.contains(&entry.name));
         readers.cloned().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS)
     };
-    let known = readers::known_revisions(cx);
+    let wants_changes = cx.store_health.get().is_lost() || readers::readers_tell(cx);
+    let known = if wants_changes { readers::known_revisions(cx) } else { BTreeMap::new() };
     for entry in &asked {
         cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: known.clone() });
     }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -11,7 +11,7 @@
 
 /// Maximum age of the copy of a prefix, as a fraction of the time allowed to react to a leaving server.
 /// An entry whose copy is older watches the store itself. The rest of that time covers the call.
-const MAX_COPY_AGE_FRACTION: f64 = 0.7;
+const MAX_COPY_AGE_FRACTION: f64 = 0.5;
 /// Delay between a change and the next watch, as a fraction of the time allowed to react to a
 /// leaving server. Changes that arrive together are then received in one call.
 const BATCH_FRACTION: f64 = 0.3;
@@ -21,6 +21,14 @@
 /// revision stay in the same message.
 const MAX_CHANGES_PER_MESSAGE: usize = 24;
 
+/// Largest number of servers whose changes the readers tell. What they tell grows with servers times entries.
+const MAX_SERVERS_TOLD: usize = 300;
+
+/// Whether the readers tell the other entries what changes.
+pub(crate) fn readers_tell(cx: &Context) -> bool {
+    cx.picker.borrow().servers().count() <= MAX_SERVERS_TOLD
+}
+
 /// Whether this entry reads the rules and watches the prefixes itself.
 pub(crate) fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
     readers.is_none_or(|all| all.contains(&cx.settings.name))
@@ -38,7 +46,7 @@
 pub(crate) fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
     let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
     let is_leader = cx.leader.borrow().as_ref() == Some(&cx.settings.name);
-    let watches = is_leader || is_reader(cx, readers(cx).as_deref());
+    let watches = is_leader || !readers_tell(cx) || is_reader(cx, readers(cx).as_deref());
     prefix.change_log(cx).borrow().age.next_source(watches, limit, boot_ms())
 }
 
@@ -70,10 +78,14 @@
     let newest = log.through()?;
     // If the changes are no longer kept, the answer only says that there are some.
     let kept = log.changes_after(after, MAX_CHANGES_PER_MESSAGE);
-    let (changes, through) = kept.unwrap_or((Vec::new(), after));
-    let changes = changes.into_iter().map(PeerChange::from).collect();
+    let (mut changes, mut through) = kept.unwrap_or((Vec::new(), after));
     let age = confirmed_age(cx, &log, boot_ms());
     let is_last = newest <= through;
+    if !is_last && age.is_some() {
+        // The peer gets them from the store.
+        (changes, through) = (Vec::new(), after);
+    }
+    let changes = changes.into_iter().map(PeerChange::from).collect();
     Some(ChangeBatch { prefix, changes, through, is_last, age })
 }
 
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -23,7 +23,7 @@
 const POLL_FRACTION: f64 = 0.6;
 /// The same interval in a deployment where only the readers poll the rules. The other entries query
 /// the readers in between.
-const READER_POLL_FRACTION: f64 = 0.25;
+const READER_POLL_FRACTION: f64 = 0.15;
 /// Interval between two freshness queries to the readers, as a fraction of the time allowed to
 /// apply new rules.
 const QUERY_FRACTION: f64 = 0.2;
