pick, relay: a state message updates only the loads that it tells

Cause: each state message of a peer summed the loads of all peers and servers anew: entries times loads for each of the 80 messages that an entry of a large deployment receives a second. Change: pick keeps the sums; a message changes those of the servers that its sender named now or before.

--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod demand;
 mod outcome;
+mod peer_loads;
 mod picker;
 mod server;
 
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -3,6 +3,7 @@
 use crate::cache::PromptCacheIndex;
 use crate::choose::{LatencyModel, Prompt};
 use crate::outcome::{Outcome, OutcomeCounts};
+use crate::peer_loads::PeerLoads;
 use crate::server::{Load, Server, ServerInfo};
 use kernel::{Millis, Name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +22,7 @@
     latency_model: LatencyModel,
     servers: BTreeMap<Name, Server>,
     prompt_cache: PromptCacheIndex,
+    peer_loads: PeerLoads,
     /// Time until which servers want no requests from this entry, by name. It outlives what the entry
     /// knows of a server otherwise: a registration may lapse while the server rests.
     pauses: BTreeMap<Name, Millis>,
@@ -47,6 +49,7 @@
                 self.prompt_cache.remove_server(&info.id);
                 let mut server = Server::new(info);
                 server.paused_until = self.pauses.get(&server.info.id).copied().unwrap_or(0);
+                server.remote = self.peer_loads.sum(&server.info.id);
                 self.servers.insert(server.info.id.clone(), server);
                 true
             }
@@ -147,10 +150,32 @@
         }
     }
 
-    /// Replaces the loads from requests of the other entries, by server.
-    pub fn set_remote_loads(&mut self, loads: &BTreeMap<Name, Load>) {
-        for (id, server) in &mut self.servers {
-            server.remote = loads.get(id).copied().unwrap_or_default();
+    /// Replaces the loads that another entry told, by server. Returns the number of sums that it changed.
+    ///
+    /// Only the servers that the entry named now or before are updated: messages arrive from every entry, and
+    /// a sum over all of them for each message would cost entries times entries.
+    pub fn record_peer_loads(
+        &mut self,
+        entry: &Name,
+        loads: Vec<(Name, Load)>,
+        now: Millis,
+    ) -> usize {
+        let changed = self.peer_loads.record(entry, loads, now);
+        self.update_remote(&changed);
+        changed.len()
+    }
+
+    /// Forgets the loads of entries that have been silent for `silence_ms` milliseconds.
+    pub fn forget_silent_peers(&mut self, silence_ms: Millis, now: Millis) {
+        let changed = self.peer_loads.forget_silent(silence_ms, now);
+        self.update_remote(&changed);
+    }
+
+    fn update_remote(&mut self, ids: &[Name]) {
+        for id in ids {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.remote = self.peer_loads.sum(id);
+            }
         }
     }
 
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -89,9 +89,11 @@
     /// Returns the load from requests of all entries.
     pub fn load(&self) -> Load {
         Load {
-            open: self.local.open + self.remote.open,
-            pending_prompt_tokens: self.local.pending_prompt_tokens
-                + self.remote.pending_prompt_tokens,
+            open: self.local.open.saturating_add(self.remote.open),
+            pending_prompt_tokens: self
+                .local
+                .pending_prompt_tokens
+                .saturating_add(self.remote.pending_prompt_tokens),
         }
     }
 }
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -36,6 +36,11 @@
     picker
 }
 
+/// Records the only load that another entry told.
+fn tell_load(picker: &mut Picker, server: &Name, load: Load) {
+    picker.record_peer_loads(&"other".into(), vec![(server.clone(), load)], 0);
+}
+
 fn prompt(shared_id: u64) -> Prompt {
     Prompt {
         parts: vec![
@@ -83,9 +88,7 @@
     let prompt = prompt(10);
     let primary = choose(&picker, Some(&prompt), &[], 1);
     assert_eq!(primary.uncached_tokens, 900, "the primary has the shared parts");
-    picker.set_remote_loads(
-        &[(primary.id.clone(), Load { open: 20, pending_prompt_tokens: 60_000 })].into(),
-    );
+    tell_load(&mut picker, &primary.id, Load { open: 20, pending_prompt_tokens: 60_000 });
     let other = choose(&picker, Some(&prompt), &[], 1);
     assert_ne!(other.id, primary.id);
     assert_eq!((other.copy_from, other.uncached_tokens), (Some(primary.address), 900));
@@ -118,9 +121,7 @@
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
     let prompt = prompt(10);
     let primary = choose(&picker, Some(&prompt), &[], 1).id;
-    picker.set_remote_loads(
-        &[(primary.clone(), Load { open: 3, pending_prompt_tokens: 2_000 })].into(),
-    );
+    tell_load(&mut picker, &primary, Load { open: 3, pending_prompt_tokens: 2_000 });
     assert!((0..20).all(|random| choose(&picker, Some(&prompt), &[], random).id == primary));
 }
 
@@ -132,7 +133,7 @@
     let mut picker = picker(&ids.iter().map(String::as_str).collect::<Vec<_>>());
     let load = |i: u32| Load { open: 10 + i, pending_prompt_tokens: 0 };
     let loads = ids.iter().zip(0..).map(|(id, i)| (Name::from(id.as_str()), load(i)));
-    picker.set_remote_loads(&loads.collect());
+    picker.record_peer_loads(&"other".into(), loads.collect(), 0);
     let mut requests: BTreeMap<Name, u32> = BTreeMap::new();
     for random in 0..400 {
         let choice = choose(&picker, Some(&Prompt::default()), &[], random);
@@ -160,9 +161,7 @@
 #[test]
 fn load_from_other_entries_is_taken_into_account() {
     let mut picker = picker(&["s1", "s2"]);
-    picker.set_remote_loads(
-        &[(Name::from("s1"), Load { open: 40, pending_prompt_tokens: 90_000 })].into(),
-    );
+    tell_load(&mut picker, &"s1".into(), Load { open: 40, pending_prompt_tokens: 90_000 });
     for random in 0..20 {
         assert_eq!(choose(&picker, Some(&Prompt::default()), &[], random).id, "s2");
     }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -18,7 +18,7 @@
 use kernel::{Metrics, boot_ms};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
-use pick::{DemandTracker, LatencyModel, Load, Picker};
+use pick::{DemandTracker, LatencyModel, Picker};
 use rules::Rules;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeSet;
@@ -55,7 +55,6 @@
     pub(crate) rules_age: Option<Millis>,
     /// Number of open requests of callers.
     pub(crate) open: u32,
-    pub(crate) loads: BTreeMap<Name, Load>,
     /// Work requested by its callers, in milliseconds of server time per second, by service.
     pub(crate) work: BTreeMap<Name, f64>,
     /// Time at which it last reached a server, by service.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -108,7 +108,7 @@
 pub(crate) async fn broadcast_state(cx: Rc<Context>) {
     for round in 0_u64.. {
         tokio::time::sleep(STATE_INTERVAL).await;
-        update_remote_loads(&cx);
+        cx.picker.borrow_mut().forget_silent_peers(cx.silence_ms(), boot_ms());
         quarantine::update(&cx);
         paths::update_all(&cx);
         if round % DEPOSIT_PERIOD == 0 {
@@ -345,27 +345,11 @@
         stopping: state.stopping,
         rules_age: state.rules_age,
         open: state.open,
-        loads: state.loads.into_iter().map(load).collect(),
         work: state.work,
         cut: state.cut,
     };
-    drop(peer_status);
-    update_remote_loads(cx);
-}
-
-/// Sums up the loads that the live peers told. What a peer told ends with its silence.
-fn update_remote_loads(cx: &Context) {
-    let (now, silence) = (boot_ms(), cx.silence_ms());
-    let mut sum: BTreeMap<Name, Load> = BTreeMap::new();
-    let peer_status = cx.peer_status.borrow();
-    let is_live = |status: &&PeerStatus| now.saturating_sub(status.received_at) < silence;
-    for (id, load) in peer_status.values().filter(is_live).flat_map(|status| &status.loads) {
-        let total = sum.entry(id.clone()).or_default();
-        total.open = total.open.saturating_add(load.open);
-        total.pending_prompt_tokens =
-            total.pending_prompt_tokens.saturating_add(load.pending_prompt_tokens);
-    }
-    cx.picker.borrow_mut().set_remote_loads(&sum);
+    let loads = state.loads.into_iter().map(load).collect();
+    cx.picker.borrow_mut().record_peer_loads(&from, loads, now);
 }
 
 /// Takes a retry of a request from the retry budget. If this entry's share is used up, requests some
