relay, coord, pick: work per message, query and request does not grow with entries and servers

Change: a message is encoded once; readers and shares follow changes of the roster only; the affinity servers and the sample are found in one pass.

--- a/crates/coord/src/roster.rs
+++ b/crates/coord/src/roster.rs
@@ -28,6 +28,7 @@
     /// Time of removal of entries that are no longer registered.
     removed_at: BTreeMap<Name, Millis>,
     retention_ms: Millis,
+    changes: u64,
 }
 
 impl Roster {
@@ -53,17 +54,27 @@
     /// Adds an entry, or updates its registration.
     pub fn add(&mut self, entry: Entry) {
         self.removed_at.remove(&entry.name);
-        self.present.insert(entry.name.clone(), entry);
+        if self.present.get(&entry.name) != Some(&entry) {
+            self.changes += 1;
+            self.present.insert(entry.name.clone(), entry);
+        }
     }
 
     /// Removes an entry that is no longer registered; its share is counted until the retention time
     /// is over.
     pub fn remove(&mut self, name: &str, now: Millis) {
         if let Some((name, _)) = self.present.remove_entry(name) {
+            self.changes += 1;
             self.removed_at.insert(name, now);
         }
     }
 
+    /// Returns how often the registered entries have changed. What is derived from them is valid as long as
+    /// this number stays the same.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the registered entries.
     pub fn present(&self) -> impl Iterator<Item = &Entry> {
         self.present.values()
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -4,6 +4,9 @@
 use crate::picker::Picker;
 use crate::server::Server;
 use kernel::{Millis, Name};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -229,16 +232,19 @@
         let is_reachable = |server: &&Server| {
             server.info.service == *requirements.service && now >= server.backoff_until
         };
-        let weight = |server: &&Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
-        let mut ranked: Vec<&Server> = self.servers().filter(is_reachable).collect();
-        ranked.sort_by_key(|server| std::cmp::Reverse(weight(server)));
-        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
-        ranked.retain(|server| {
-            let count = counts.entry(&server.info.software_version).or_default();
-            *count += 1;
-            *count <= AFFINITY_SERVERS
-        });
-        ranked
+        let weight = |server: &Server| xxh3_64_with_seed(server.info.id.as_bytes(), last.id);
+        // The servers of each version so far with the highest weights, the highest first.
+        let mut highest: BTreeMap<&Name, Vec<(u64, &Server)>> = BTreeMap::new();
+        for server in self.servers().filter(is_reachable) {
+            let weight = weight(server);
+            let of_version = highest.entry(&server.info.software_version).or_default();
+            let index = of_version.partition_point(|(other, _)| *other >= weight);
+            if index < AFFINITY_SERVERS {
+                of_version.insert(index, (weight, server));
+                of_version.truncate(AFFINITY_SERVERS);
+            }
+        }
+        highest.into_values().flatten().map(|(_, server)| server).collect()
     }
 
     /// Predicts the latency and the cost of a request at a server.
@@ -327,10 +333,10 @@
 ) -> impl Iterator<Item = &'a Server> {
     let has_affinity =
         |server: &&Server| affinity.iter().any(|other| other.info.id == server.info.id);
-    let (preferred, mut others): (Vec<&Server>, Vec<&Server>) =
+    let (preferred, others): (Vec<&Server>, Vec<&Server>) =
         servers.iter().copied().partition(has_affinity);
-    others.sort_by_cached_key(|server| xxh3_64_with_seed(server.info.id.as_bytes(), random));
-    preferred.into_iter().chain(others.into_iter().take(SAMPLE_SIZE))
+    let mut rng = SmallRng::seed_from_u64(random);
+    preferred.into_iter().chain(others.into_iter().sample(&mut rng, SAMPLE_SIZE))
 }
 
 /// Returns the candidate with the lowest cost.
--- a/crates/pick/src/outcome.rs
+++ b/crates/pick/src/outcome.rs
@@ -46,6 +46,10 @@
 
     /// Returns the counts decayed to the time `now`.
     pub(crate) fn at(&self, now: Millis) -> Self {
+        // Most servers of a large deployment have had no request from this entry.
+        if self.answered == 0.0 && self.failed == 0.0 {
+            return Self { updated_at: now.max(self.updated_at), ..Self::default() };
+        }
         let elapsed = now.saturating_sub(self.updated_at) as f64;
         let decay = 0.5_f64.powf(elapsed / HALF_LIFE_MS);
         Self {
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -11,7 +11,7 @@
     BrittleServers, BrittleSettings, Freshness, PoolRole, Quarantine, QuarantineSettings,
     QuotaSettings, QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings,
     ServerLimits, ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
-    quota_pools,
+    quota_pools, readers,
 };
 use infra::{Duties, Lease, Store};
 use kernel::prelude::*;
@@ -98,6 +98,10 @@
     pub(crate) roster: RefCell<Roster>,
     /// Number of entries that share the limits.
     pub(crate) share_count: Cell<usize>,
+    /// Number of changes of the roster that all that depends on it has followed; `None` at first.
+    pub(crate) roster_followed: Cell<Option<u64>>,
+    /// Entries that read the store for the others; `None` if each reads it itself.
+    pub(crate) readers: RefCell<Option<Rc<[Name]>>>,
     /// Last state received from each peer.
     pub(crate) peer_status: RefCell<BTreeMap<Name, PeerStatus>>,
     pub(crate) quota_shares: RefCell<QuotaShares>,
@@ -248,6 +252,8 @@
             freshness: RefCell::default(),
             roster: RefCell::new(Roster::new(revoke_ms)),
             share_count: Cell::default(),
+            roster_followed: Cell::default(),
+            readers: RefCell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
             counted_from: Cell::default(),
@@ -446,16 +452,22 @@
         local + valid.filter_map(|status| status.work.get(service)).sum::<f64>()
     }
 
-    /// Sets the entries that share the quotas, the retry budget, the limits of servers, the trials of
-    /// prompt parts in quarantine and the origins of streams.
+    /// Follows changes of the roster: sets the readers, and the entries that share the quotas, the retry
+    /// budget, the limits of servers, the trials of prompt parts in quarantine and the origins of streams.
     pub(crate) fn update_shares(&self) {
         let entries = self.roster.borrow_mut().share_count(boot_ms());
-        if self.share_count.replace(entries) != entries {
+        let changes = self.roster.borrow().changes();
+        let is_same_count = self.share_count.replace(entries) == entries;
+        if self.roster_followed.replace(Some(changes)) == Some(changes) && is_same_count {
+            return;
+        }
+        if !is_same_count {
             info!(self.log, "limits shared"; "entries" => entries,
                 "registered" => self.roster.borrow().present().count());
         }
         let names: Vec<Name> =
             self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
+        *self.readers.borrow_mut() = readers(&names).map(Rc::from);
         let pools = quota_pools(&names);
         let role = match &pools {
             None => PoolRole::None,
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -48,12 +48,12 @@
 
 /// Returns the addresses of the entries that callers in a data centre should use.
 fn entry_addresses(cx: &Context, data_centre: &Name) -> Vec<Name> {
-    let now = boot_ms();
+    let (now, silence) = (boot_ms(), cx.silence_ms());
     let roster = cx.roster.borrow();
     let peers = cx.peer_status.borrow();
     let serving: Vec<&Entry> = roster
         .present()
-        .filter(|entry| is_serving(cx, entry, peers.get(&entry.name), now))
+        .filter(|entry| is_serving(cx, entry, peers.get(&entry.name), silence, now))
         .collect();
     let reaching: Vec<&Entry> = serving
         .iter()
@@ -83,14 +83,22 @@
     since.is_some_and(|since| now.saturating_sub(since) > MIN_CUT_MS)
 }
 
-fn is_serving(cx: &Context, entry: &Entry, status: Option<&PeerStatus>, now: Millis) -> bool {
+/// Whether an entry serves callers, as far as this one knows. A peer does not that has been silent for
+/// `silence` milliseconds.
+fn is_serving(
+    cx: &Context,
+    entry: &Entry,
+    status: Option<&PeerStatus>,
+    silence: Millis,
+    now: Millis,
+) -> bool {
     if entry.name == cx.settings.name {
         let age = cx.freshness.borrow().age(now);
         return !cx.stopping.get() && age.is_some_and(|age| age < MAX_RULES_AGE_MS);
     }
     status.is_some_and(|status| {
         !status.stopping
-            && now.saturating_sub(status.received_at) < cx.silence_ms()
+            && now.saturating_sub(status.received_at) < silence
             && status.rules_age.is_some_and(|age| age < MAX_RULES_AGE_MS)
     })
 }
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -2,7 +2,7 @@
 //! servers.
 
 use crate::context::Context;
-use crate::readers::{is_reader, readers};
+use crate::readers::is_reader;
 use crate::sync::LEADER_KEY;
 use crate::usage_report::UsageDuty;
 use coord::Restore;
@@ -155,7 +155,7 @@
 /// Whether this entry is one of the few that request a free lease at once. If all did, each change of the
 /// leader would cost several calls of every entry.
 fn is_candidate(cx: &Context) -> bool {
-    cx.settings.first_start || is_reader(cx, readers(cx).as_deref())
+    cx.settings.first_start || is_reader(cx)
 }
 
 /// Releases the lease when the entry stops, so that another entry need not wait until it expires.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -89,18 +89,35 @@
         number
     }
 
+    /// Sends a message to an entry.
     pub(crate) fn send(&self, cx: &Context, to: &Entry, message: Message) {
+        self.send_to_all(cx, std::iter::once(to), message);
+    }
+
+    /// Sends a message to several entries. It is encoded once.
+    fn send_to_all<'a>(
+        &self,
+        cx: &Context,
+        entries: impl Iterator<Item = &'a Entry>,
+        message: Message,
+    ) {
         let envelope =
             Envelope { from: cx.settings.name.clone(), incarnation: cx.incarnation, message };
-        let (Ok(bytes), Ok(address)) =
-            (serde_json::to_vec(&envelope), to.peer.parse::<SocketAddr>())
-        else {
-            warn!(cx.log, "message not sent"; "to" => %to.name,
-                "cause" => "the message cannot be encoded or the peer address is invalid");
-            return;
+        let bytes = match serde_json::to_vec(&envelope) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                warn!(cx.log, "message not sent"; "cause" => format!("it cannot be encoded: {e}"));
+                return;
+            }
         };
-        // A datagram that does not fit into the send buffer is treated like a lost one.
-        let _ = self.socket.try_send_to(&bytes, address);
+        for to in entries {
+            match to.peer.parse::<SocketAddr>() {
+                // A datagram that does not fit into the send buffer is treated like a lost one.
+                Ok(address) => drop(self.socket.try_send_to(&bytes, address)),
+                Err(e) => warn!(cx.log, "message not sent"; "to" => %to.name,
+                    "cause" => format!("the peer address {} is invalid: {e}", to.peer)),
+            }
+        }
     }
 }
 
@@ -135,13 +152,11 @@
         let leader = cx.leader.borrow();
         let leader = others.iter().filter(|entry| Some(&entry.name) == leader.as_ref());
         let keepers = others.iter().sample(&mut rand::rng(), COUNT_KEEPERS);
-        for entry in leader.chain(keepers) {
-            cx.peers().send(cx, entry, Message::State(state.clone()));
-        }
-    }
-    for entry in others.into_iter().sample(&mut rand::rng(), MAX_STATE_RECIPIENTS) {
-        cx.peers().send(cx, entry, Message::State(state.clone()));
+        let recipients = leader.chain(keepers).copied();
+        cx.peers().send_to_all(cx, recipients, Message::State(state));
     }
+    let recipients = others.into_iter().sample(&mut rand::rng(), MAX_STATE_RECIPIENTS);
+    cx.peers().send_to_all(cx, recipients.into_iter(), Message::State(state));
 }
 
 fn current_state(cx: &Context) -> EntryState {
@@ -275,9 +290,7 @@
     };
     let wants_changes = cx.store_health.get().is_lost() || readers::readers_tell(cx);
     let known = if wants_changes { readers::known_revisions(cx) } else { BTreeMap::new() };
-    for entry in &asked {
-        cx.peers().send(cx, entry, Message::FreshnessQuery { asked_at, known: known.clone() });
-    }
+    cx.peers().send_to_all(cx, asked.iter(), Message::FreshnessQuery { asked_at, known });
 }
 
 fn reply_to_freshness_query(
@@ -438,16 +451,14 @@
 pub(crate) async fn request_from_peers(
     cx: &Rc<Context>,
     live: &[Entry],
-    message: impl Fn(u64) -> Message,
+    message: impl FnOnce(u64) -> Message,
     wanted: f64,
 ) -> f64 {
     let peers = cx.peers();
     let number = peers.next_number();
     let request = Rc::new(PendingRequest::default());
     peers.pending.borrow_mut().insert(number, request.clone());
-    for entry in live {
-        peers.send(cx, entry, message(number));
-    }
+    peers.send_to_all(cx, live.iter(), message(number));
     let enough = async {
         while request.granted.get() < wanted && request.replies.get() < live.len() {
             request.updated.notified().await;
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -30,15 +30,8 @@
 }
 
 /// Whether this entry reads the rules and watches the prefixes itself.
-pub(crate) fn is_reader(cx: &Context, readers: Option<&[Name]>) -> bool {
-    readers.is_none_or(|all| all.contains(&cx.settings.name))
-}
-
-/// Returns the readers, or `None` if every entry reads the store itself.
-pub(crate) fn readers(cx: &Context) -> Option<Vec<Name>> {
-    let roster = cx.roster.borrow();
-    let names: Vec<Name> = roster.present().map(|entry| entry.name.clone()).collect();
-    coord::readers(&names)
+pub(crate) fn is_reader(cx: &Context) -> bool {
+    cx.readers.borrow().as_ref().is_none_or(|readers| readers.contains(&cx.settings.name))
 }
 
 /// Decides where this entry learns the next changes of a prefix. The leader orders servers by what it
@@ -46,16 +39,14 @@
 pub(crate) fn next_source(cx: &Context, prefix: WatchedPrefix) -> ChangeSource {
     let limit = cx.settings.promises.drain.mul_f64(MAX_COPY_AGE_FRACTION).as_millis() as Millis;
     let is_leader = cx.leader.borrow().as_ref() == Some(&cx.settings.name);
-    let watches = is_leader || !readers_tell(cx) || is_reader(cx, readers(cx).as_deref());
+    let watches = is_leader || !readers_tell(cx) || is_reader(cx);
     prefix.change_log(cx).borrow().age.next_source(watches, limit, boot_ms())
 }
 
 /// Returns the delay between a change and the next watch.
 pub(crate) fn batch_delay(cx: &Context) -> Duration {
-    let fraction = match readers(cx) {
-        Some(readers) if readers.contains(&cx.settings.name) => READER_BATCH_FRACTION,
-        _ => BATCH_FRACTION,
-    };
+    let tells_others = cx.readers.borrow().is_some() && is_reader(cx);
+    let fraction = if tells_others { READER_BATCH_FRACTION } else { BATCH_FRACTION };
     cx.settings.promises.drain.mul_f64(fraction)
 }
 
@@ -95,7 +86,7 @@
 /// A watch whose connection hangs looks like one that waits, so the last read of the rules counts too.
 fn confirmed_age(cx: &Context, log: &ChangeLog, now: Millis) -> Option<Millis> {
     // Only a reader goes on to read.
-    if cx.store_health.get().is_lost() || !is_reader(cx, readers(cx).as_deref()) {
+    if cx.store_health.get().is_lost() || !is_reader(cx) {
         return None;
     }
     let (copy_age, rules_age) = (log.age.read_age(now)?, cx.freshness.borrow().age(now)?);
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -6,7 +6,7 @@
 use crate::message::WatchedPrefix;
 use crate::origins;
 use crate::peers;
-use crate::readers::{batch_delay, is_reader, next_source, readers};
+use crate::readers::{batch_delay, is_reader, next_source};
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
 use coord::{ChangeSource, Confirmation};
 use infra::{Change, Listing, Stored, Watched};
@@ -58,9 +58,8 @@
 pub(crate) async fn poll_rules(cx: Rc<Context>) {
     let apply = cx.settings.promises.apply;
     loop {
-        let readers = readers(&cx);
-        let is_reader = is_reader(&cx, readers.as_deref());
-        if let (false, Some(readers)) = (is_reader, &readers) {
+        let readers = cx.readers.borrow().clone();
+        if let (false, Some(readers)) = (is_reader(&cx), &readers) {
             peers::query_freshness(&cx, readers);
             tokio::time::sleep(FRESHNESS_REPLY_TIMEOUT).await;
             let limit = apply.mul_f64(MAX_AGE_FRACTION).as_millis() as Millis;
