coord, relay: quota units that a request waits for are not deposited

A request that lacks units gets them from the pools; the deposit that is due every 0.45 s took them back before the request's task ran again. Change: what requests wait for at an entry stays there. An over-limit answer states the quota.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -125,13 +125,22 @@
     role: PoolRole,
     refill_from: Millis,
     buckets: BTreeMap<Name, TokenBucket>,
+    /// Cost of the requests that wait for units here, by organisation.
+    awaited: BTreeMap<Name, f64>,
 }
 
 impl QuotaShares {
     /// Creates empty buckets that refill from `refill_from` on. By then all other entries must
     /// count this one among the entries that share the quotas.
     pub fn new(settings: QuotaSettings, refill_from: Millis) -> Self {
-        Self { settings, entries: 1, role: PoolRole::None, refill_from, buckets: BTreeMap::new() }
+        Self {
+            settings,
+            entries: 1,
+            role: PoolRole::None,
+            refill_from,
+            buckets: BTreeMap::new(),
+            awaited: BTreeMap::new(),
+        }
     }
 
     /// Empties all buckets and refills them from `refill_from` on.
@@ -156,9 +165,26 @@
         self.role = role;
     }
 
-    /// Deducts what this entry should deposit in a pool; 0 if it is not a depositor or has too little.
+    /// Records that a request waits for units that others grant, or for the refill.
+    pub fn begin_wait(&mut self, organisation: &Name, cost: f64) {
+        *self.awaited.entry(organisation.clone()).or_default() += cost;
+    }
+
+    /// Records that a request no longer waits.
+    pub fn end_wait(&mut self, organisation: &Name, cost: f64) {
+        if let Some(awaited) = self.awaited.get_mut(organisation) {
+            *awaited -= cost;
+            if *awaited <= 0.0 {
+                self.awaited.remove(organisation);
+            }
+        }
+    }
+
+    /// Deducts what this entry should deposit in a pool; 0 if it is not a depositor or has too little. What
+    /// requests wait for here stays.
     pub fn take_deposit(&mut self, organisation: &Name, quota: &Quota, now: Millis) -> Transfer {
-        let kept = DEPOSIT_LEVEL * self.capacity(quota);
+        let awaited = self.awaited.get(organisation).copied().unwrap_or(0.0);
+        let kept = awaited.max(DEPOSIT_LEVEL * self.capacity(quota));
         if self.role != PoolRole::Depositor {
             return Transfer { units: 0.0 };
         }
--- a/crates/relay/src/quota_exchange.rs
+++ b/crates/relay/src/quota_exchange.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::message::Message;
 use crate::peers::{is_paused, pause_requests, request_from_peers, sample_live_peers};
-use coord::{Entry, Transfer};
+use coord::{Charge, Entry, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rand::seq::IteratorRandom;
@@ -16,6 +16,62 @@
 const MIN_PEERS_ASKED: usize = 3;
 /// Maximum number of peers that one request for quota units goes to.
 const MAX_PEERS_ASKED: usize = 40;
+/// Minimum and maximum retry-after time for a caller over its quota, in seconds.
+const QUOTA_RETRY_AFTER_S: (f64, f64) = (0.2, 4.0);
+
+/// A request that waits for quota units at this entry, which keeps them from being deposited elsewhere.
+struct Waiting<'a> {
+    cx: &'a Context,
+    organisation: &'a Name,
+    cost: f64,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(cx: &'a Context, organisation: &'a Name, cost: f64) -> Self {
+        cx.quota_shares.borrow_mut().begin_wait(organisation, cost);
+        Self { cx, organisation, cost }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.cx.quota_shares.borrow_mut().end_wait(self.organisation, self.cost);
+    }
+}
+
+/// Charges a request to the quota of an organisation. If this entry's share does not suffice, requests units
+/// from other entries.
+///
+/// # Errors
+/// [`Code::OverLimit`] if too few units are left.
+pub(crate) async fn charge(
+    cx: &Rc<Context>,
+    organisation: &Name,
+    quota: &Quota,
+    cost: f64,
+) -> Result<(), Failure> {
+    let try_charge = || cx.quota_shares.borrow_mut().charge(organisation, quota, cost, boot_ms());
+    let Charge::Short(mut units) = try_charge() else { return Ok(()) };
+    let waiting = Waiting::begin(cx, organisation, cost);
+    let began = boot_ms();
+    request(cx, organisation, quota, units).await;
+    let Charge::Short(missing) = try_charge() else {
+        debug!(cx.log, "quota units received"; "organisation" => %organisation,
+            "units" => cost, "took_ms" => boot_ms().saturating_sub(began));
+        return Ok(());
+    };
+    units = missing;
+    drop(waiting);
+    let (min_s, max_s) = QUOTA_RETRY_AFTER_S;
+    let after = (units / quota.per_s.max(1.0)).clamp(min_s, max_s);
+    let context = format!(
+        "{organisation}: {units:.0} of {cost:.0} quota units are missing after {} ms; {:.0} a second, {:.0} at once",
+        boot_ms().saturating_sub(began),
+        quota.per_s,
+        quota.burst
+    );
+    Err(Failure::new(Code::OverLimit, context).retry_after(Duration::from_secs_f64(after)))
+}
 
 /// Deposits quota units that this entry does not need at one of the pools.
 pub(crate) fn deposit(cx: &Context) {
@@ -52,7 +108,7 @@
 
 /// Requests the units that a request lacks of an organisation's quota from the peers, and waits for
 /// their replies. The pools are asked first.
-pub(crate) async fn request(cx: &Rc<Context>, organisation: &Name, quota: &Quota, shortfall: f64) {
+async fn request(cx: &Rc<Context>, organisation: &Name, quota: &Quota, shortfall: f64) {
     if is_paused(cx, organisation) {
         return;
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::reply::{empty_reply, error_reply};
 use crate::request::AdmittedRequest;
 use crate::tracked_io::TrackedIo;
-use coord::{Charge, request_mark};
+use coord::request_mark;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, TRANSFER_ENCODING};
@@ -25,7 +25,7 @@
 use hyper_util::rt::TokioTimer;
 use kernel::boot_ms;
 use kernel::prelude::*;
-use rules::{Quota, RetryPolicy, Route};
+use rules::{RetryPolicy, Route};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -40,8 +40,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Timeout for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum and maximum retry-after time for a caller over its quota, in seconds.
-const QUOTA_RETRY_AFTER_S: (f64, f64) = (0.2, 4.0);
 /// Retry-after time of an entry that is about to shut down. It is short because another entry can
 /// serve the caller at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -223,7 +221,8 @@
     let quota = organisation.as_ref().and_then(|o| o.quota.map(|quota| (o.name.clone(), quota)));
     let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
     if let Some((organisation_name, quota)) = &quota {
-        charge_quota(cx, organisation_name, quota, quota.cost(tokens)).await?;
+        let cost = quota.cost(tokens);
+        quota_exchange::charge(cx, organisation_name, quota, cost).await?;
     }
     let refund = || {
         if let Some((organisation_name, quota)) = &quota {
@@ -334,33 +333,6 @@
     })
 }
 
-/// Charges a request to the quota of an organisation, and requests quota units from other entries
-/// if this entry's share does not suffice.
-async fn charge_quota(
-    cx: &Rc<Context>,
-    organisation_name: &Name,
-    quota: &Quota,
-    cost: f64,
-) -> Result<(), Failure> {
-    let try_charge =
-        || cx.quota_shares.borrow_mut().charge(organisation_name, quota, cost, boot_ms());
-    let mut charge = try_charge();
-    if let Charge::Short(shortfall) = charge {
-        quota_exchange::request(cx, organisation_name, quota, shortfall).await;
-        charge = try_charge();
-    }
-    match charge {
-        Charge::Charged => Ok(()),
-        Charge::Short(shortfall) => {
-            let (min_s, max_s) = QUOTA_RETRY_AFTER_S;
-            let after = (shortfall / quota.per_s.max(1.0)).clamp(min_s, max_s);
-            let context =
-                format!("{organisation_name}: {shortfall:.0} of {cost:.0} quota units are missing");
-            Err(Failure::new(Code::OverLimit, context).retry_after(Duration::from_secs_f64(after)))
-        }
-    }
-}
-
 /// Returns the readiness of the entry as a response.
 pub(crate) fn readiness_reply(cx: &Context) -> Reply {
     empty_reply(if cx.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
