coord, relay: requests wait a little for quota units, and nothing is gathered in vain for long

Load pattern: after a kill of all entries every bucket is empty, and a burst empties them for a moment; requests that the quota allows were rejected although their units come back in 0.1 to 0.3 s. An organisation that asks for more than its quota all the time is another pattern: large requests gathered units from up to 60 entries, were rejected, and the units lay where they were for half a second while small requests elsewhere were rejected. Change: a request waits for the refill, up to a quarter of its target latency. A pool tells with each grant for how long it has had little; after 1.5 s of that nobody waits, and only the pools are asked. The decision is coord::Shortage, apart from I/O.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod quarantine;
 mod quarantine_news;
 mod quota;
+mod quota_wait;
 mod readers;
 mod rendezvous;
 mod retry;
@@ -34,6 +35,7 @@
 };
 pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 pub use quota::{Charge, PoolRole, QuotaSettings, QuotaShares, TokenBucket, Transfer, quota_pools};
+pub use quota_wait::{QuotaStep, Shortage, is_lasting_shortage};
 pub use readers::readers;
 pub use retry::{RetryBudget, RetrySettings, RetryStatus};
 pub use roster::{Entry, Roster};
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -24,6 +24,8 @@
 const POOL_FRACTION: f64 = 0.6;
 /// Fill level above which an entry deposits units, as a fraction of its capacity.
 const DEPOSIT_LEVEL: f64 = 0.1;
+/// Fill level from which units are not scarce, as a fraction of the capacity.
+const AMPLE_LEVEL: f64 = 0.25;
 
 /// Returns the entries that pool quota units; `None` if each entry keeps its own.
 pub fn quota_pools(entries: &[Name]) -> Option<Vec<Name>> {
@@ -115,6 +117,8 @@
 pub struct TokenBucket {
     units: f64,
     refilled_at: Millis,
+    /// Time at which the bucket was last filled to [`AMPLE_LEVEL`], or at which it began to refill.
+    ample_at: Millis,
 }
 
 /// Token buckets of an entry, by organisation.
@@ -255,12 +259,25 @@
         *self.refill(organisation, quota, now)
     }
 
+    /// Returns the time for which this entry has had few units of an organisation, in milliseconds.
+    ///
+    /// A pool has few for long only if the organisation asks for more than its quota. What a depositor has says
+    /// nothing.
+    pub fn scarce_ms(&mut self, organisation: &Name, quota: &Quota, now: Millis) -> Millis {
+        self.refill(organisation, quota, now);
+        self.buckets.get(organisation).map_or(0, |bucket| now.saturating_sub(bucket.ample_at))
+    }
+
     /// Refills a bucket up to `now` and returns its units.
     fn refill(&mut self, organisation: &Name, quota: &Quota, now: Millis) -> &mut f64 {
         let capacity = self.capacity(quota);
         // A bucket is created empty when its organisation is first seen, and like all others it has
         // refilled since `refill_from`.
-        let new = TokenBucket { units: 0.0, refilled_at: self.refill_from };
+        let new = TokenBucket {
+            units: 0.0,
+            refilled_at: self.refill_from,
+            ample_at: self.refill_from.min(now),
+        };
         let bucket = self.buckets.entry(organisation.clone()).or_insert(new);
         let elapsed_s = now.saturating_sub(bucket.refilled_at) as f64 / 1000.0;
         let refill = elapsed_s * quota.per_s * self.settings.refill_factor / self.entries as f64;
@@ -268,6 +285,9 @@
         // not refilled beyond its capacity.
         bucket.units = bucket.units.max((bucket.units + refill).min(capacity));
         bucket.refilled_at = now.max(bucket.refilled_at);
+        if bucket.units >= AMPLE_LEVEL * capacity {
+            bucket.ample_at = now;
+        }
         &mut bucket.units
     }
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -112,6 +112,10 @@
         organisation: Name,
         /// Quota units granted.
         units: f64,
+        /// Time for which the sender has had few units of the organisation, in milliseconds; `None` if it is
+        /// no pool.
+        #[serde(default)]
+        scarce_ms: Option<Millis>,
     },
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -59,6 +59,8 @@
 #[derive(Default)]
 struct PendingRequest {
     granted: Cell<f64>,
+    /// Shortest time for which a pool that replied has had few units, in milliseconds.
+    scarce_ms: Cell<Option<Millis>>,
     replies: Cell<usize>,
     updated: Notify,
 }
@@ -74,9 +76,11 @@
     }
 
     /// Records a reply to a request for quota units or retries.
-    fn record_reply(&self, number: u64, units: f64) {
+    fn record_reply(&self, number: u64, units: f64, scarce_ms: Option<Millis>) {
         if let Some(request) = self.pending.borrow().get(&number) {
             request.granted.set(request.granted.get() + units);
+            let scarce_ms = request.scarce_ms.get().into_iter().chain(scarce_ms).min();
+            request.scarce_ms.set(scarce_ms);
             request.replies.set(request.replies.get() + 1);
             request.updated.notify_one();
         }
@@ -231,23 +235,29 @@
             let owner = rules.organisation_named(&organisation);
             let Some(quota) = owner.and_then(|owner| owner.quota) else { return };
             let now = boot_ms();
-            let granted =
-                cx.quota_shares.borrow_mut().grant(&organisation, &quota, units, now).units;
+            let mut shares = cx.quota_shares.borrow_mut();
+            let scarce_ms = cx.quota_pools.borrow().contains(&cx.settings.name).then(|| {
+                // Before the grant, which may leave little.
+                shares.scarce_ms(&organisation, &quota, now)
+            });
+            let granted = shares.grant(&organisation, &quota, units, now).units;
+            drop(shares);
             let roster = cx.roster.borrow();
             if let Some(entry) = roster.get(&from) {
-                let message = Message::QuotaGrant { number, organisation, units: granted };
+                let message =
+                    Message::QuotaGrant { number, organisation, units: granted, scarce_ms };
                 cx.peers().send(cx, entry, message);
             }
         }
         Message::QuotaDeposit(deposits) => quota_exchange::receive_deposits(cx, deposits),
-        Message::QuotaGrant { number, organisation, units } => {
+        Message::QuotaGrant { number, organisation, units, scarce_ms } => {
             let rules = cx.rules.borrow().clone();
             let owner = rules.organisation_named(&organisation);
             if let Some(quota) = owner.and_then(|owner| owner.quota) {
                 let transfer = Transfer { units };
                 cx.quota_shares.borrow_mut().receive(&organisation, &quota, transfer, boot_ms());
             }
-            cx.peers().record_reply(number, units);
+            cx.peers().record_reply(number, units, scarce_ms);
         }
         Message::RetryRequest { number, service, count } => {
             let count = cx.retry_budget.borrow_mut().grant(&service, count, boot_ms());
@@ -272,7 +282,7 @@
         }
         Message::RetryGrant { number, service, count } => {
             cx.retry_budget.borrow_mut().receive(&service, count, boot_ms());
-            cx.peers().record_reply(number, f64::from(count));
+            cx.peers().record_reply(number, f64::from(count), None);
         }
     }
 }
@@ -377,7 +387,7 @@
             service: service.clone(),
             count: RETRIES_PER_PEER,
         };
-        if live.is_empty() || request_from_peers(cx, &live, message, 1.0).await < 1.0 {
+        if live.is_empty() || request_from_peers(cx, &live, message, 1.0).await.amount < 1.0 {
             pause_requests(cx, service);
         }
         source = take_local_retry(cx, service);
@@ -446,14 +456,23 @@
     roster.present().filter(is_live).cloned().sample(&mut rand::rng(), limit)
 }
 
+/// What peers granted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Granted {
+    /// Amount of units or retries.
+    pub(crate) amount: f64,
+    /// Shortest time for which a pool that replied has had few units, in milliseconds; `None` if no pool replied.
+    pub(crate) scarce_ms: Option<Millis>,
+}
+
 /// Sends a request to peers and waits until they granted enough, all replied, or the timeout
-/// [`REPLY_TIMEOUT`] passed. Returns the amount granted.
+/// [`REPLY_TIMEOUT`] passed.
 pub(crate) async fn request_from_peers(
     cx: &Rc<Context>,
     live: &[Entry],
     message: impl FnOnce(u64) -> Message,
     wanted: f64,
-) -> f64 {
+) -> Granted {
     let peers = cx.peers();
     let number = peers.next_number();
     let request = Rc::new(PendingRequest::default());
@@ -466,5 +485,5 @@
     };
     let _ = tokio::time::timeout(REPLY_TIMEOUT, enough).await;
     peers.pending.borrow_mut().remove(&number);
-    request.granted.get()
+    Granted { amount: request.granted.get(), scarce_ms: request.scarce_ms.get() }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -222,7 +222,7 @@
     let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
     if let Some((organisation_name, quota)) = &quota {
         let cost = quota.cost(tokens);
-        quota_exchange::charge(cx, organisation_name, quota, cost).await?;
+        quota_exchange::charge(cx, organisation_name, quota, cost, route.target_latency_ms).await?;
     }
     let refund = || {
         if let Some((organisation_name, quota)) = &quota {
