pick: the software versions of a service are counted as servers change

Cause: after each change of a server an entry looks at which versions serve (for the origins of streams), and that walked over all servers. Change: the picker counts servers by service and version. Test: pick/tests/versions.rs compares the counts with all servers known, over changes, restarts and removals.

--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -21,6 +21,8 @@
 pub struct Picker {
     latency_model: LatencyModel,
     servers: BTreeMap<Name, Server>,
+    /// Number of servers of each software version, by service.
+    versions: BTreeMap<Name, BTreeMap<Name, usize>>,
     prompt_cache: PromptCacheIndex,
     peer_loads: PeerLoads,
     /// Time until which servers want no requests from this entry, by name. It outlives what the entry
@@ -40,25 +42,44 @@
     /// prompts.
     pub fn upsert(&mut self, info: ServerInfo) -> bool {
         match self.servers.get_mut(&info.id) {
-            Some(known) if known.info == info => false,
+            Some(known) if known.info == info => return false,
             Some(known) if known.info.started_unix_ms == info.started_unix_ms => {
-                known.info = info;
-                true
+                let before = std::mem::replace(&mut known.info, info.clone());
+                self.uncount(&before);
             }
             _ => {
                 self.prompt_cache.remove_server(&info.id);
-                let mut server = Server::new(info);
+                let mut server = Server::new(info.clone());
                 server.paused_until = self.pauses.get(&server.info.id).copied().unwrap_or(0);
                 server.remote = self.peer_loads.sum(&server.info.id);
-                self.servers.insert(server.info.id.clone(), server);
-                true
+                if let Some(before) = self.servers.insert(server.info.id.clone(), server) {
+                    self.uncount(&before.info);
+                }
             }
         }
+        let of_service = self.versions.entry(info.service).or_default();
+        *of_service.entry(info.software_version).or_default() += 1;
+        true
     }
 
     /// Removes a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.servers.remove(id).is_some()
+        let removed = self.servers.remove(id);
+        if let Some(server) = &removed {
+            self.uncount(&server.info);
+        }
+        removed.is_some()
+    }
+
+    /// Takes a server out of the numbers by software version.
+    fn uncount(&mut self, info: &ServerInfo) {
+        let Some(of_service) = self.versions.get_mut(&info.service) else { return };
+        if let Some(count) = of_service.get_mut(&info.software_version) {
+            *count -= 1;
+            if *count == 0 {
+                of_service.remove(&info.software_version);
+            }
+        }
     }
 
     /// Records that a server stated in a response that it leaves; returns whether this is news.
@@ -196,9 +217,11 @@
     }
 
     /// Returns the software versions of all servers of a service, leaving ones included.
+    ///
+    /// It is asked for after each change of a server, so that it must not walk over all of them.
     pub fn software_versions(&self, service: &str) -> BTreeSet<Name> {
-        let servers = self.servers.values().filter(|server| server.info.service == *service);
-        servers.map(|server| server.info.software_version.clone()).collect()
+        let of_service = self.versions.get(service);
+        of_service.map(|versions| versions.keys().cloned().collect()).unwrap_or_default()
     }
 
     /// Returns the latency model.
