--- a/review/standin.rs
+++ b/review/standin.rs
@@ -2,7 +2,9 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod engine;
 mod joined_versions;
+mod late_refusal;
 mod world;
 
 fn main() {
@@ -12,6 +14,7 @@
     world::record(&format!("case {case}, disruption: {}", world::has_trouble()));
     world::end_after_ms(110_000);
     let run: fn() -> i32 = match case.as_str() {
+        "late-refusal" => late_refusal::run,
         "joined-versions" => joined_versions::run,
         _ => || 2,
     };
