review: a stream that was stopped for a refused move ends as complete

Cause: after a move that failed, the entry reads the old response on as if the run still went on; the end of an answer without a length then counts as the end of the stream. Change: a case as a script.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod joined_versions;
 mod late_refusal;
+mod refused_move;
 mod world;
 
 fn main() {
@@ -16,6 +17,7 @@
     let run: fn() -> i32 = match case.as_str() {
         "late-refusal" => late_refusal::run,
         "joined-versions" => joined_versions::run,
+        "refused-move" => refused_move::run,
         _ => || 2,
     };
     // A stand-in that fails is no broken rule. Unwinding ends the processes that were started.
