review: answers to consumers that do not read for some seconds are cut

Cause: connections of consumers have the TCP_USER_TIMEOUT of 1.5 s that is meant for servers; Linux applies it also while a receive window stays closed. Change: a case as a script, around a planned stop.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,7 +5,9 @@
 mod engine;
 mod joined_versions;
 mod late_refusal;
+mod plain;
 mod refused_move;
+mod slow_reader;
 mod world;
 
 fn main() {
@@ -16,6 +18,7 @@
     world::end_after_ms(110_000);
     let run: fn() -> i32 = match case.as_str() {
         "late-refusal" => late_refusal::run,
+        "slow-reader" => slow_reader::run,
         "joined-versions" => joined_versions::run,
         "refused-move" => refused_move::run,
         _ => || 2,
