review: an answer of the store that breaks off stops the reading of the configuration for good

Cause: the time limit of a call to the store ends with the head of its answer; the body is read without one. Change: a case as a script.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -7,6 +7,7 @@
 mod late_refusal;
 mod plain;
 mod refused_move;
+mod silent_answer;
 mod slow_reader;
 mod world;
 
@@ -18,6 +19,7 @@
     world::end_after_ms(110_000);
     let run: fn() -> i32 = match case.as_str() {
         "late-refusal" => late_refusal::run,
+        "silent-answer" => silent_answer::run,
         "slow-reader" => slow_reader::run,
         "joined-versions" => joined_versions::run,
         "refused-move" => refused_move::run,
