--- a/review/torn_event.rs
+++ b/review/torn_event.rs
@@ -38,7 +38,7 @@
 struct Server {
     id: String,
     address: SocketAddr,
-    /// Whether the answers to two of five requests are lost.
+    /// Whether the answers to the last two of every five requests are lost, so never more than 0.4 of them.
     loses: bool,
     answers: AtomicU32,
     lost: AtomicU32,
@@ -120,7 +120,7 @@
                 }
             }
             let number = self.answers.fetch_add(1, Ordering::SeqCst);
-            if has_trouble() && self.loses && number % 5 < 2 {
+            if has_trouble() && self.loses && number % 5 >= 3 {
                 record(&format!("{}: runs {id}, and its answer is lost", self.id));
                 self.lost.fetch_add(1, Ordering::SeqCst);
                 let _ = stream.shutdown(Shutdown::Both);
