--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -36,6 +36,8 @@
     /// Number of retries that may be sent now.
     retries: f64,
     accrued_at: Millis,
+    /// Time before `accrued_at` for which the slack is still to accrue.
+    head_start_ms: Millis,
     /// Arrival times of unused retries granted by other entries.
     granted: VecDeque<Millis>,
 }
@@ -50,7 +52,7 @@
     pub requests: usize,
     /// Number of retries that may be sent now.
     pub available: f64,
-    /// Number of entries that share the slack.
+    /// Number of entries that share the slack; 0 if this entry has no share.
     pub entries: usize,
 }
 
@@ -62,21 +64,40 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
-    entries: usize,
+    /// Number of entries that share the slack; `None` while this entry has no share.
+    entries: Option<usize>,
+    /// Time from which this entry has had a share without interruption.
     accrues_from: Millis,
+    head_start_ms: Millis,
     services: BTreeMap<Name, Bucket>,
 }
 
 impl RetryBudget {
-    /// Creates the budget of an entry whose share of the slack accrues from `accrues_from` on. An
-    /// entry that is not the first process of its name passes the time of its start.
-    pub fn new(settings: RetrySettings, accrues_from: Millis) -> Self {
-        Self { settings, entries: 1, accrues_from, services: BTreeMap::new() }
+    /// Creates the budget of an entry that has no share of the slack yet.
+    pub fn new(settings: RetrySettings) -> Self {
+        let services = BTreeMap::new();
+        Self { settings, entries: None, accrues_from: 0, head_start_ms: 0, services }
     }
 
-    /// Sets the number of entries that share [`RetrySettings::slack`].
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries.max(1);
+    /// Lets the share of the slack accrue for this much time before the start as well, in which the
+    /// whole deployment has sent no retries.
+    pub fn add_head_start(&mut self, time_ms: Millis) {
+        self.head_start_ms += time_ms;
+        self.services.values_mut().for_each(|bucket| bucket.head_start_ms += time_ms);
+    }
+
+    /// Sets the number of entries that share [`RetrySettings::slack`] from `now` on; `None` if this entry has no
+    /// share, as the others may not count it.
+    pub fn set_entries(&mut self, entries: Option<usize>, now: Millis) {
+        // What accrued so far did so at the former share.
+        let services: Vec<Name> = self.services.keys().cloned().collect();
+        for service in &services {
+            self.bucket(service, now);
+        }
+        if self.entries.is_none() {
+            self.accrues_from = now;
+        }
+        self.entries = entries.map(|entries| entries.max(1));
     }
 
     /// Counts a request of a caller to a service.
@@ -118,7 +139,7 @@
 
     /// Returns the state of the budget for a service.
     pub fn status(&mut self, service: &Name, now: Millis) -> RetryStatus {
-        let entries = self.entries;
+        let entries = self.entries.unwrap_or(0);
         let bucket = self.bucket(service, now);
         RetryStatus { requests: bucket.requests.len(), available: bucket.retries, entries }
     }
@@ -126,11 +147,14 @@
     /// Returns the bucket of a service as of `now`.
     fn bucket(&mut self, service: &Name, now: Millis) -> &mut Bucket {
         let RetrySettings { window_ms, ratio, slack } = self.settings;
-        let slack = slack / self.entries as f64;
+        let share = self.entries.map(|entries| slack / entries as f64);
+        let slack = share.unwrap_or(0.0);
+        let accrued_at = if share.is_some() { self.accrues_from } else { now };
         let new = || Bucket {
             requests: VecDeque::new(),
             retries: 0.0,
-            accrued_at: self.accrues_from,
+            accrued_at,
+            head_start_ms: self.head_start_ms,
             granted: VecDeque::new(),
         };
         let bucket = self.services.entry(service.clone()).or_insert_with(new);
@@ -138,7 +162,11 @@
         while bucket.requests.front().is_some_and(|at| *at < window_start) {
             bucket.requests.pop_front();
         }
-        let windows = now.saturating_sub(bucket.accrued_at) as f64 / window_ms.max(1) as f64;
+        let mut elapsed = now.saturating_sub(bucket.accrued_at);
+        if share.is_some() {
+            elapsed += std::mem::take(&mut bucket.head_start_ms);
+        }
+        let windows = elapsed as f64 / window_ms.max(1) as f64;
         let accrued = (1.0 - SAVED_FRACTION) * USED_FRACTION * slack * windows;
         let budget = USED_FRACTION * (ratio * bucket.requests.len() as f64 + slack);
         bucket.retries = (bucket.retries + accrued).min(SAVED_FRACTION * budget);
--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -22,6 +22,9 @@
     pub quiet_ms: Millis,
     /// Time over which requests go to the servers directly again after the cut, in milliseconds.
     pub return_ms: Millis,
+    /// Time in which all connections over a path break that is cut, and servers stop to accept new ones, in
+    /// milliseconds.
+    pub settle_ms: Millis,
 }
 
 impl Default for PathSettings {
@@ -32,6 +35,7 @@
             news_delay_ms: 500,
             quiet_ms: 3_000,
             return_ms: 1_000,
+            settle_ms: 40,
         }
     }
 }
@@ -62,12 +66,22 @@
     /// Time at which a server last accepted a connection or answered.
     reached_at: Option<Millis>,
     failing: Option<Failing>,
+    /// Servers that were found to have ended, which tell nothing of the path.
+    ended: BTreeSet<Name>,
     path: Path,
     /// Time at which the path was last found to be whole again.
     regained_at: Option<Millis>,
 }
 
 impl ServicePath {
+    fn forget_failures_at(&mut self, server: &Name) {
+        let Some(failing) = &mut self.failing else { return };
+        failing.servers.remove(server);
+        if failing.servers.is_empty() {
+            self.failing = None;
+        }
+    }
+
     fn is_in_doubt(&self) -> bool {
         self.failing.is_some() || self.path != Path::Direct
     }
@@ -77,8 +91,8 @@
         self.reached_at.is_none_or(|at| at <= since).then_some(since)
     }
 
-    /// Decides the path to `servers` servers. `others_reached_at` is the last time at which another entry
-    /// reached one.
+    /// Decides the path to `servers` servers, those that ended included. `others_reached_at` is the last
+    /// time at which another entry reached one.
     fn decide(
         &self,
         settings: &PathSettings,
@@ -89,6 +103,7 @@
         let Some(failing) = &self.failing else { return Path::Direct };
         let answers = self.silent_since().is_none();
         let failed = failing.servers.len();
+        let servers = servers.saturating_sub(self.ended.len());
         let needed = if answers { settings.refusing_servers } else { settings.silent_servers };
         if failed < needed.min(servers) {
             return Path::Direct;
@@ -131,6 +146,11 @@
         Self { settings, services: BTreeMap::new() }
     }
 
+    /// Returns the time in which all connections over a path break that is cut, in milliseconds.
+    pub fn settle_ms(&self) -> Millis {
+        self.settings.settle_ms
+    }
+
     fn service(&mut self, service: &Name) -> &mut ServicePath {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), ServicePath::default());
@@ -144,15 +164,33 @@
     }
 
     /// Records that a server accepted a new connection.
-    pub fn record_connected(&mut self, service: &Name, now: Millis) {
+    pub fn record_connected(&mut self, service: &Name, server: &Name, now: Millis) {
         let known = self.service(service);
         known.reached_at = Some(now);
         known.failing = None;
+        known.ended.remove(server);
+    }
+
+    /// Records that a server has ended, so that failures at it are its own.
+    pub fn record_ended(&mut self, service: &Name, server: &Name) {
+        let known = self.service(service);
+        known.forget_failures_at(server);
+        known.ended.insert(server.clone());
+    }
+
+    /// Records that a server registered, so that it may run although it had ended.
+    pub fn record_registered(&mut self, service: &Name, server: &Name) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.ended.remove(server);
+        }
     }
 
     /// Records that no connection to a server could be made, which was tried from `began` on.
     pub fn record_unreachable(&mut self, service: &Name, server: &Name, began: Millis) {
         let known = self.service(service);
+        if known.ended.contains(server) {
+            return;
+        }
         // A connection that succeeded later says more.
         if known.failing.is_none() && known.reached_at.is_some_and(|at| at > began) {
             return;
@@ -165,12 +203,9 @@
 
     /// Forgets the failures at a server that is gone.
     pub fn remove_server(&mut self, service: &Name, server: &Name) {
-        let Some(known) = self.services.get_mut(service) else { return };
-        if let Some(failing) = &mut known.failing {
-            failing.servers.remove(server);
-            if failing.servers.is_empty() {
-                known.failing = None;
-            }
+        if let Some(known) = self.services.get_mut(service) {
+            known.forget_failures_at(server);
+            known.ended.remove(server);
         }
     }
 
@@ -234,11 +269,22 @@
         failing.is_some_and(|failing| failing.servers.contains(server))
     }
 
+    /// Returns whether a server was found to have ended.
+    pub fn has_ended(&self, service: &str, server: &Name) -> bool {
+        self.services.get(service).is_some_and(|known| known.ended.contains(server))
+    }
+
     /// Returns the time at which a server of a service was last reached.
     pub fn reached_at(&self, service: &str) -> Option<Millis> {
         self.services.get(service)?.reached_at
     }
 
+    /// Returns whether a server of a service was reached so long after a connection broke that the path is
+    /// whole. Some servers of a path that is being cut still answer just after the first connections broke.
+    pub fn is_whole_after(&self, service: &str, broke_at: Millis) -> bool {
+        self.reached_at(service).is_some_and(|at| at > broke_at + self.settings.settle_ms)
+    }
+
     /// Returns the time from which connections to servers of a service fail and nothing answers; `None` if
     /// something does.
     pub fn silent_since(&self, service: &str) -> Option<Millis> {
--- a/crates/coord/tests/retry.rs
+++ b/crates/coord/tests/retry.rs
@@ -9,8 +9,8 @@
 
 /// Returns the budget of an entry that starts at `now` and shares the slack with `entries - 1` others.
 fn restarted(entries: usize, now: u64) -> RetryBudget {
-    let mut budget = RetryBudget::new(SETTINGS, now);
-    budget.set_entries(entries);
+    let mut budget = RetryBudget::new(SETTINGS);
+    budget.set_entries(Some(entries), now);
     budget
 }
 
@@ -130,6 +130,38 @@
     assert!(budget.take(&service, START + SETTINGS.window_ms));
 }
 
+#[test]
+fn a_head_start_accrues_before_and_after_the_first_request() {
+    for counts_requests_first in [false, true] {
+        let service = Name::from("s");
+        let mut budget = restarted(1, START);
+        if counts_requests_first {
+            budget.record_request(&service, START);
+        }
+        budget.add_head_start(SETTINGS.window_ms);
+        let retries = (0..100).take_while(|_| budget.take(&service, START)).count() as f64;
+        assert!((1.0..=SETTINGS.slack).contains(&retries), "{retries}");
+    }
+}
+
+// Guards against BUDGET broken by an entry that the others count no longer: its share is theirs then.
+#[test]
+fn an_entry_without_a_share_accrues_retries_with_its_requests_only() {
+    let service = Name::from("s");
+    let mut budget = restarted(1, START);
+    while budget.take(&service, START) {}
+    budget.set_entries(None, START);
+    let later = START + SETTINGS.window_ms;
+    assert!(!budget.take(&service, later));
+    (0..100).for_each(|_| budget.record_request(&service, later));
+    assert!(budget.take(&service, later));
+    // The time without a share does not count afterwards either.
+    while budget.take(&service, later) {}
+    budget.set_entries(Some(1), later);
+    assert!(!budget.take(&service, later));
+    assert!(budget.take(&service, later + SETTINGS.window_ms / 10));
+}
+
 /// Returns the largest number of retries in any window beyond those allowed. A window allows the
 /// slack and a part of the requests that arrived in it, in the window before it, or in the one that
 /// begins half a window earlier, whichever has most.
--- a/crates/coord/tests/server_paths.rs
+++ b/crates/coord/tests/server_paths.rs
@@ -13,7 +13,7 @@
 /// Paths of an entry that reached a server at 1,000 ms.
 fn paths() -> ServerPaths {
     let mut paths = ServerPaths::new(PathSettings::default());
-    paths.record_connected(&service(), 1_000);
+    paths.record_connected(&service(), &"i-5".into(), 1_000);
     paths
 }
 
@@ -70,7 +70,7 @@
     let mut paths = paths();
     fail(&mut paths, 0..SERVERS, 1_100);
     assert_eq!(path(&mut paths, Some(1_300), 1_400), Path::ThroughEntries);
-    paths.record_connected(&service(), 3_000);
+    paths.record_connected(&service(), &"i-5".into(), 3_000);
     assert_eq!(path(&mut paths, Some(2_900), 3_000), Path::Direct);
     // The end of attempts from before says nothing new.
     fail(&mut paths, 0..SERVERS, 2_800);
@@ -90,7 +90,7 @@
     let mut paths = paths();
     fail(&mut paths, 0..SERVERS, 1_100);
     path(&mut paths, Some(1_300), 1_400);
-    paths.record_connected(&service(), 3_000);
+    paths.record_connected(&service(), &"i-5".into(), 3_000);
     path(&mut paths, Some(2_900), 3_000);
     let direct = |now| {
         let randoms = (0..100).map(|number| f64::from(number) / 100.0);
@@ -99,3 +99,59 @@
     };
     assert_eq!([direct(3_000), direct(3_250), direct(4_000)], [0, 25, 100]);
 }
+
+// Guards against one connection that was accepted while a path was being cut, which made all other servers count as
+// crashed.
+#[test]
+fn a_path_is_whole_only_if_a_server_is_reached_after_the_connections_of_a_cut_have_broken() {
+    let settle_ms = PathSettings::default().settle_ms;
+    let mut paths = paths();
+    let broke_at = 1_100;
+    fail(&mut paths, 0..3, broke_at);
+    assert!(!paths.is_whole_after(&service(), broke_at));
+    paths.record_connected(&service(), &"i-5".into(), broke_at + settle_ms);
+    assert!(!paths.is_whole_after(&service(), broke_at));
+    paths.record_answer(&service(), broke_at + settle_ms + 1);
+    assert!(paths.is_whole_after(&service(), broke_at));
+}
+
+// Against a path that was taken for cut again and again, by requests that tried servers that had crashed.
+#[test]
+fn servers_that_have_ended_cut_no_path() {
+    let mut paths = paths();
+    fail(&mut paths, 0..2, 1_100);
+    assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::ThroughEntries);
+    paths.record_ended(&service(), &"i-0".into());
+    paths.record_ended(&service(), &"i-1".into());
+    assert_eq!(path(&mut paths, Some(1_200), 1_400), Path::Direct);
+    fail(&mut paths, 0..2, 1_500);
+    assert_eq!(path(&mut paths, Some(1_600), 1_700), Path::Direct);
+    fail(&mut paths, 2..4, 1_700);
+    assert_eq!(path(&mut paths, Some(1_800), 1_900), Path::ThroughEntries, "others still count");
+}
+
+#[test]
+fn a_server_that_ended_counts_again_once_it_runs() {
+    let runs_again: [fn(&mut ServerPaths, &Name); 3] = [
+        |paths, server| paths.record_connected(&service(), server, 1_300),
+        |paths, server| paths.record_registered(&service(), server),
+        |paths, server| paths.remove_server(&service(), server),
+    ];
+    for run_again in runs_again {
+        let mut paths = paths();
+        for server in ["i-0", "i-1"].map(Name::from) {
+            paths.record_ended(&service(), &server);
+            run_again(&mut paths, &server);
+        }
+        fail(&mut paths, 0..2, 1_500);
+        assert_eq!(path(&mut paths, Some(1_600), 1_700), Path::ThroughEntries);
+    }
+}
+
+#[test]
+fn requests_go_nowhere_if_all_servers_fail_that_have_not_ended() {
+    let mut paths = paths();
+    paths.record_ended(&service(), &"i-0".into());
+    fail(&mut paths, 0..SERVERS, 1_500);
+    assert_eq!(path(&mut paths, None, 2_100), Path::Nowhere);
+}
--- a/crates/fennelfold/tests/it/any_input.rs
+++ b/crates/fennelfold/tests/it/any_input.rs
@@ -176,6 +176,7 @@
         move |at| recorded[..at.index(recorded.len())].to_vec()
     });
     let inputs = [draw(300, damaged), draw(50, cut), draw(100, vec(any::<u8>(), 0..300))].concat();
+    eventually("the entry listens", async || TcpStream::connect(address).await.is_ok()).await;
     send_all(address, inputs).await;
     eventually("a whole message is answered", async || {
         !send_all(address, vec![recorded.clone()]).await[0].is_empty()
--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -186,8 +186,12 @@
         };
         let eligible: Vec<&Server> = self.servers().filter(is_eligible).collect();
         let outcomes = self.service_outcomes(requirements.service, now);
+        // Servers that have ended have no load, so that one request would try them one after another.
+        let met_doubt = requirements.tried.iter().any(|id| self.is_in_doubt(id));
         let is_healthy = |server: &&&Server| {
-            now >= server.backoff_until && !server.outcomes.at(now).is_faulty(&outcomes)
+            now >= server.backoff_until
+                && !(met_doubt && server.is_in_doubt())
+                && !server.outcomes.at(now).is_faulty(&outcomes)
         };
         let healthy: Vec<&Server> = eligible.iter().filter(is_healthy).copied().collect();
         let (servers, last_resort) =
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -8,13 +8,8 @@
 use kernel::{Millis, Name};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Backoff after a server was unreachable, in milliseconds; doubles each time until the server
-/// answers.
-const UNREACHABLE_BACKOFF_MS: Millis = 300;
 /// Backoff after a server was full, in milliseconds.
 const FULL_BACKOFF_MS: Millis = 60;
-/// Maximum number of times that the backoff of an unreachable server doubles.
-const MAX_DOUBLINGS: u32 = 4;
 
 /// The backend servers that an entry knows, with their load and recent outcomes.
 #[derive(Clone, Debug, Default)]
@@ -100,6 +95,11 @@
         }
     }
 
+    /// Whether no connection to a server could be made since it last answered.
+    pub(crate) fn is_in_doubt(&self, id: &str) -> bool {
+        self.servers.get(id).is_some_and(Server::is_in_doubt)
+    }
+
     /// Whether a server wants no requests from this entry now.
     pub fn is_paused(&self, id: &str, now: Millis) -> bool {
         self.pauses.get(id).is_some_and(|until| now < *until)
@@ -120,12 +120,19 @@
     }
 
     /// Forgets the failures of requests at the servers of a service, after it was found that the path to
-    /// them was at fault.
+    /// them was at fault. Servers that were unreachable stay in doubt until they answer: some may have
+    /// ended.
     pub fn forgive(&mut self, service: &str) {
         for server in self.servers.values_mut().filter(|server| server.info.service == *service) {
             server.outcomes = OutcomeCounts::default();
             server.backoff_until = 0;
-            server.unreachable_count = 0;
+        }
+    }
+
+    /// Records that a probe could not connect to a server.
+    pub fn record_unreachable(&mut self, id: &str, now: Millis) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.record_unreachable(now);
         }
     }
 
@@ -162,11 +169,12 @@
             Outcome::Failed => server.outcomes.add(true, now),
             Outcome::Unreachable => {
                 server.outcomes.add(true, now);
-                server.backoff_until =
-                    now + (UNREACHABLE_BACKOFF_MS << server.unreachable_count.min(MAX_DOUBLINGS));
-                server.unreachable_count += 1;
+                server.record_unreachable(now);
+            }
+            Outcome::Full => {
+                server.backoff_until = server.backoff_until.max(now + FULL_BACKOFF_MS);
+                server.unreachable_count = 0;
             }
-            Outcome::Full => server.backoff_until = server.backoff_until.max(now + FULL_BACKOFF_MS),
             Outcome::Unknown => {}
         }
     }
--- a/crates/pick/src/server.rs
+++ b/crates/pick/src/server.rs
@@ -4,6 +4,12 @@
 use kernel::{Millis, Name};
 use std::net::SocketAddr;
 
+/// Backoff after a server was unreachable, in milliseconds; doubles each time until the server
+/// answers.
+const UNREACHABLE_BACKOFF_MS: Millis = 300;
+/// Maximum number of times that the backoff of an unreachable server doubles.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Data that a server registered in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerInfo {
@@ -81,6 +87,18 @@
         self.info.leaving || self.states_leaving
     }
 
+    /// Whether no connection to the server could be made since it last answered.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        self.unreachable_count > 0
+    }
+
+    /// Records that no connection to the server could be made.
+    pub(crate) fn record_unreachable(&mut self, now: Millis) {
+        self.backoff_until =
+            now + (UNREACHABLE_BACKOFF_MS << self.unreachable_count.min(MAX_DOUBLINGS));
+        self.unreachable_count += 1;
+    }
+
     /// Whether the server wants no requests from this entry now.
     pub fn is_paused(&self, now: Millis) -> bool {
         now < self.paused_until
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -269,6 +269,38 @@
     assert_eq!((last.id.as_str(), last.reason), ("s1", ChoiceReason::LastResort));
 }
 
+// Against servers that have ended, whose failures were forgotten with those of a cut path.
+#[test]
+fn a_request_is_not_sent_to_one_server_after_another_that_was_unreachable_before() {
+    let mut picker = picker(&["s1", "s2", "s3", "busy"]);
+    for id in ["s1", "s2", "s3"] {
+        picker.record_unreachable(id, 0);
+    }
+    picker.forgive("pool");
+    tell_load(&mut picker, &"busy".into(), Load { open: 200, pending_prompt_tokens: 0 });
+    let first = choose(&picker, None, &[], 0);
+    assert_ne!(first.id, "busy", "a server in doubt is tried again");
+    picker.record_outcome(&first.id, Outcome::Unreachable, 0);
+    for random in 0..20 {
+        let second = choose(&picker, None, std::slice::from_ref(&first.id), random);
+        assert_eq!((second.id.as_str(), second.reason), ("busy", ChoiceReason::Soonest));
+    }
+}
+
+#[test]
+fn a_server_is_no_longer_in_doubt_once_it_was_reached() {
+    for outcome in [Outcome::Answered, Outcome::Full] {
+        let mut picker = picker(&["s1", "s2", "busy"]);
+        picker.record_unreachable("s1", 0);
+        picker.forgive("pool");
+        picker.record_outcome("s1", outcome, 0);
+        picker.forgive("pool");
+        picker.record_outcome("s2", Outcome::Unreachable, 0);
+        tell_load(&mut picker, &"busy".into(), Load { open: 200, pending_prompt_tokens: 0 });
+        assert_eq!(choose(&picker, None, &["s2".into()], 0).id, "s1", "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_server_that_restarted_under_its_name_has_no_prompts_cached() {
     let mut picker = picker(&["s1"]);
--- a/crates/relay/src/change_log.rs
+++ b/crates/relay/src/change_log.rs
@@ -1,5 +1,6 @@
 //! Recent changes under a key prefix of the store, to send to peers that do not read the store.
 
+use crate::message::registration_size;
 use coord::CopyAge;
 use infra::{Change, Stored};
 use kernel::Millis;
@@ -35,6 +36,15 @@
     pub at: Millis,
 }
 
+/// Approximate limit of the changes that are sent together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BatchLimit {
+    /// Number of changes.
+    pub changes: usize,
+    /// Size of their keys and values as JSON strings, in bytes.
+    pub bytes: usize,
+}
+
 /// How to apply a listing.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ListingStep {
@@ -136,20 +146,24 @@
         is_complete
     }
 
-    /// Returns about `limit` changes after a revision, and the revision up to which they are
+    /// Returns changes after a revision up to about a limit, and the revision up to which they are
     /// complete; `None` if some of them are not kept.
     ///
-    /// All changes of one revision are returned together, even beyond `limit`.
-    pub fn changes_after(&self, revision: i64, limit: usize) -> Option<(Vec<Change>, i64)> {
+    /// All changes of one revision are returned together, even beyond the limit.
+    pub fn changes_after(&self, revision: i64, limit: BatchLimit) -> Option<(Vec<Change>, i64)> {
         if self.since.is_none_or(|since| revision < since) {
             return None;
         }
         let mut result: Vec<Change> = Vec::new();
+        let mut bytes = 0;
         for change in self.changes.iter().filter(|change| change.revision > revision) {
             let last = result.last().map(|last| last.revision);
-            if result.len() >= limit && last != Some(change.revision) {
+            let is_full = result.len() >= limit.changes || bytes >= limit.bytes;
+            if is_full && last != Some(change.revision) {
                 return last.map(|last| (result, last));
             }
+            let value = change.stored.as_ref().and_then(|stored| registration_size(&stored.value));
+            bytes += change.key.len() + value.unwrap_or(0);
             result.push(change.clone());
         }
         Some((result, self.through))
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -7,11 +7,12 @@
 use crate::pool::Pool;
 use crate::protocol::Protocol;
 use crate::shutdown::Shutdown;
+use crate::start_kind::StartKind;
+use crate::version_check::VersionCheck;
 use coord::{
-    BrittleServers, BrittleSettings, Freshness, PoolRole, Quarantine, QuarantineSettings,
-    QuotaSettings, QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings,
-    ServerLimits, ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
-    quota_pools, readers,
+    BrittleServers, BrittleSettings, Freshness, Quarantine, QuarantineSettings, QuotaSettings,
+    QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings, ServerLimits,
+    ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
 };
 use infra::{Duties, Lease, Store};
 use kernel::prelude::*;
@@ -87,6 +88,8 @@
     /// Start time of this process, in Unix milliseconds.
     pub(crate) incarnation: u64,
     pub(crate) log: Logger,
+    /// How this process started; `None` until the store has told.
+    pub(crate) start_kind: watch::Sender<Option<StartKind>>,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) duties: Option<Arc<dyn Duties>>,
@@ -105,6 +108,10 @@
     /// Last state received from each peer.
     pub(crate) peer_status: RefCell<BTreeMap<Name, PeerStatus>>,
     pub(crate) quota_shares: RefCell<QuotaShares>,
+    /// Time on the boot clock at which this entry last sent a call that registered it or renewed that.
+    pub(crate) registered_at: Cell<Option<Millis>>,
+    /// Whether this entry has had a share of the retry slack since the last look.
+    pub(crate) was_counted: Cell<bool>,
     /// Time on the boot clock from which all others count this entry; `None` before it has registered.
     pub(crate) counted_from: Cell<Option<Millis>>,
     /// Lease of this entry's claim to a share of the quotas, if it has written one.
@@ -136,6 +143,8 @@
     pub(crate) origin_queries: RefCell<BTreeMap<u64, Rc<PendingQuery>>>,
     /// What this entry knows of the origins of streams that are kept in the store.
     pub(crate) origin_store: OriginStore,
+    /// The last reading of the versions that serve.
+    pub(crate) version_check: VersionCheck,
     /// Software versions that serve, by service.
     pub(crate) served_versions: RefCell<BTreeMap<Name, ServedVersions>>,
     /// Prompt parts under which servers crash.
@@ -211,9 +220,7 @@
             ratio: promises.retry_ratio,
             slack: promises.retry_slack,
         };
-        // Before its first start a deployment has sent no retries, so that a whole window has accrued.
-        let idle_ms = if settings.first_start { retry.window_ms } else { 0 };
-        let retry_budget = RetryBudget::new(retry, boot_ms().saturating_sub(idle_ms));
+        let retry_budget = RetryBudget::new(retry);
         let server_limits =
             ServerLimits::new(ServerLimitSettings::default(), settings.name.clone());
         let quarantine = Quarantine::new(QuarantineSettings::default(), settings.name.clone());
@@ -242,6 +249,7 @@
         Ok(Rc::new(Self {
             incarnation: Clock::unix_ms(),
             log,
+            start_kind: watch::Sender::new(None),
             protocol,
             store,
             duties,
@@ -256,6 +264,8 @@
             readers: RefCell::default(),
             peer_status: RefCell::default(),
             quota_shares: RefCell::new(QuotaShares::new(quota, Millis::MAX)),
+            registered_at: Cell::default(),
+            was_counted: Cell::default(),
             counted_from: Cell::default(),
             claim: Cell::default(),
             quota_pools: RefCell::default(),
@@ -273,6 +283,7 @@
             origins: RefCell::new(StreamOrigins::new(settings.name.clone())),
             origin_queries: RefCell::default(),
             origin_store: OriginStore::default(),
+            version_check: VersionCheck::default(),
             served_versions: RefCell::default(),
             quarantine: RefCell::new(quarantine),
             quarantine_changed: watch::Sender::new(0),
@@ -324,9 +335,10 @@
         self.freshness.borrow().is_fresh(boot_ms(), limit)
     }
 
-    /// Returns whether this entry serves callers now.
+    /// Returns whether this entry serves callers now: it has the rules, and a listing of the servers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.is_fresh()
+        let knows_servers = self.server_changes.borrow().through().is_some();
+        !self.stopping.get() && self.is_fresh() && knows_servers
     }
 
     /// Records the result of a call to the store that was sent at `sent` on the boot clock.
@@ -358,14 +370,13 @@
 
     /// Notes whether the store has been restored from an older copy; returns the last restore.
     ///
-    /// A process that starts cannot know when the last restore was and takes its first answer for it,
-    /// unless the whole deployment starts.
+    /// A process that starts cannot know when the last restore was and takes its first answer for it.
     pub(crate) fn observe_restores(&self) -> Option<Restore> {
         let number = self.store.restores()?;
         let before = self.restores.replace(Some(number));
         let is_new = match before {
             Some(before) => number != before,
-            None => number != 0 && !self.settings.first_start,
+            None => number != 0,
         };
         if is_new {
             self.restore.set(Some(Restore { number, heard_at_unix_ms: Clock::unix_ms() }));
@@ -451,36 +462,4 @@
         let valid = peers.values().filter(|status| now.saturating_sub(status.received_at) < limit);
         local + valid.filter_map(|status| status.work.get(service)).sum::<f64>()
     }
-
-    /// Follows changes of the roster: sets the readers, and the entries that share the quotas, the retry
-    /// budget, the limits of servers, the trials of prompt parts in quarantine and the origins of streams.
-    pub(crate) fn update_shares(&self) {
-        let entries = self.roster.borrow_mut().share_count(boot_ms());
-        let changes = self.roster.borrow().changes();
-        let is_same_count = self.share_count.replace(entries) == entries;
-        if self.roster_followed.replace(Some(changes)) == Some(changes) && is_same_count {
-            return;
-        }
-        if !is_same_count {
-            info!(self.log, "limits shared"; "entries" => entries,
-                "registered" => self.roster.borrow().present().count());
-        }
-        let names: Vec<Name> =
-            self.roster.borrow().present().map(|entry| entry.name.clone()).collect();
-        *self.readers.borrow_mut() = readers(&names).map(Rc::from);
-        let pools = quota_pools(&names);
-        let role = match &pools {
-            None => PoolRole::None,
-            Some(pools) if pools.contains(&self.settings.name) => PoolRole::Pool,
-            Some(_) => PoolRole::Depositor,
-        };
-        self.quota_shares.borrow_mut().set_entries(entries);
-        self.quota_shares.borrow_mut().set_role(role);
-        *self.quota_pools.borrow_mut() = pools.unwrap_or_default();
-        self.retry_budget.borrow_mut().set_entries(entries);
-        self.quarantine.borrow_mut().set_entries(names.clone());
-        self.origins.borrow_mut().set_entries(names.clone());
-        self.brittle_servers.borrow_mut().set_entries(names.len());
-        self.server_limits.borrow_mut().set_entries(names, boot_ms());
-    }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -13,20 +13,20 @@
 use crate::limits::full_brittle_servers;
 use crate::path_probe;
 use crate::paths;
-use crate::peers;
-use crate::pool::{Connection, SendError};
+use crate::pool::{Connection, SendError, release_connection};
 use crate::quarantine;
 use crate::reply::error_reply;
 use crate::request::AdmittedRequest;
+use crate::retries;
 use crate::server_check::check_server;
 use crate::server_news;
 use crate::stream;
 use crate::target::{Target, choose_target, try_target};
 use coord::{AnswerId, QuarantineCheck};
 use http_body_util::{BodyExt, Limited};
+use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::{Choice, Outcome, Requirements};
@@ -172,7 +172,7 @@
         );
         if step == (NextStep::Retry { uses_budget: true })
             && (quarantine::is_held_after(cx, &request, target.name()).await
-                || !peers::take_retry(cx, &request).await)
+                || !retries::take_retry(cx, &request).await)
         {
             step = next_step_without_budget(result, history);
         }
@@ -298,11 +298,11 @@
         }
     };
     if !connection.is_reused() {
-        paths::record_connected(cx, &request.service);
+        paths::record_connected(cx, &request.service, &choice.id);
     }
     // The server may have asked for rest since it was chosen.
     if cx.picker.borrow().is_paused(&choice.id, boot_ms()) {
-        cx.pool.release(connection, &HeaderMap::new());
+        cx.pool.give_back(connection);
         return end(
             Outcome::Unknown,
             AttemptResult::Unsent,
@@ -372,7 +372,7 @@
             let (head, body) = response.into_parts();
             let read = Limited::new(body, MAX_REFUSAL_BYTES).collect();
             if matches!(tokio::time::timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
-                cx.pool.release(connection, &head.headers);
+                release_connection(cx, request, connection, &head.headers);
             }
             end(Outcome::Full, AttemptResult::NotRun, "not run", status.as_str())
         }
@@ -476,7 +476,7 @@
             if !ends_with_connection {
                 guard.mark_completed();
             }
-            cx.pool.release(connection, head.headers());
+            release_connection(cx, request, connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
         }
         Ok(Err(e)) => {
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -3,6 +3,7 @@
 
 use crate::context::Context;
 use crate::readers::is_reader;
+use crate::start_kind::StartKind;
 use crate::sync::LEADER_KEY;
 use crate::usage_report::UsageDuty;
 use coord::Restore;
@@ -50,6 +51,7 @@
 /// State of the leader lease, shared by the tasks of this entry.
 pub(crate) struct LeaderLease {
     cx: Rc<Context>,
+    times: LeaseTimes,
     holder: RefCell<Holder>,
     /// The restore of the store that the holder knows of.
     restore: Cell<Option<Restore>>,
@@ -68,8 +70,15 @@
             order_timeout: ttl / 3,
             retry_delay: ttl / 8,
         };
-        let new = if cx.settings.first_start { Holder::at_first_start } else { Holder::new };
-        Self { cx, holder: RefCell::new(new(times, boot_ms())), restore: Cell::new(None) }
+        let holder = RefCell::new(Holder::new(times, boot_ms()));
+        Self { cx, times, holder, restore: Cell::new(None) }
+    }
+
+    /// Waits until it is known whether an earlier process may have held the lease.
+    async fn prepare(&self) {
+        if self.cx.wait_for_start_kind().await == StartKind::First {
+            self.holder.replace(Holder::at_first_start(self.times, boot_ms()));
+        }
     }
 
     /// Returns the next action after an event.
@@ -103,6 +112,7 @@
 
 /// Acquires the leader lease and renews it until the entry stops.
 pub(crate) async fn hold_lease(cx: Rc<Context>, lease: Rc<LeaderLease>) {
+    lease.prepare().await;
     let mut event = LeaseEvent::Waited;
     let mut held = false;
     let mut is_creating = false;
@@ -155,7 +165,7 @@
 /// Whether this entry is one of the few that request a free lease at once. If all did, each change of the
 /// leader would cost several calls of every entry.
 fn is_candidate(cx: &Context) -> bool {
-    cx.settings.first_start || is_reader(cx)
+    cx.is_first_start() || is_reader(cx)
 }
 
 /// Releases the lease when the entry stops, so that another entry need not wait until it expires.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod log;
 mod message;
+mod move_call;
 mod origin_store;
 mod origins;
 mod path_probe;
@@ -33,24 +34,28 @@
 mod registration;
 mod reply;
 mod request;
+mod retries;
 mod run;
 mod serve;
 mod server_check;
 mod server_news;
 mod share_claim;
+mod shares;
 mod shutdown;
+mod start_kind;
 mod stream;
 mod supervise;
 mod sync;
 mod target;
 mod tracked_io;
 mod usage_report;
+mod version_check;
 
 pub use attempt::{
     AttemptHistory, AttemptResult, NextStep, ResponseClass, classify, next_step,
     next_step_without_budget,
 };
-pub use change_log::{ChangeLog, ListingStep, ReaderConfirmation};
+pub use change_log::{BatchLimit, ChangeLog, ListingStep, ReaderConfirmation};
 pub use context::Context;
 pub use events::EventSplitter;
 pub use log::{LogQueue, queue};
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -29,6 +29,9 @@
         asked_at: Millis,
         /// Revision up to which the sender has all changes, by prefix.
         known: BTreeMap<WatchedPrefix, i64>,
+        /// Whether the store does not answer the sender, so that it has to get all changes from peers.
+        #[serde(default)]
+        store_lost: bool,
     },
     /// Reports the freshness of the sender's rules.
     #[serde(rename = "Vouched")]
@@ -96,11 +99,19 @@
         /// ID of the caller's request that began the stream.
         request: Name,
     },
-    /// Replies to a query for a stream.
+    /// Asks which software version is the only one that can have begun a stream of a service, as the
+    /// store tells the receiver from now on.
+    SoleVersionQuery {
+        /// Query number; copied into the reply.
+        number: u64,
+        /// The service.
+        service: Name,
+    },
+    /// Replies to a query for a stream, or for the only version.
     StreamOrigin {
         /// Number of the query.
         number: u64,
-        /// Version that began the stream; `None` if the sender does not know.
+        /// Version that began the stream, or the only one; `None` if the sender does not know.
         software_version: Option<Name>,
     },
     /// Grants quota units from the sender's share.
@@ -119,6 +130,20 @@
     },
 }
 
+impl Message {
+    /// Whether the sender waits for a reply.
+    pub(crate) fn is_question(&self) -> bool {
+        matches!(
+            self,
+            Self::FreshnessQuery { .. }
+                | Self::QuotaRequest { .. }
+                | Self::RetryRequest { .. }
+                | Self::StreamQuery { .. }
+                | Self::SoleVersionQuery { .. }
+        )
+    }
+}
+
 /// A key prefix of the store that every entry watches.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) enum WatchedPrefix {
@@ -146,12 +171,26 @@
     pub(crate) age: Option<Millis>,
 }
 
+/// Maximum size of a registration as a JSON string, in bytes. Several fit into one message.
+const MAX_REGISTRATION_BYTES: usize = 8 << 10;
+
+/// Returns the size of a registration as a JSON string, in bytes; `None` if it cannot be sent to peers: it is no
+/// text, or larger than [`MAX_REGISTRATION_BYTES`].
+pub(crate) fn registration_size(value: &[u8]) -> Option<usize> {
+    // Encoded, a value is at least as large as it is here.
+    if value.len() > MAX_REGISTRATION_BYTES {
+        return None;
+    }
+    let encoded = serde_json::to_string(std::str::from_utf8(value).ok()?).ok()?;
+    Some(encoded.len()).filter(|len| *len <= MAX_REGISTRATION_BYTES)
+}
+
 /// A change of one key, as sent by a peer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct PeerChange {
     /// The key.
     pub(crate) key: String,
-    /// The value; `None` if the key was removed, empty if the value is not valid UTF-8.
+    /// The value; `None` if the key was removed, empty if the value cannot be sent.
     pub(crate) value: Option<String>,
     /// Revision of the change.
     pub(crate) revision: i64,
@@ -160,8 +199,7 @@
 impl From<Change> for PeerChange {
     fn from(change: Change) -> Self {
         let Change { key, stored, revision } = change;
-        // A value that is not valid UTF-8 cannot be parsed as a registration, and neither can the
-        // empty string sent in its place.
+        // Values that cannot be sent were replaced by empty ones when they were read.
         let text = |stored: Stored| String::from_utf8(stored.value.into()).unwrap_or_default();
         Self { key, value: stored.map(text), revision }
     }
--- a/crates/relay/src/origin_store.rs
+++ b/crates/relay/src/origin_store.rs
@@ -17,7 +17,7 @@
 /// Prefix of the keys that hold versions of streams.
 const ORIGINS_PREFIX: &str = "fennelfold/origins/";
 /// Prefix of the keys that hold the versions that served a service lately.
-const VERSIONS_PREFIX: &str = "fennelfold/versions/";
+pub(crate) const VERSIONS_PREFIX: &str = "fennelfold/versions/";
 /// Interval between two writes. What an entry was told since the last one is lost with it.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time to live of a written version, in seconds. It is longer than any stream lasts.
@@ -123,17 +123,21 @@
     let sent = boot_ms();
     let listed = cx.store.list(VERSIONS_PREFIX).await;
     cx.record_store_call("list", sent, listed.as_ref().err());
-    let histories = listed?.items.into_iter().filter_map(|(key, stored)| {
+    let listed = listed?.items;
+    let is_first = listed.is_empty();
+    let histories = listed.into_iter().filter_map(|(key, stored)| {
         let service = Name::from(key.strip_prefix(VERSIONS_PREFIX)?);
         let history = parse_history(cx, &key, &stored.value)?;
         Some((service, (history, stored.revision)))
     });
-    let histories = histories.collect();
+    let histories: BTreeMap<Name, (VersionHistory, i64)> = histories.collect();
+    // They are written as soon as an entry knows a server, and stay for good.
+    cx.record_start(!is_first);
     cx.origin_store.histories.replace(Some(histories));
     Ok(())
 }
 
-fn parse_history(cx: &Context, key: &str, value: &[u8]) -> Option<VersionHistory> {
+pub(crate) fn parse_history(cx: &Context, key: &str, value: &[u8]) -> Option<VersionHistory> {
     let parsed = serde_json::from_slice(value);
     parsed
         .map_err(|e| {
--- a/crates/relay/src/path_probe.rs
+++ b/crates/relay/src/path_probe.rs
@@ -49,7 +49,9 @@
     let (picker, paths) = (cx.picker.borrow(), cx.server_paths.borrow());
     let now = boot_ms();
     let candidates = || {
-        let servers = picker.staying(service).filter(|server| !server.is_paused(now));
+        let servers = picker
+            .staying(service)
+            .filter(|server| !server.is_paused(now) && !paths.has_ended(service, &server.info.id));
         servers.map(|server| (server.info.id.clone(), server.info.address))
     };
     let untried = candidates().filter(|(server, _)| !paths.has_failed(service, server));
@@ -63,8 +65,8 @@
 async fn probe(cx: &Rc<Context>, service: &Name, server: &Name, address: SocketAddr) {
     let began = boot_ms();
     match tokio::time::timeout(PROBE_TIMEOUT, cx.pool.probe(address)).await {
-        Ok(Ok(())) => paths::record_connected(cx, service),
-        Ok(Err(_)) | Err(_) => paths::record_unreachable(cx, server, began),
+        Ok(Ok(())) => paths::record_connected(cx, service, server),
+        Ok(Err(_)) | Err(_) => paths::record_failed_probe(cx, server, began),
     }
 }
 
@@ -77,8 +79,7 @@
         tokio::time::sleep(ANSWER_TIME).await;
         let services: BTreeSet<Name> = {
             let (picker, paths) = (cx.picker.borrow(), cx.server_paths.borrow());
-            let is_silent =
-                |service: &Name| paths.reached_at(service).is_none_or(|at| at <= broke_at);
+            let is_silent = |service: &Name| !paths.is_whole_after(service, broke_at);
             let servers = picker.servers().filter(|known| broken.contains(&known.info.address));
             servers.map(|known| known.info.service.clone()).filter(is_silent).collect()
         };
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -14,8 +14,6 @@
 const NEWS_MS: Millis = 2_000;
 /// Time since this entry reached a server after which it finds out anew for another entry, in milliseconds.
 const RECENT_MS: Millis = 150;
-/// Time in which all connections over a path break that is cut.
-const SETTLE_TIME: Duration = Duration::from_millis(40);
 /// Time after which what the other entries reach must be known here.
 const MAX_DOUBT: Duration = Duration::from_millis(600);
 /// Interval at which it is checked whether a doubt is settled.
@@ -34,8 +32,16 @@
 }
 
 /// Records that a server of the service accepted a connection.
-pub(crate) fn record_connected(cx: &Context, service: &Name) {
-    cx.server_paths.borrow_mut().record_connected(service, boot_ms());
+pub(crate) fn record_connected(cx: &Context, service: &Name, server: &Name) {
+    cx.server_paths.borrow_mut().record_connected(service, server, boot_ms());
+}
+
+/// Records that a server was found to have ended.
+pub(crate) fn record_ended(cx: &Context, server: &Name) {
+    if let Some(service) = service_of(cx, server) {
+        cx.server_paths.borrow_mut().record_ended(&service, server);
+        update(cx, &service);
+    }
 }
 
 /// Records that no connection to a server could be made, which was tried from `began` on.
@@ -48,6 +54,12 @@
     }
 }
 
+/// Records that a probe, which began at `began`, could not connect to a server.
+pub(crate) fn record_failed_probe(cx: &Rc<Context>, server: &Name, began: Millis) {
+    cx.picker.borrow_mut().record_unreachable(server, boot_ms());
+    record_unreachable(cx, server, began);
+}
+
 /// Decides the path to the servers of a service by what is known now, and logs a change.
 pub(crate) fn update(cx: &Context, service: &Name) -> Path {
     if !cx.server_paths.borrow().is_in_doubt(service) {
@@ -82,18 +94,25 @@
     }
 }
 
-/// Returns whether failures at servers of a service turn out to be those of this entry's own path: nothing
-/// answers here, while other entries reach servers.
-pub(crate) async fn is_at_fault(cx: &Context, service: &Name) -> bool {
+/// Returns whether connections to servers of a service that broke at `broke_at` turn out to be those of this entry's
+/// own path: nothing is reached here, while other entries reach servers.
+pub(crate) async fn is_at_fault(cx: &Rc<Context>, service: &Name, broke_at: Millis) -> bool {
     let until = Instant::now() + MAX_DOUBT;
-    tokio::time::sleep(SETTLE_TIME).await;
+    let settle_ms = cx.server_paths.borrow().settle_ms();
+    // What is reached must be later than that by a millisecond.
+    tokio::time::sleep(Duration::from_millis(settle_ms + 1)).await;
+    if !cx.server_paths.borrow().is_whole_after(service, broke_at) {
+        path_probe::start(cx, service);
+    }
     loop {
-        let Some(since) = cx.server_paths.borrow().silent_since(service) else { return false };
+        if cx.server_paths.borrow().is_whole_after(service, broke_at) {
+            return false;
+        }
         if cx.roster.borrow().present().all(|entry| entry.name == cx.settings.name) {
             return false;
         }
         if Instant::now() >= until {
-            return others_reached_at(cx, service).is_some_and(|at| at > since);
+            return others_reached_at(cx, service).is_some_and(|at| at > broke_at);
         }
         tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,7 +8,6 @@
 use crate::quarantine;
 use crate::quota_exchange;
 use crate::readers;
-use crate::request::AdmittedRequest;
 use coord::{Entry, Transfer};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -35,10 +34,6 @@
 const MAX_STATE_RECIPIENTS: usize = 12;
 /// Time to wait for quota units or retries from peers.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(25);
-/// Number of peers that one request for retries goes to.
-const RETRY_PEERS: usize = 4;
-/// Number of retries requested from each of these peers.
-const RETRIES_PER_PEER: u32 = 2;
 /// Time without further requests for a quota or retry budget after the peers could not grant enough
 /// of it, in milliseconds.
 const REQUEST_PAUSE_MS: Millis = 80;
@@ -98,26 +93,29 @@
         self.send_to_all(cx, std::iter::once(to), message);
     }
 
+    /// Sends a message to the address from which another one came.
+    pub(crate) fn reply(&self, cx: &Context, to: SocketAddr, message: Message) {
+        if let Some(bytes) = encode(cx, message) {
+            self.send_datagram(&bytes, to);
+        }
+    }
+
+    fn send_datagram(&self, bytes: &[u8], to: SocketAddr) {
+        // A datagram that does not fit into the send buffer is treated like a lost one.
+        drop(self.socket.try_send_to(bytes, to));
+    }
+
     /// Sends a message to several entries. It is encoded once.
-    fn send_to_all<'a>(
+    pub(crate) fn send_to_all<'a>(
         &self,
         cx: &Context,
         entries: impl Iterator<Item = &'a Entry>,
         message: Message,
     ) {
-        let envelope =
-            Envelope { from: cx.settings.name.clone(), incarnation: cx.incarnation, message };
-        let bytes = match serde_json::to_vec(&envelope) {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                warn!(cx.log, "message not sent"; "cause" => format!("it cannot be encoded: {e}"));
-                return;
-            }
-        };
+        let Some(bytes) = encode(cx, message) else { return };
         for to in entries {
             match to.peer.parse::<SocketAddr>() {
-                // A datagram that does not fit into the send buffer is treated like a lost one.
-                Ok(address) => drop(self.socket.try_send_to(&bytes, address)),
+                Ok(address) => self.send_datagram(&bytes, address),
                 Err(e) => warn!(cx.log, "message not sent"; "to" => %to.name,
                     "cause" => format!("the peer address {} is invalid: {e}", to.peer)),
             }
@@ -125,6 +123,17 @@
     }
 }
 
+fn encode(cx: &Context, message: Message) -> Option<Vec<u8>> {
+    let envelope =
+        Envelope { from: cx.settings.name.clone(), incarnation: cx.incarnation, message };
+    let encoded = serde_json::to_vec(&envelope);
+    encoded
+        .map_err(|e| {
+            warn!(cx.log, "message not sent"; "cause" => format!("it cannot be encoded: {e}"));
+        })
+        .ok()
+}
+
 /// Sends the state of this entry to its peers at a fixed interval.
 pub(crate) async fn broadcast_state(cx: Rc<Context>) {
     for round in 0_u64.. {
@@ -194,8 +203,8 @@
 pub(crate) async fn receive(cx: Rc<Context>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let len = match cx.peers().socket.recv_from(&mut buf).await {
-            Ok((len, _)) => len,
+        let (len, source) = match cx.peers().socket.recv_from(&mut buf).await {
+            Ok(received) => received,
             Err(e) => {
                 // The socket also reports here that a stopped peer refused an earlier datagram.
                 debug!(cx.log, "receive failed"; "cause" => %e);
@@ -204,18 +213,22 @@
             }
         };
         match serde_json::from_slice(&buf[..len]) {
-            Ok(envelope) => handle(&cx, envelope),
+            Ok(envelope) => handle(&cx, envelope, source),
             Err(e) => warn!(cx.log, "unreadable message"; "cause" => %e),
         }
     }
 }
 
-fn handle(cx: &Rc<Context>, envelope: Envelope) {
+/// Handles a message that came from the address `source`. Questions of entries that are not registered get no reply.
+fn handle(cx: &Rc<Context>, envelope: Envelope, source: SocketAddr) {
     let Envelope { from, incarnation, message } = envelope;
+    if message.is_question() && cx.roster.borrow().get(&from).is_none() {
+        return;
+    }
     match message {
         Message::State(state) => handle_state(cx, from, incarnation, *state),
-        Message::FreshnessQuery { asked_at, known } => {
-            reply_to_freshness_query(cx, &from, asked_at, &known)
+        Message::FreshnessQuery { asked_at, known, store_lost } => {
+            reply_to_freshness_query(cx, source, asked_at, &known, store_lost)
         }
         Message::FreshnessReply { asked_at, .. } if asked_at > boot_ms() => {
             warn!(cx.log, "reply to a question that was not asked"; "other" => %from);
@@ -242,12 +255,8 @@
             });
             let granted = shares.grant(&organisation, &quota, units, now).units;
             drop(shares);
-            let roster = cx.roster.borrow();
-            if let Some(entry) = roster.get(&from) {
-                let message =
-                    Message::QuotaGrant { number, organisation, units: granted, scarce_ms };
-                cx.peers().send(cx, entry, message);
-            }
+            let message = Message::QuotaGrant { number, organisation, units: granted, scarce_ms };
+            cx.peers().reply(cx, source, message);
         }
         Message::QuotaDeposit(deposits) => quota_exchange::receive_deposits(cx, deposits),
         Message::QuotaGrant { number, organisation, units, scarce_ms } => {
@@ -261,9 +270,7 @@
         }
         Message::RetryRequest { number, service, count } => {
             let count = cx.retry_budget.borrow_mut().grant(&service, count, boot_ms());
-            if let Some(entry) = cx.roster.borrow().get(&from) {
-                cx.peers().send(cx, entry, Message::RetryGrant { number, service, count });
-            }
+            cx.peers().reply(cx, source, Message::RetryGrant { number, service, count });
         }
         Message::StreamBegan { request, software_version } => {
             cx.origins.borrow_mut().record(&request, &software_version, boot_ms());
@@ -273,9 +280,10 @@
         }
         Message::StreamQuery { number, request } => {
             let software_version = cx.origins.borrow().get(&request).cloned();
-            if let Some(entry) = cx.roster.borrow().get(&from) {
-                cx.peers().send(cx, entry, Message::StreamOrigin { number, software_version });
-            }
+            cx.peers().reply(cx, source, Message::StreamOrigin { number, software_version });
+        }
+        Message::SoleVersionQuery { number, service } => {
+            origins::reply_with_sole_version(cx, source, number, service);
         }
         Message::StreamOrigin { number, software_version } => {
             origins::record_reply(cx, number, software_version);
@@ -298,27 +306,28 @@
         let readers = roster.present().filter(|entry| named.contains(&entry.name));
         readers.cloned().sample(&mut rand::rng(), FRESHNESS_QUERY_PEERS)
     };
-    let wants_changes = cx.store_health.get().is_lost() || readers::readers_tell(cx);
+    let store_lost = cx.store_health.get().is_lost();
+    let wants_changes = store_lost || readers::readers_tell(cx);
     let known = if wants_changes { readers::known_revisions(cx) } else { BTreeMap::new() };
-    cx.peers().send_to_all(cx, asked.iter(), Message::FreshnessQuery { asked_at, known });
+    let message = Message::FreshnessQuery { asked_at, known, store_lost };
+    cx.peers().send_to_all(cx, asked.iter(), message);
 }
 
 fn reply_to_freshness_query(
     cx: &Context,
-    to: &Name,
+    to: SocketAddr,
     asked_at: Millis,
     revisions: &BTreeMap<WatchedPrefix, i64>,
+    store_lost: bool,
 ) {
     let freshness = *cx.freshness.borrow();
-    let roster = cx.roster.borrow();
-    let confirmed = freshness.version().zip(freshness.age(boot_ms())).zip(roster.get(to));
-    if let Some(((version, age), entry)) = confirmed {
-        let batches = revisions
-            .iter()
-            .filter_map(|(prefix, after)| readers::changes_for_peer(cx, *prefix, *after));
+    if let Some((version, age)) = freshness.version().zip(freshness.age(boot_ms())) {
+        let batches = revisions.iter().filter_map(|(prefix, after)| {
+            readers::changes_for_peer(cx, *prefix, *after, store_lost)
+        });
         let message =
             Message::FreshnessReply { asked_at, version, age, batches: batches.collect() };
-        cx.peers().send(cx, entry, message);
+        cx.peers().reply(cx, to, message);
     }
 }
 
@@ -375,64 +384,6 @@
     cx.picker.borrow_mut().record_peer_loads(&from, loads, now);
 }
 
-/// Takes a retry of a request from the retry budget. If this entry's share is used up, requests some
-/// from the peers. Returns whether the retry is allowed.
-pub(crate) async fn take_retry(cx: &Rc<Context>, request: &AdmittedRequest) -> bool {
-    let service = &request.service;
-    let mut source = take_local_retry(cx, service);
-    if source == RetrySource::None && !is_paused(cx, service) {
-        let live = sample_live_peers(cx, boot_ms(), RETRY_PEERS);
-        let message = |number| Message::RetryRequest {
-            number,
-            service: service.clone(),
-            count: RETRIES_PER_PEER,
-        };
-        if live.is_empty() || request_from_peers(cx, &live, message, 1.0).await.amount < 1.0 {
-            pause_requests(cx, service);
-        }
-        source = take_local_retry(cx, service);
-    }
-    cx.count_retry(source.label());
-    let status = cx.retry_budget.borrow_mut().status(service, boot_ms());
-    info!(cx.log, "retry"; "request" => request.id_text(), "service" => %service,
-        "budget" => source.label(), "available" => status.available,
-        "requests" => status.requests, "entries" => status.entries);
-    source != RetrySource::None
-}
-
-/// Budget that a retry is charged to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RetrySource {
-    /// The share of this entry.
-    Own,
-    /// The share of a peer, which granted the retry.
-    Granted,
-    /// None: the retry is not allowed.
-    None,
-}
-
-impl RetrySource {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Granted => "granted",
-            Self::None => "none",
-        }
-    }
-}
-
-/// Takes a retry from the share of this entry, or one that a peer granted.
-fn take_local_retry(cx: &Context, service: &Name) -> RetrySource {
-    let mut retries = cx.retry_budget.borrow_mut();
-    if retries.take(service, boot_ms()) {
-        RetrySource::Own
-    } else if retries.take_granted(service, boot_ms()) {
-        RetrySource::Granted
-    } else {
-        RetrySource::None
-    }
-}
-
 pub(crate) fn is_paused(cx: &Context, name: &Name) -> bool {
     let paused_until = cx.peers().paused_until.borrow();
     paused_until.get(name).is_some_and(|until| boot_ms() < *until)
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,5 +1,7 @@
 //! Pool of connections to backend servers.
 
+use crate::context::Context;
+use crate::request::AdmittedRequest;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -20,7 +22,8 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that sent bytes may stay unacknowledged before the connection is treated as dead.
+/// Time that bytes sent to a server may stay unacknowledged before the connection is treated as dead. Servers read
+/// at once, and a request to a dead one has to go elsewhere soon.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Silence before the first keep-alive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -75,6 +78,13 @@
     added: Notify,
 }
 
+impl Broken {
+    fn add(&self, address: SocketAddr) {
+        self.addresses.borrow_mut().insert(address);
+        self.added.notify_one();
+    }
+}
+
 /// Idle connections by server.
 #[derive(Default)]
 pub(crate) struct Pool {
@@ -94,10 +104,15 @@
     /// Opens a connection to find out whether a server can be reached, and keeps it for a request.
     pub(crate) async fn probe(&self, address: SocketAddr) -> Result<(), Failure> {
         let connection = self.connect(address).await?;
-        self.release(connection, &HeaderMap::new());
+        self.give_back(connection);
         Ok(())
     }
 
+    /// Records that a connection broke whose request took the error.
+    pub(crate) fn record_broken(&self, address: SocketAddr) {
+        self.broken.add(address);
+    }
+
     /// Waits until connections broke; returns their remote ends.
     pub(crate) async fn broken(&self) -> HashSet<SocketAddr> {
         self.broken.added.notified().await;
@@ -109,20 +124,24 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| failed("connection timed out".into()))?;
         let stream = stream.map_err(|e| failed(e.to_string()))?;
-        set_socket_options(&stream).map_err(|e| failed(e.to_string()))?;
+        set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| failed(e.to_string()))?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
         let broken = self.broken.clone();
         tokio::task::spawn_local(async move {
             // The error itself is returned to the request in progress, if there is one.
             if connection.await.is_err() {
-                broken.addresses.borrow_mut().insert(address);
-                broken.added.notify_one();
+                broken.add(address);
             }
         });
         Ok(Connection { address, tx, is_reused: false })
     }
 
+    /// Returns a connection that has carried no request since it was taken to the pool.
+    pub(crate) fn give_back(&self, connection: Connection) {
+        self.release(connection, &HeaderMap::new());
+    }
+
     /// Returns a connection to the pool after its response was read, if the response allows reuse.
     pub(crate) fn release(&self, mut connection: Connection, headers: &HeaderMap) {
         let Some(time) = reusable_for(headers) else { return };
@@ -188,6 +207,22 @@
     }
 }
 
+/// Returns a connection to the pool after the response to a request was read, if the response allows reuse.
+///
+/// A server may send a response once more where that to the next request is due. Only the ID of its request tells
+/// such a copy from it, so that no request may follow a response without one.
+pub(crate) fn release_connection(
+    cx: &Context,
+    request: &AdmittedRequest,
+    connection: Connection,
+    headers: &HeaderMap,
+) {
+    let echoed = headers.get(&cx.protocol.names().request);
+    if echoed.is_some_and(|echoed| *echoed == request.id) {
+        cx.pool.release(connection, headers);
+    }
+}
+
 /// Opens a connection to find out whether a server still runs, and closes it again.
 pub(crate) async fn probe(address: SocketAddr) -> Reachability {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
@@ -198,7 +233,12 @@
 }
 
 /// Disables Nagle's algorithm, and sets timeouts that detect a silent remote end.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+///
+/// `unacked_timeout` also limits for how long the remote end may read nothing, although it answers.
+pub(crate) fn set_socket_options(
+    stream: &TcpStream,
+    unacked_timeout: Duration,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -206,7 +246,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacked_timeout))
 }
 
 /// Returns how long a connection may stay idle after a response; `None` if it must not be reused.
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -1,6 +1,6 @@
 //! The entries that watch the store for the others, and what they tell.
 
-use crate::change_log::{ChangeLog, ReaderConfirmation};
+use crate::change_log::{BatchLimit, ChangeLog, ReaderConfirmation};
 use crate::context::Context;
 use crate::message::{ChangeBatch, PeerChange, WatchedPrefix};
 use crate::sync::apply_changes;
@@ -17,9 +17,9 @@
 const BATCH_FRACTION: f64 = 0.3;
 /// The same delay of a reader, whose changes reach the other entries only with their next query.
 const READER_BATCH_FRACTION: f64 = 0.15;
-/// Approximate maximum number of changes in one message: a few kilobytes. All changes of one
-/// revision stay in the same message.
-const MAX_CHANGES_PER_MESSAGE: usize = 24;
+/// Limit of the changes of one prefix in one message: usually a few kilobytes. Changes of both prefixes, each
+/// beyond the limit by one registration, fit into a datagram.
+const BATCH_LIMIT: BatchLimit = BatchLimit { changes: 24, bytes: 16 << 10 };
 
 /// Largest number of servers whose changes the readers tell. What they tell grows with servers times entries.
 const MAX_SERVERS_TOLD: usize = 300;
@@ -59,20 +59,21 @@
 }
 
 /// Returns changes that a peer lacks if it has all changes up to the revision `after`; `None` before the
-/// first listing.
+/// first listing. `store_lost` tells that the peer cannot read them itself.
 pub(crate) fn changes_for_peer(
     cx: &Context,
     prefix: WatchedPrefix,
     after: i64,
+    store_lost: bool,
 ) -> Option<ChangeBatch> {
     let log = prefix.change_log(cx).borrow();
     let newest = log.through()?;
     // If the changes are no longer kept, the answer only says that there are some.
-    let kept = log.changes_after(after, MAX_CHANGES_PER_MESSAGE);
+    let kept = log.changes_after(after, BATCH_LIMIT);
     let (mut changes, mut through) = kept.unwrap_or((Vec::new(), after));
     let age = confirmed_age(cx, &log, boot_ms());
     let is_last = newest <= through;
-    if !is_last && age.is_some() {
+    if !is_last && age.is_some() && !store_lost {
         // The peer gets them from the store.
         (changes, through) = (Vec::new(), after);
     }
@@ -100,6 +101,7 @@
 /// once, the readers could not tell all entries batch by batch in time.
 pub(crate) fn apply_batch(cx: &Context, batch: ChangeBatch, asked_at: Millis) -> bool {
     let ChangeBatch { prefix, changes, through, is_last, age } = batch;
+    let known = prefix.change_log(cx).borrow().through();
     apply_changes(cx, prefix, changes.into_iter().map(Change::from).collect(), through);
     if let (true, Some(age)) = (is_last, age) {
         let at = asked_at.saturating_sub(age);
@@ -111,5 +113,6 @@
         prefix.change_log(cx).borrow_mut().age.record_behind();
         cx.copy_behind.notify_waiters();
     }
-    !is_last && asks_peers
+    // A peer that had nothing new has nothing more to tell now.
+    !is_last && asks_peers && prefix.change_log(cx).borrow().through() > known
 }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -52,12 +52,16 @@
             None => Ok(false),
         };
         cx.record_store_call("renew", sent, registered.as_ref().err());
+        if matches!(registered, Ok(true)) {
+            cx.registered_at.set(Some(sent));
+        }
         let pause = match registered {
             Ok(true) => RENEW_INTERVAL,
             Err(_) => RETRY_DELAY,
             Ok(false) => match write_registration(&cx).await {
                 Ok(registration) => {
                     written = Some(registration);
+                    cx.registered_at.set(Some(sent));
                     RENEW_INTERVAL
                 }
                 Err(failure) => {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -34,6 +34,9 @@
 
 /// Timeout for the headers of a request, which also limits how long a connection may be idle.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time that bytes sent to a caller may stay unacknowledged before the connection is treated as dead. A caller may
+/// read slowly for as long as its requests last.
+const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of bytes buffered for a connection before they are read.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Delay after a failed accept.
@@ -80,7 +83,7 @@
 }
 
 async fn serve_connection(cx: Rc<Context>, stream: TcpStream, kind: ListenerKind) {
-    if set_socket_options(&stream).is_err() {
+    if set_socket_options(&stream, CALLER_UNACKED_TIMEOUT).is_err() {
         // The caller has already disconnected.
         return;
     }
@@ -301,12 +304,13 @@
     let names = cx.protocol.names();
     let header = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     let resumes = header(&names.resumes);
-    let software_version = origins::find(cx, service, resumes).await;
+    let origin = origins::find(cx, service, resumes).await;
     info!(cx.log, "stream resumed by its caller"; "request" => header(&names.request).unwrap_or(""),
         "resumes" => resumes, "last_event_id" => last_event_id.to_str().unwrap_or(""),
-        "software" => software_version.as_deref());
-    match software_version {
-        Some(version) => Ok(Some(version)),
+        "software" => origin.as_ref().map(|origin| origin.software_version.to_string()),
+        "known_by" => origin.as_ref().map(|origin| origin.known_by));
+    match origin {
+        Some(origin) => Ok(Some(origin.software_version)),
         None => Err(Failure::new(Code::OriginUnknown, resumes.unwrap_or("no request is named"))
             .retry_after(UNKNOWN_ORIGIN_RETRY_AFTER)),
     }
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -23,6 +23,7 @@
     }
     let (cx, server) = (cx.clone(), server.clone());
     let broke_at = boot_ms();
+    cx.pool.record_broken(address);
     tokio::task::spawn_local(async move {
         let reachability = probe(address).await;
         let is_path_at_fault = record_reachability(&cx, &server, reachability, broke_at).await;
@@ -33,6 +34,9 @@
         let ended = reachability == Reachability::Refused && !is_path_at_fault;
         info!(cx.log, "server checked"; "server" => %server, "leaving" => leaving,
             "ended" => ended, "result" => ?reachability, "path_at_fault" => is_path_at_fault);
+        if ended {
+            paths::record_ended(&cx, &server);
+        }
         if let Some(started_unix_ms) = started_unix_ms
             && ended
             && !leaving
@@ -56,11 +60,11 @@
 ) -> bool {
     let Some(service) = paths::service_of(cx, server) else { return false };
     if reachability == Reachability::Listening {
-        paths::record_connected(cx, &service);
+        paths::record_connected(cx, &service, server);
         return false;
     }
-    paths::record_unreachable(cx, server, broke_at);
-    paths::is_at_fault(cx, &service).await
+    paths::record_failed_probe(cx, server, broke_at);
+    paths::is_at_fault(cx, &service, broke_at).await
 }
 
 /// Waits until a check of a server is over, or for [`CHECK_WAIT`].
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,24 +9,24 @@
 use crate::events::EventSplitter;
 use crate::forward;
 use crate::headers::forwarded_reply;
+use crate::move_call::{MoveResult, request_move};
 use crate::origins;
 use crate::paths;
-use crate::peers;
+use crate::pool::release_connection;
 use crate::quarantine;
 use crate::request::AdmittedRequest;
+use crate::retries;
 use crate::server_check::check_server;
 use crate::target::{Target, choose_target, try_target};
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, Response, Uri};
+use hyper::header::CONTENT_LENGTH;
 use kernel::boot_ms;
 use kernel::prelude::*;
-use pick::Outcome;
-use std::net::SocketAddr;
+use pick::{Choice, Outcome};
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -46,6 +46,9 @@
     departures_changed: watch::Receiver<u64>,
     /// Departing server from which a move was already tried.
     departing_server: Option<Name>,
+    /// Whether the present server may have stopped the run for a move, so that the end of its connection is
+    /// not the end of the stream.
+    may_have_stopped: bool,
     /// Whether to wait for a stalled server because the stream cannot resume elsewhere.
     ignores_stall: bool,
     /// Time from which a stall counts: when the caller could take the next event, or a response began. Bytes
@@ -68,10 +71,11 @@
 pub(crate) fn reply(
     cx: Rc<Context>,
     request: Rc<AdmittedRequest>,
-    mut response: ServerResponse,
+    response: ServerResponse,
     history: AttemptHistory,
 ) -> Reply {
-    let mut head = std::mem::replace(&mut response.head, Response::new(()));
+    // The response keeps its head, which tells whether its connection can be reused.
+    let mut head = response.head.clone();
     // A stream that resumes elsewhere may differ in length from what the first server stated.
     head.headers_mut().remove(CONTENT_LENGTH);
     let tried = vec![response.guard.server.clone()];
@@ -90,6 +94,7 @@
         software_version,
         departures_changed,
         departing_server: None,
+        may_have_stopped: false,
         ignores_stall: false,
         progress_at: Instant::now(),
     };
@@ -118,21 +123,25 @@
                         return Some(Err(failure));
                     }
                 }
-                StreamInput::ServerDeparting => self.move_stream().await,
+                StreamInput::ServerDeparting => {
+                    if let Some(failure) = self.move_stream().await {
+                        return Some(Err(failure));
+                    }
+                }
                 // A silent server may still send data, so its response is kept until another
                 // server has resumed the stream.
                 StreamInput::Stalled => self.ignores_stall = !self.replace_stalled_server().await,
-                StreamInput::End if !self.events.has_incomplete_event() => {
-                    self.finish();
-                    return None;
-                }
-                StreamInput::End => {
-                    if let Some(failure) =
-                        self.resume_elsewhere("response ended within an event".into()).await
-                    {
-                        return Some(Err(failure));
+                StreamInput::End => match self.incomplete_end() {
+                    None => {
+                        self.finish();
+                        return None;
                     }
-                }
+                    Some(cause) => {
+                        if let Some(failure) = self.resume_elsewhere(cause.into()).await {
+                            return Some(Err(failure));
+                        }
+                    }
+                },
                 StreamInput::Error(cause) => {
                     if let Some(failure) = self.resume_elsewhere(cause).await {
                         return Some(Err(failure));
@@ -207,6 +216,27 @@
         complete
     }
 
+    /// Returns why the end of the response is not that of the stream; `None` if it is.
+    fn incomplete_end(&self) -> Option<&'static str> {
+        let ends_with_connection =
+            self.response.as_ref().is_some_and(|response| response.ends_with_connection);
+        if self.events.has_incomplete_event() {
+            Some("response ended within an event")
+        } else if self.may_have_stopped && ends_with_connection {
+            Some("response ended after its run may have been stopped")
+        } else {
+            None
+        }
+    }
+
+    /// Goes on with the response of another server. Nothing of the previous response is read any more.
+    fn replace_response(&mut self, response: ServerResponse) -> Option<ServerResponse> {
+        self.events.discard_incomplete();
+        self.progress_at = Instant::now();
+        self.may_have_stopped = false;
+        self.response.replace(response)
+    }
+
     /// Records the end of the stream and releases the connection.
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
@@ -219,7 +249,7 @@
         } else {
             response.guard.mark_completed();
         }
-        self.cx.pool.release(response.connection, response.head.headers());
+        release_connection(&self.cx, &self.request, response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
             "server" => %response.guard.server, "chunks" => self.chunks,
             "runs" => self.history.runs,
@@ -244,71 +274,86 @@
             return None;
         }
         let target = choose_target(cx, request, &self.tried, self.software_version.as_ref())?;
-        peers::take_retry(cx, request).await.then_some(target)
+        retries::take_retry(cx, request).await.then_some(target)
     }
 
-    /// Moves the stream away from a departing server; if this fails, the stream stays there.
-    async fn move_stream(&mut self) {
+    /// Moves the stream away from a departing server, or leaves it there if the server did not stop the run.
+    /// Returns a failure if it stopped the run and no other server can go on.
+    async fn move_stream(&mut self) -> Option<Failure> {
+        let choice = self.choose_move().await?;
         let (request, cx) = (self.request.clone(), self.cx.clone());
-        let Some(from) = self.response.as_ref().map(|response| response.guard.server.clone())
-        else {
-            return;
-        };
-        self.departing_server = Some(from.clone());
-        let supports_moves = cx
-            .rules
-            .borrow()
-            .service_named(&request.service)
-            .is_some_and(|service| service.supports_moves);
-        let Some(last_event_id) = self.events.last_event_id().filter(|_| supports_moves) else {
-            return;
-        };
-        // A move is a call to the server.
-        let wants_no_calls = cx.picker.borrow().is_paused(&from, boot_ms());
-        if quarantine::is_held(&cx, &request) || wants_no_calls {
-            return;
-        }
-        self.tried.push(from.clone());
-        let software_version = self.software_version.as_ref();
-        let Some(choice) = choose_server(&cx, &request, &self.tried, software_version) else {
-            return;
-        };
-        if !peers::take_retry(&cx, &request).await {
-            return;
-        }
-        let Some(address) = self.response.as_ref().map(|response| response.connection.address())
-        else {
-            return;
-        };
+        let response = self.response.as_ref()?;
+        let (from, address) = (response.guard.server.clone(), response.connection.address());
         let moved_from = match request_move(&cx, &request, address, choice.address).await {
-            Ok(moved_from) => moved_from,
-            Err(cause) => {
+            MoveResult::Copied(moved_from) => moved_from,
+            MoveResult::Stopped(cause) => return self.resume_elsewhere(cause).await,
+            MoveResult::NotStopped(cause) => {
                 info!(cx.log, "stream stays"; "request" => request.id_text(), "server" => %from,
                     "to" => %choice.id, "cause" => cause);
-                return;
+                return None;
+            }
+            MoveResult::Unknown(cause) => {
+                self.may_have_stopped = true;
+                info!(cx.log, "stream may have stopped"; "request" => request.id_text(),
+                    "server" => %from, "to" => %choice.id, "cause" => cause);
+                return None;
             }
         };
-        // The run has stopped; output that has not arrived is generated again from the copied
-        // KV cache.
+        // The run has stopped. Output that has not arrived is generated again from the copied KV cache, so
+        // that none of it may be read, whatever the other server answers.
+        if let Some(stopped) = self.response.take() {
+            stopped.guard.outcome.set(Outcome::Answered);
+        }
         self.events.discard_incomplete();
+        self.tried.push(choice.id.clone());
         let resume = ResumePoint {
-            last_event_id: Some(last_event_id),
+            last_event_id: self.events.last_event_id(),
             moved_from: Some(moved_from),
             software_version: None,
         };
         let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
-        let is_moved = match attempted {
-            Attempt::Answered(response) if response.head.status().is_success() => {
-                self.progress_at = Instant::now();
-                if let Some(previous) = self.response.replace(*response) {
-                    previous.guard.outcome.set(Outcome::Answered);
-                }
-                true
-            }
-            _ => false,
+        let response = match attempted {
+            Attempt::Answered(response) if response.head.status().is_success() => Some(*response),
+            _ => None,
         };
         info!(cx.log, "stream moved"; "request" => request.id_text(), "server" => %from,
-            "to" => %choice.id, "moved" => is_moved, "chunks" => self.chunks);
+            "to" => %choice.id, "moved" => response.is_some(), "chunks" => self.chunks);
+        match response {
+            Some(response) => {
+                // The stopped response was dropped above.
+                drop(self.replace_response(response));
+                None
+            }
+            None => {
+                self.resume_elsewhere(
+                    "the server that the stream was moved to did not go on".into(),
+                )
+                .await
+            }
+        }
+    }
+
+    /// Chooses a server to which the stream can move and takes a retry from the budget.
+    async fn choose_move(&mut self) -> Option<Choice> {
+        let (request, cx) = (self.request.clone(), self.cx.clone());
+        let from = self.response.as_ref()?.guard.server.clone();
+        self.departing_server = Some(from.clone());
+        let supports_moves = cx
+            .rules
+            .borrow()
+            .service_named(&request.service)
+            .is_some_and(|service| service.supports_moves);
+        if !supports_moves || self.events.last_event_id().is_none() {
+            return None;
+        }
+        // A move is a call to the server.
+        let wants_no_calls = cx.picker.borrow().is_paused(&from, boot_ms());
+        if quarantine::is_held(&cx, &request) || wants_no_calls {
+            return None;
+        }
+        self.tried.push(from);
+        let choice = choose_server(&cx, &request, &self.tried, self.software_version.as_ref())?;
+        retries::take_retry(&cx, &request).await.then_some(choice)
     }
 
     /// Resumes the stream at another server in place of a silent one; returns whether it did.
@@ -334,9 +379,7 @@
         }
         let is_replaced = match attempted {
             Ok(Attempt::Answered(response)) if response.head.status().is_success() => {
-                self.events.discard_incomplete();
-                self.progress_at = Instant::now();
-                if let Some(previous) = self.response.replace(*response) {
+                if let Some(previous) = self.replace_response(*response) {
                     previous.guard.outcome.set(Outcome::Failed);
                 }
                 true
@@ -391,8 +434,7 @@
                     self.history.runs += 1;
                     info!(cx.log, "stream goes on"; "request" => request.id_text(),
                         "server" => %target.name(), "chunks" => self.chunks);
-                    self.response = Some(*response);
-                    self.progress_at = Instant::now();
+                    drop(self.replace_response(*response));
                     return None;
                 }
                 // The other entry has used the attempts that were left.
@@ -429,45 +471,6 @@
     }
 }
 
-/// Maximum time for an engine to stop a run and copy its KV cache.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Maximum size of the reply to a move request, in bytes.
-const MAX_MOVE_REPLY_BYTES: usize = 64 << 10;
-
-/// Requests an engine to stop a run and copy its KV cache to another engine.
-async fn request_move(
-    cx: &Context,
-    request: &AdmittedRequest,
-    at: SocketAddr,
-    to: SocketAddr,
-) -> Result<HeaderValue, String> {
-    let (target, body) = cx.protocol.move_request(request.id_text(), to);
-    let mut req = Request::new(Full::new(Bytes::from(body)));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = Uri::from(target);
-    let host = HeaderValue::from_str(&at.to_string()).map_err(|e| e.to_string())?;
-    req.headers_mut().insert(HOST, host);
-    req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let call = async {
-        let mut connection = cx.pool.connection(at).await.map_err(|failure| failure.context)?;
-        let response = connection.send(req).await.map_err(|e| format!("{e:?}"))?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_MOVE_REPLY_BYTES).collect().await;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
-        cx.pool.release(connection, &head.headers);
-        if !head.status.is_success() {
-            return Err(format!("{}: {}", head.status, String::from_utf8_lossy(&body)));
-        }
-        cx.protocol
-            .parse_move_reply(at, &body)
-            .ok_or_else(|| "response does not name the copied KV cache".to_owned())
-    };
-    tokio::time::timeout(MOVE_TIMEOUT, call)
-        .await
-        .map_err(|_| "no response before the timeout".to_owned())?
-}
-
 /// Number of servers tried for a stream; after more than this, an attempt without a response ends
 /// the stream.
 const MAX_SERVERS_TRIED: usize = 5;
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -3,11 +3,12 @@
 use crate::change_log::{ChangeLog, ListingStep};
 use crate::context::Context;
 use crate::duty;
-use crate::message::WatchedPrefix;
+use crate::message::{WatchedPrefix, registration_size};
 use crate::origins;
 use crate::peers;
 use crate::readers::{batch_delay, is_reader, next_source};
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
+use bytes::Bytes;
 use coord::{ChangeSource, Confirmation};
 use infra::{Change, Listing, Stored, Watched};
 use kernel::boot_ms;
@@ -254,6 +255,8 @@
             match watched {
                 Ok(Watched::Changes(changes, through)) => {
                     let has_changes = !changes.is_empty();
+                    let changes = changes.into_iter().map(|change| sendable_change(&cx, change));
+                    let changes = changes.collect();
                     apply_changes(&cx, prefix, changes, through);
                     if has_changes {
                         tokio::time::sleep(batch_delay(&cx)).await;
@@ -277,7 +280,7 @@
 /// Applies a listing that was requested at `sent`. What it shows to have changed since the last one is kept
 /// like changes of a watch, so that the others can still be told.
 fn apply_listing(cx: &Context, prefix: WatchedPrefix, listing: Listing, sent: Millis) {
-    let Listing { items, revision } = listing;
+    let Listing { items, revision } = sendable_listing(cx, listing);
     let known = prefix.known_keys(cx);
     let mut log = prefix.change_log(cx).borrow_mut();
     log.age.record_listing(sent);
@@ -295,6 +298,31 @@
     }
 }
 
+/// Replaces values that could not be sent to peers, so that all entries take them for the same.
+pub(crate) fn sendable_listing(cx: &Context, listing: Listing) -> Listing {
+    let sendable = |(key, stored): (String, Stored)| {
+        let stored = sendable_value(cx, &key, stored);
+        (key, stored)
+    };
+    Listing { items: listing.items.into_iter().map(sendable).collect(), ..listing }
+}
+
+fn sendable_change(cx: &Context, change: Change) -> Change {
+    let Change { key, stored, revision } = change;
+    let stored = stored.map(|stored| sendable_value(cx, &key, stored));
+    Change { key, stored, revision }
+}
+
+/// Replaces a value that could not be sent to peers by an empty one, which is no registration.
+fn sendable_value(cx: &Context, key: &str, stored: Stored) -> Stored {
+    if registration_size(&stored.value).is_some() {
+        return stored;
+    }
+    warn!(cx.log, "value is no registration"; "key" => key.to_owned(),
+        "bytes" => stored.value.len());
+    Stored { value: Bytes::new(), ..stored }
+}
+
 fn apply_server_listing(cx: &Context, items: Vec<(String, Stored)>) {
     let listed = items.iter().filter_map(|(key, stored)| upsert_server(cx, key, stored));
     let listed: BTreeSet<Name> = listed.collect();
@@ -348,6 +376,7 @@
                 cx.server_added_at.set(boot_ms());
             }
             if cx.picker.borrow_mut().upsert(info) {
+                cx.server_paths.borrow_mut().record_registered(&service, &id);
                 origins::observe_versions(cx, &service);
                 info!(cx.log, "server listed"; "server" => %id, "service" => %service,
                     "software" => %software,
--- a/crates/relay/tests/change_log.rs
+++ b/crates/relay/tests/change_log.rs
@@ -2,7 +2,7 @@
 
 use infra::{Change, Stored};
 use proptest::prelude::*;
-use relay::{ChangeLog, ListingStep, ReaderConfirmation};
+use relay::{BatchLimit, ChangeLog, ListingStep, ReaderConfirmation};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn change(key: u8, revision: i64, exists: bool) -> Change {
@@ -10,6 +10,11 @@
     Change { key: key.to_string(), stored, revision }
 }
 
+/// Returns a limit that only the number of changes can reach.
+fn changes_of(changes: usize) -> BatchLimit {
+    BatchLimit { changes, bytes: usize::MAX }
+}
+
 fn listed_log() -> ChangeLog {
     let mut log = ChangeLog::default();
     log.reset(10, 8, 100);
@@ -21,7 +26,7 @@
     let mut log = ChangeLog::default();
     assert_eq!(log.through(), None);
     assert!(log.apply(vec![change(1, 5, true)], 5, 200).is_empty());
-    assert_eq!(log.changes_after(0, 10), None);
+    assert_eq!(log.changes_after(0, changes_of(10)), None);
 }
 
 #[test]
@@ -44,8 +49,8 @@
 #[test]
 fn returns_none_for_changes_before_the_listing() {
     let log = listed_log();
-    assert_eq!(log.changes_after(9, 10), None);
-    assert_eq!(log.changes_after(10, 10), Some((Vec::new(), 10)));
+    assert_eq!(log.changes_after(9, changes_of(10)), None);
+    assert_eq!(log.changes_after(10, changes_of(10)), Some((Vec::new(), 10)));
 }
 
 #[test]
@@ -54,8 +59,8 @@
     for revision in 11..2_000 {
         log.apply(vec![change(1, revision, true)], revision, 200);
     }
-    assert_eq!(log.changes_after(10, 10), None);
-    assert!(log.changes_after(1_990, 10).is_some());
+    assert_eq!(log.changes_after(10, changes_of(10)), None);
+    assert!(log.changes_after(1_990, changes_of(10)).is_some());
 }
 
 #[test]
@@ -63,10 +68,25 @@
     let mut log = listed_log();
     let together = vec![change(1, 11, true), change(2, 11, true), change(3, 12, true)];
     log.apply(together, 12, 200);
-    let (changes, through) = log.changes_after(10, 1).expect("all changes are kept");
+    let (changes, through) = log.changes_after(10, changes_of(1)).expect("all changes are kept");
     assert_eq!((changes.len(), through), (2, 11));
 }
 
+// Guards against batches that fit into no datagram, so that their receiver follows no further change.
+#[test]
+fn returns_no_more_changes_than_fit_into_a_message() {
+    let mut log = listed_log();
+    let large = |revision: i64| {
+        let stored = Stored { value: vec![b'"'; 1_000].into(), revision };
+        Change { key: "large".into(), stored: Some(stored), revision }
+    };
+    log.apply((11..=20).map(large).collect(), 20, 200);
+    // Encoded, each value takes about 2,000 bytes.
+    let limit = BatchLimit { changes: 10, bytes: 5_000 };
+    let (changes, through) = log.changes_after(10, limit).expect("all changes are kept");
+    assert_eq!((changes.len(), through), (3, 13));
+}
+
 /// Applies changes to a copy of the store: the revision of each key.
 fn apply_to(copy: &mut BTreeMap<String, i64>, changes: Vec<Change>) {
     for change in changes {
@@ -110,7 +130,7 @@
                 log.apply(history[from..to].to_vec(), to as i64, 200);
             }
             let revision = receiver.through().unwrap_or(0);
-            let Some((changes, through)) = log.changes_after(revision, limit) else { continue };
+            let Some((changes, through)) = log.changes_after(revision, changes_of(limit)) else { continue };
             if is_delayed {
                 delayed.push((changes.clone(), through));
             }
@@ -172,7 +192,7 @@
     // The item of revision 21 comes with the watch after revision 20.
     let changes = vec![change(3, 11, true), change(2, 12, true), change(9, 20, false)];
     assert_eq!(step, ListingStep::Apply(changes.clone()));
-    assert_eq!(log.changes_after(10, 24), Some((changes, 20)));
+    assert_eq!(log.changes_after(10, changes_of(24)), Some((changes, 20)));
     assert_eq!(log.through(), Some(20));
 }
 
@@ -181,7 +201,7 @@
     let mut log = listed_log();
     log.apply(vec![change(1, 14, true)], 20, 200);
     assert_eq!(log.apply_listing(&[item(1, 5)], 12, &keys(&[1]), 300), ListingStep::Replace);
-    assert_eq!(log.changes_after(10, 24), None);
+    assert_eq!(log.changes_after(10, changes_of(24)), None);
 }
 
 #[test]
