relay: a request waits until it is known whether servers are reached

What callers saw: an entry to which all servers refuse new connections refused the first request within milliseconds (2007, or 2001 with fewer than four servers), two seconds before its deadline, although another entry would have passed it on. The same for a request that met four ended servers in a row while others ran.

Cause: four sends at most, and a refused connection counted as one. Four refusals take a millisecond; what other entries reach is known after about 300 ms.

Change: a request that could not be connected to three servers, or to all, waits until the path is decided, a server is reached or 600 ms have passed. As long as nothing was written, eight servers are tried. Resumed streams likewise.

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -291,6 +291,12 @@
         self.services.get(service).and_then(ServicePath::silent_since)
     }
 
+    /// Returns the time from which connections to servers of a service fail, while the path counts as whole.
+    pub fn undecided_since(&self, service: &str) -> Option<Millis> {
+        let known = self.services.get(service).filter(|known| known.path == Path::Direct)?;
+        known.failing.as_ref().map(|failing| failing.since)
+    }
+
     /// Returns whether connections to servers of a service fail, or its path is cut.
     pub fn is_in_doubt(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(ServicePath::is_in_doubt)
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,6 +8,9 @@
 
 /// Maximum number of servers to which a request is sent as long as none of them has run it.
 const MAX_SENDS: u32 = 4;
+/// The same number after an attempt in which no byte of the request was written: servers that are gone refuse
+/// connections at once, so that a request may meet several of them.
+const MAX_SENDS_IF_UNSENT: u32 = 8;
 /// Time to the deadline at or below which a request is not sent again, in milliseconds.
 const MIN_RETRY_TIME_MS: u64 = 20;
 
@@ -114,7 +117,7 @@
             NextStep::Retry { uses_budget }
         }
         AttemptResult::Failed(_) => NextStep::Forward,
-        AttemptResult::Unsent if may_run_again && history.sends < MAX_SENDS => {
+        AttemptResult::Unsent if may_run_again && history.sends < MAX_SENDS_IF_UNSENT => {
             NextStep::Retry { uses_budget: false }
         }
         AttemptResult::NotRun if may_run_again && history.sends < MAX_SENDS => {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -21,7 +21,7 @@
 use crate::server_check::check_server;
 use crate::server_news;
 use crate::stream;
-use crate::target::{Target, choose_target, try_target};
+use crate::target::{Target, find_target, try_target};
 use coord::{AnswerId, QuarantineCheck};
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
@@ -106,7 +106,7 @@
             return failure_reply(cx, &request, code, history, retry_after);
         }
         let software_version = request.software_version.as_ref();
-        let Some(target) = choose_target(cx, &request, &tried, software_version) else {
+        let Some(target) = find_target(cx, &request, &tried, software_version).await else {
             if tried.is_empty() {
                 record_demand(
                     cx,
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use crate::path_probe;
-use coord::Path;
+use coord::{Path, ServerPaths};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use std::collections::BTreeSet;
@@ -33,13 +33,28 @@
 
 /// Records that a server of the service accepted a connection.
 pub(crate) fn record_connected(cx: &Context, service: &Name, server: &Name) {
-    cx.server_paths.borrow_mut().record_connected(service, server, boot_ms());
+    change(cx, service, |paths| paths.record_connected(service, server, boot_ms()));
+}
+
+/// Forgets a server that is gone.
+pub(crate) fn remove_server(cx: &Context, service: &Name, server: &Name) {
+    change(cx, service, |paths| paths.remove_server(service, server));
+}
+
+/// Changes what is known of the path to a service, and tells who waits when connections to it no longer fail.
+fn change(cx: &Context, service: &Name, change: impl FnOnce(&mut ServerPaths)) {
+    let mut paths = cx.server_paths.borrow_mut();
+    let was_failing = paths.is_failing(service);
+    change(&mut paths);
+    if was_failing && !paths.is_failing(service) {
+        cx.paths_changed.send_modify(|count| *count += 1);
+    }
 }
 
 /// Records that a server was found to have ended.
 pub(crate) fn record_ended(cx: &Context, server: &Name) {
     if let Some(service) = service_of(cx, server) {
-        cx.server_paths.borrow_mut().record_ended(&service, server);
+        change(cx, &service, |paths| paths.record_ended(&service, server));
         update(cx, &service);
     }
 }
@@ -94,6 +109,28 @@
     }
 }
 
+/// Returns how many of these servers accepted no connection while none has succeeded since.
+pub(crate) fn failed_among(cx: &Context, service: &Name, servers: &[Name]) -> usize {
+    let paths = cx.server_paths.borrow();
+    servers.iter().filter(|server| paths.has_failed(service, server)).count()
+}
+
+/// Waits until it is known whether this entry reaches the servers of a service, to which connections fail.
+/// Returns at once if there is no other entry to compare with.
+pub(crate) async fn settle(cx: &Context, service: &Name) {
+    let undecided_since = || cx.server_paths.borrow().undecided_since(service);
+    let Some(since) = undecided_since() else { return };
+    if cx.roster.borrow().present().all(|entry| entry.name == cx.settings.name) {
+        return;
+    }
+    let left = MAX_DOUBT.saturating_sub(Duration::from_millis(boot_ms().saturating_sub(since)));
+    let mut changed = cx.paths_changed.subscribe();
+    // The sender lives as long as the context.
+    let settled = async { while undecided_since().is_some() && changed.changed().await.is_ok() {} };
+    // A doubt that lasts longer is left as it is.
+    drop(tokio::time::timeout(left, settled).await);
+}
+
 /// Returns whether connections to servers of a service that broke at `broke_at` turn out to be those of this entry's
 /// own path: nothing is reached here, while other entries reach servers.
 pub(crate) async fn is_at_fault(cx: &Rc<Context>, service: &Name, broke_at: Millis) -> bool {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::request::AdmittedRequest;
 use crate::retries;
 use crate::server_check::check_server;
-use crate::target::{Target, choose_target, try_target};
+use crate::target::{Target, choose_target, find_target, try_target};
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
@@ -273,7 +273,13 @@
         if quarantine::is_held_after(cx, request, last).await {
             return None;
         }
-        let target = choose_target(cx, request, &self.tried, self.software_version.as_ref())?;
+        let software_version = self.software_version.as_ref();
+        // A stream whose silent server still holds it goes on being read instead of waiting.
+        let target = if self.response.is_some() {
+            choose_target(cx, request, &self.tried, software_version)
+        } else {
+            find_target(cx, request, &self.tried, software_version).await
+        }?;
         retries::take_retry(cx, request).await.then_some(target)
     }
 
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -5,6 +5,7 @@
 use crate::duty;
 use crate::message::{WatchedPrefix, registration_size};
 use crate::origins;
+use crate::paths;
 use crate::peers;
 use crate::readers::{batch_delay, is_reader, next_source};
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
@@ -423,7 +424,7 @@
     cx.brittle_servers.borrow_mut().remove(id);
     let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
     if let Some(service) = &service {
-        cx.server_paths.borrow_mut().remove_server(service, id);
+        paths::remove_server(cx, service, id);
     }
     if cx.picker.borrow_mut().remove(id) {
         if let Some(service) = service {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -30,6 +30,31 @@
     }
 }
 
+/// Number of servers to which a request could not be connected, after which it is found out first whether any is
+/// reached.
+const MAX_FAILED_CONNECTIONS: usize = 3;
+
+/// Chooses like [`choose_target`], but not before it is known whether servers are reached if the request could not be
+/// connected to some: a detour may be about to open.
+pub(crate) async fn find_target(
+    cx: &Context,
+    request: &AdmittedRequest,
+    tried: &[Name],
+    software_version: Option<&Name>,
+) -> Option<Target> {
+    let target = || choose_target(cx, request, tried, software_version);
+    let failed = paths::failed_among(cx, &request.service, tried);
+    if failed < MAX_FAILED_CONNECTIONS
+        && let Some(target) = target()
+    {
+        return Some(target);
+    }
+    if failed > 0 && request.sender.is_none() {
+        paths::settle(cx, &request.service).await;
+    }
+    target()
+}
+
 /// Chooses where to send a request that was not sent to any of `tried` yet.
 ///
 /// A request that another entry passed on goes to a server in any case, so that it makes one detour only.
