coord: servers that ended are left out of the count of servers, not subtracted from it

Found by reading: ServerPaths subtracted all ended servers from the number of staying ones, though some that ended may have been leaving and were not in that number. While others failed as well and nothing answered, requests were refused without a try although servers stayed that had not failed. The caller counts those that stay and have not ended now. leaving_servers_that_ended_are_not_taken_off_the_staying_ones failed before; requests_go_nowhere_if_all_servers_fail_that_have_not_ended passes the number that remains.

--- a/crates/coord/src/server_paths.rs
+++ b/crates/coord/src/server_paths.rs
@@ -91,8 +91,8 @@
         self.reached_at.is_none_or(|at| at <= since).then_some(since)
     }
 
-    /// Decides the path to `servers` servers, those that ended included. `others_reached_at` is the last
-    /// time at which another entry reached one.
+    /// Decides the path to `servers` servers, without those that ended. `others_reached_at` is the last time at
+    /// which another entry reached one.
     fn decide(
         &self,
         settings: &PathSettings,
@@ -103,7 +103,6 @@
         let Some(failing) = &self.failing else { return Path::Direct };
         let answers = self.silent_since().is_none();
         let failed = failing.servers.len();
-        let servers = servers.saturating_sub(self.ended.len());
         let needed = if answers { settings.refusing_servers } else { settings.silent_servers };
         if failed < needed.min(servers) {
             return Path::Direct;
@@ -209,7 +208,8 @@
         }
     }
 
-    /// Decides the path to the `servers` servers of a service; returns the change if it is another one.
+    /// Decides the path to the `servers` servers of a service that stay and have not ended; returns the change if it
+    /// is another one.
     pub fn update(
         &mut self,
         service: &Name,
--- a/crates/coord/tests/server_paths.rs
+++ b/crates/coord/tests/server_paths.rs
@@ -153,5 +153,17 @@
     let mut paths = paths();
     paths.record_ended(&service(), &"i-0".into());
     fail(&mut paths, 0..SERVERS, 1_500);
-    assert_eq!(path(&mut paths, None, 2_100), Path::Nowhere);
+    let change = paths.update(&service(), SERVERS - 1, None, 2_100);
+    assert_eq!(change.map(|change| change.path), Some(Path::Nowhere));
+}
+
+// Against requests that were refused without a try while servers stayed that had not failed: those that ended were taken
+// off the staying ones, although they had been leaving.
+#[test]
+fn leaving_servers_that_ended_are_not_taken_off_the_staying_ones() {
+    let mut paths = paths();
+    paths.record_ended(&service(), &"leaving-0".into());
+    paths.record_ended(&service(), &"leaving-1".into());
+    fail(&mut paths, 0..SERVERS - 1, 1_500);
+    assert_eq!(path(&mut paths, None, 2_100), Path::Direct);
 }
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -75,13 +75,19 @@
     record_unreachable(cx, server, began);
 }
 
+/// Returns the number of servers of a service that stay and were not found to have ended.
+pub(crate) fn servers_up(cx: &Context, service: &Name) -> usize {
+    let (picker, paths) = (cx.picker.borrow(), cx.server_paths.borrow());
+    picker.staying(service).filter(|server| !paths.has_ended(service, &server.info.id)).count()
+}
+
 /// Decides the path to the servers of a service by what is known now, and logs a change.
 pub(crate) fn update(cx: &Context, service: &Name) -> Path {
     if !cx.server_paths.borrow().is_in_doubt(service) {
         return Path::Direct;
     }
     let now = boot_ms();
-    let servers = cx.picker.borrow().staying(service).count();
+    let servers = servers_up(cx, service);
     let others = others_reached_at(cx, service);
     let change = cx.server_paths.borrow_mut().update(service, servers, others, now);
     if let Some(change) = change {
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -77,7 +77,7 @@
         Path::Nowhere => None,
     };
     // Without an entry that helps, a server is tried unless it is certain that none can be reached.
-    let servers = cx.picker.borrow().staying(service).count();
+    let servers = paths::servers_up(cx, service);
     let is_certain = cx.server_paths.borrow().is_certain(service, servers);
     entry.or_else(|| if is_certain { None } else { server() })
 }
