relay: an attempt at the only server that is left is not given up early

What callers saw: 502 after twice the target latency although their answer was on its way: an entry gave an attempt up in order to try another server, although no other one was left to try.

Cause: response_timeout asked whether the route allows another attempt, not whether another server could take it. A choice tells now whether there was an alternative; without one the request waits as long as its caller does.

--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -142,6 +142,8 @@
     pub open: u32,
     /// Number of servers that were considered.
     pub candidates: usize,
+    /// Whether the request could be sent to another server as well.
+    pub has_alternative: bool,
     /// Reason for the choice.
     pub reason: ChoiceReason,
 }
@@ -217,6 +219,7 @@
                 .map(|other| other.info.address),
             open: best.server.load().open,
             candidates: candidates.len(),
+            has_alternative: eligible.len() > 1,
             reason,
         })
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -446,8 +446,10 @@
     history: AttemptHistory,
 ) -> Duration {
     let remaining = request.deadline.saturating_duration_since(Instant::now());
-    if !request.route.retry_policy.is_retryable() || history.runs + 1 >= request.route.max_attempts
-    {
+    let may_try_another = request.route.retry_policy.is_retryable()
+        && history.runs + 1 < request.route.max_attempts
+        && choice.has_alternative;
+    if !may_try_another {
         return remaining;
     }
     let target = Duration::from_millis(request.route.target_latency_ms);
