--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -76,6 +76,7 @@
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
     entries: Gauge<u64>,
+    retry_share: Gauge<u64>,
     quarantined: Gauge<u64>,
     services_cut: Gauge<u64>,
     open: Gauge<u64>,
@@ -238,6 +239,8 @@
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
             entries: metrics.gauge("entries_known", "Entries that share limits"),
+            retry_share: metrics
+                .gauge("retry_share_held", "1 while this entry holds a share of the retry slack"),
             quarantined: metrics
                 .gauge("quarantined", "Requests and prompt parts under which servers crash"),
             services_cut: metrics
@@ -400,6 +403,7 @@
         let servers = self.picker.borrow().servers().filter(|server| !server.is_leaving()).count();
         self.meters.servers.record(servers as u64, &[]);
         self.meters.entries.record(self.roster.borrow_mut().share_count(now) as u64, &[]);
+        self.meters.retry_share.record(u64::from(self.was_counted.get()), &[]);
         self.meters.quarantined.record(self.quarantine.borrow().held_count() as u64, &[]);
         let services_cut = self.server_paths.borrow().cut_services().count();
         self.meters.services_cut.record(services_cut as u64, &[]);
