relay: a response that ends with its connection is whole only if its server still runs

Cause: the kernel of a living VM closes the connections of a killed process in order. A response without a length or chunks then ends as a whole one does, and the entry took the end for that of the response. Class: an absence (no more bytes) taken for a statement (that was all).

Before the end of such a response is passed on, its server is asked on a new connection; only a response to that, sent after the end was seen, shows that the process lives. One query answers for all responses that had ended before it was sent. Without an answer in 300 ms, or when another incarnation or nobody listens, the end counts as a break: streams that may be resumed go on elsewhere, requests that may be repeated are sent again, all others fail or are cut, whatever the status. A server that asked for rest gets no request; it has to keep a bare connection open for 100 ms, which a process that was killed cannot, as its listener goes with its connections.

Which responses end with their connection is decided by what the HTTP library reads to the end: a body that HEAD, 204 or 304 rules out has the length 0, and a transfer coding counts as framing only if the last one is "chunked". Forwarded responses use the same function. A response of another entry without framing is in doubt.

The tests' server is a task that closes its listener and connections in order, not a killed process.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -1,6 +1,7 @@
 //! Shared state of one entry, read and updated by all of its tasks and requests.
 
 use crate::change_log::ChangeLog;
+use crate::end_check::LifeQueries;
 use crate::origin_store::OriginStore;
 use crate::origins::{PendingQuery, ServedVersions};
 use crate::peers::Peers;
@@ -72,6 +73,7 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     forwarded: Counter<u64>,
+    life_queries: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
@@ -160,7 +162,9 @@
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
     /// Servers for which a check is under way whether they have ended.
     pub(crate) servers_checked: RefCell<BTreeSet<Name>>,
-    /// Signals the end of such a check.
+    /// Queries whether servers still run.
+    pub(crate) life_queries: LifeQueries,
+    /// Signals the end of a check in `servers_checked`.
     pub(crate) server_check_ended: Notify,
     /// Recent changes of the servers' registrations.
     pub(crate) server_changes: RefCell<ChangeLog>,
@@ -234,6 +238,8 @@
                 "forwarded",
                 "Requests passed on to another entry or taken over from one, by result",
             ),
+            life_queries: metrics
+                .counter("life_queries", "Queries whether a server still runs, by result"),
             first_byte: metrics
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
@@ -291,6 +297,7 @@
             servers_followed_at: Cell::default(),
             missing_servers: RefCell::default(),
             servers_checked: RefCell::default(),
+            life_queries: LifeQueries::default(),
             server_check_ended: Notify::new(),
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
@@ -430,6 +437,10 @@
         self.meters.forwarded.add(1, &labels);
     }
 
+    pub(crate) fn count_life_query(&self, result: &'static str) {
+        self.meters.life_queries.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn record_first_byte(&self, elapsed: Duration) {
         self.meters.first_byte.record(elapsed.as_secs_f64(), &[]);
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -7,9 +7,10 @@
 use crate::attempt_guard::AttemptGuard;
 use crate::body::{Reply, full_body};
 use crate::context::Context;
+use crate::end_check;
 use crate::entry_headers;
 use crate::forward;
-use crate::headers::{build_server_request, forwarded_reply};
+use crate::headers::{build_server_request, ends_with_connection, forwarded_reply};
 use crate::limits::full_brittle_servers;
 use crate::path_probe;
 use crate::paths;
@@ -26,7 +27,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::HeaderValue;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::{Choice, Outcome, Requirements};
@@ -426,8 +427,7 @@
         None
     };
     ServerResponse {
-        ends_with_connection: !head.headers().contains_key(CONTENT_LENGTH)
-            && !head.headers().contains_key(TRANSFER_ENCODING),
+        ends_with_connection: ends_with_connection(head.headers(), &body),
         head,
         body,
         connection,
@@ -455,35 +455,40 @@
     (TIMEOUT_FACTOR * target.max(expected)).min(remaining)
 }
 
-/// Reads a response completely; returns `None` if it breaks off or is late.
+/// Reads a response completely; returns `None` if it breaks off, may not be whole or is late.
 async fn read_full_response(
     cx: &Rc<Context>,
     request: &AdmittedRequest,
-    response: ServerResponse,
+    mut response: ServerResponse,
 ) -> Option<Reply> {
-    let ServerResponse { head, body, connection, guard, answer, ends_with_connection, .. } =
-        response;
-    guard.mark_prompt_read();
-    let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
+    response.guard.mark_prompt_read();
+    let read = Limited::new(&mut response.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let read = tokio::time::timeout_at(request.deadline, read).await;
-    let cause = match read {
-        Ok(Ok(bytes)) => {
+    let doubt = if matches!(read, Ok(Ok(_))) {
+        end_check::doubt(cx, request, &response).await
+    } else {
+        None
+    };
+    let ServerResponse { head, connection, guard, answer, .. } = response;
+    let cause = match (read, doubt) {
+        (Ok(Ok(_)), Some(cause)) => {
+            check_server(cx, &guard.server, connection.address());
+            cause.to_owned()
+        }
+        (Ok(Ok(bytes)), None) => {
             let failed = head.status().is_server_error();
             guard.outcome.set(if failed { Outcome::Failed } else { Outcome::Answered });
             cx.count_attempt(if failed { "failed" } else { "answered" });
             quarantine::record_completion(cx, answer);
-            // The end of the connection may be that of the server.
-            if !ends_with_connection {
-                guard.mark_completed();
-            }
+            guard.mark_completed();
             release_connection(cx, request, connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
         }
-        Ok(Err(e)) => {
+        (Ok(Err(e)), _) => {
             check_server(cx, &guard.server, connection.address());
             e.to_string()
         }
-        Err(_) => "response incomplete at the deadline".to_owned(),
+        (Err(_), _) => "response incomplete at the deadline".to_owned(),
     };
     guard.outcome.set(Outcome::Failed);
     cx.count_attempt("broke");
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,14 +6,14 @@
 use crate::context::Context;
 use crate::dispatch::{Attempt, ResumePoint, ServerResponse};
 use crate::entry_headers as fields;
-use crate::headers::{LAST_EVENT_ID, forwarded_reply};
+use crate::headers::{LAST_EVENT_ID, ends_with_connection, forwarded_reply};
 use crate::peers::sample_live_peers;
 use crate::pool::{Reachability, SendError, ServerRequest, probe};
 use crate::request::AdmittedRequest;
 use coord::Entry;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, Uri};
 use kernel::boot_ms;
 use kernel::prelude::*;
@@ -128,8 +128,7 @@
     }
     fields::strip(&mut head.headers);
     Attempt::Answered(Box::new(ServerResponse {
-        ends_with_connection: !head.headers.contains_key(CONTENT_LENGTH)
-            && !head.headers.contains_key(TRANSFER_ENCODING),
+        ends_with_connection: ends_with_connection(&head.headers, &body),
         head: Response::from_parts(head, ()),
         body,
         connection,
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -6,6 +6,7 @@
 use crate::pool::ServerRequest;
 use crate::request::AdmittedRequest;
 use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
 use pick::Choice;
@@ -73,6 +74,18 @@
     reply
 }
 
+/// Whether only the end of its connection ends a body of which nothing was read yet. A body that the request or the
+/// status rules out has the length 0.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    let last_coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last_coding = last_coding
+        .and_then(|codings| codings.to_str().ok())
+        .and_then(|codings| codings.rsplit(',').next());
+    let is_chunked =
+        last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    body.size_hint().exact().is_none() && !is_chunked
+}
+
 /// Hop-by-hop headers besides `connection` and `transfer-encoding`.
 const HOP_BY_HOP_HEADERS: [&str; 7] = [
     "keep-alive",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod dispatch;
 mod duty;
+mod end_check;
 mod entry_headers;
 mod events;
 mod forward;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -119,7 +119,8 @@
         std::mem::take(&mut *self.broken.addresses.borrow_mut())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
+    /// Opens a new connection.
+    pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, Failure> {
         let failed = |e: String| Failure::new(Code::NotDispatched, format!("{address}: {e}"));
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| failed("connection timed out".into()))?;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -87,6 +87,10 @@
     /// Returns whether a server states in a response that it leaves.
     fn states_leaving(&self, headers: &HeaderMap) -> bool;
 
+    /// Returns the target of a GET request that a server answers at once, and without a slot, for as long as it
+    /// runs. With [`HeaderNames::expected`], another server that listens at its address refuses it.
+    fn life_query(&self) -> PathAndQuery;
+
     /// Builds the call that stops a request and copies its KV cache to the engine at `to`. Returns
     /// the path to post to and the body.
     fn move_request(&self, request: &str, to: SocketAddr) -> (PathAndQuery, Vec<u8>);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,15 +1,15 @@
 //! Forwards event streams to callers and resumes them at another server when they break off.
 
+mod moving;
+
 use crate::attempt::{AttemptHistory, AttemptResult, NextStep, next_step};
 use crate::body::{Reply, streamed_body};
 use crate::context::Context;
-use crate::dispatch::{
-    Attempt, ResumePoint, ServerResponse, choose_server, record_usage, try_server,
-};
+use crate::dispatch::{Attempt, ResumePoint, ServerResponse, record_usage};
+use crate::end_check;
 use crate::events::EventSplitter;
 use crate::forward;
 use crate::headers::forwarded_reply;
-use crate::move_call::{MoveResult, request_move};
 use crate::origins;
 use crate::paths;
 use crate::pool::release_connection;
@@ -24,9 +24,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
-use kernel::boot_ms;
 use kernel::prelude::*;
-use pick::{Choice, Outcome};
+use pick::Outcome;
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -131,7 +130,7 @@
                 // A silent server may still send data, so its response is kept until another
                 // server has resumed the stream.
                 StreamInput::Stalled => self.ignores_stall = !self.replace_stalled_server().await,
-                StreamInput::End => match self.incomplete_end() {
+                StreamInput::End => match self.incomplete_end().await {
                     None => {
                         self.finish();
                         return None;
@@ -217,15 +216,18 @@
     }
 
     /// Returns why the end of the response is not that of the stream; `None` if it is.
-    fn incomplete_end(&self) -> Option<&'static str> {
-        let ends_with_connection =
-            self.response.as_ref().is_some_and(|response| response.ends_with_connection);
+    async fn incomplete_end(&self) -> Option<&'static str> {
         if self.events.has_incomplete_event() {
-            Some("response ended within an event")
-        } else if self.may_have_stopped && ends_with_connection {
+            return Some("response ended within an event");
+        }
+        let response = self.response.as_ref()?;
+        if !response.ends_with_connection {
+            return None;
+        }
+        if self.may_have_stopped {
             Some("response ended after its run may have been stopped")
         } else {
-            None
+            end_check::doubt(&self.cx, &self.request, response).await
         }
     }
 
@@ -242,13 +244,7 @@
         let Some(response) = self.response.take() else { return };
         response.guard.outcome.set(Outcome::Answered);
         quarantine::record_completion(&self.cx, response.answer);
-        if response.ends_with_connection {
-            // A server that crashed between two events looks like one that has completed its stream.
-            let (server, address) = (&response.guard.server, response.connection.address());
-            check_server(&self.cx, server, address);
-        } else {
-            response.guard.mark_completed();
-        }
+        response.guard.mark_completed();
         release_connection(&self.cx, &self.request, response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
             "server" => %response.guard.server, "chunks" => self.chunks,
@@ -283,85 +279,6 @@
         retries::take_retry(cx, request).await.then_some(target)
     }
 
-    /// Moves the stream away from a departing server, or leaves it there if the server did not stop the run.
-    /// Returns a failure if it stopped the run and no other server can go on.
-    async fn move_stream(&mut self) -> Option<Failure> {
-        let choice = self.choose_move().await?;
-        let (request, cx) = (self.request.clone(), self.cx.clone());
-        let response = self.response.as_ref()?;
-        let (from, address) = (response.guard.server.clone(), response.connection.address());
-        let moved_from = match request_move(&cx, &request, address, choice.address).await {
-            MoveResult::Copied(moved_from) => moved_from,
-            MoveResult::Stopped(cause) => return self.resume_elsewhere(cause).await,
-            MoveResult::NotStopped(cause) => {
-                info!(cx.log, "stream stays"; "request" => request.id_text(), "server" => %from,
-                    "to" => %choice.id, "cause" => cause);
-                return None;
-            }
-            MoveResult::Unknown(cause) => {
-                self.may_have_stopped = true;
-                info!(cx.log, "stream may have stopped"; "request" => request.id_text(),
-                    "server" => %from, "to" => %choice.id, "cause" => cause);
-                return None;
-            }
-        };
-        // The run has stopped. Output that has not arrived is generated again from the copied KV cache, so
-        // that none of it may be read, whatever the other server answers.
-        if let Some(stopped) = self.response.take() {
-            stopped.guard.outcome.set(Outcome::Answered);
-        }
-        self.events.discard_incomplete();
-        self.tried.push(choice.id.clone());
-        let resume = ResumePoint {
-            last_event_id: self.events.last_event_id(),
-            moved_from: Some(moved_from),
-            software_version: None,
-        };
-        let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
-        let response = match attempted {
-            Attempt::Answered(response) if response.head.status().is_success() => Some(*response),
-            _ => None,
-        };
-        info!(cx.log, "stream moved"; "request" => request.id_text(), "server" => %from,
-            "to" => %choice.id, "moved" => response.is_some(), "chunks" => self.chunks);
-        match response {
-            Some(response) => {
-                // The stopped response was dropped above.
-                drop(self.replace_response(response));
-                None
-            }
-            None => {
-                self.resume_elsewhere(
-                    "the server that the stream was moved to did not go on".into(),
-                )
-                .await
-            }
-        }
-    }
-
-    /// Chooses a server to which the stream can move and takes a retry from the budget.
-    async fn choose_move(&mut self) -> Option<Choice> {
-        let (request, cx) = (self.request.clone(), self.cx.clone());
-        let from = self.response.as_ref()?.guard.server.clone();
-        self.departing_server = Some(from.clone());
-        let supports_moves = cx
-            .rules
-            .borrow()
-            .service_named(&request.service)
-            .is_some_and(|service| service.supports_moves);
-        if !supports_moves || self.events.last_event_id().is_none() {
-            return None;
-        }
-        // A move is a call to the server.
-        let wants_no_calls = cx.picker.borrow().is_paused(&from, boot_ms());
-        if quarantine::is_held(&cx, &request) || wants_no_calls {
-            return None;
-        }
-        self.tried.push(from);
-        let choice = choose_server(&cx, &request, &self.tried, self.software_version.as_ref())?;
-        retries::take_retry(&cx, &request).await.then_some(choice)
-    }
-
     /// Resumes the stream at another server in place of a silent one; returns whether it did.
     ///
     /// The connection to the silent server is kept until the other one responds.
