relay: a response that ends with its connection before its first event ends no stream

The server still ran, so that the query after the end says nothing against it.

Cause: the end of an empty continuation was taken for that of the stream. Such a response has stated nothing: neither an event nor where its body ends. It is a break now, also if it is the first response. A continuation of no chunks states its end and still completes the stream, as the caller may have had everything.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -39,6 +39,8 @@
     tried: Vec<Name>,
     events: EventSplitter,
     chunks: u64,
+    /// Whether the present response has brought an event.
+    has_event: bool,
     /// Software version of the server that wrote the first event which the caller got. The output of
     /// two versions does not fit together, so that only servers of this version can go on.
     software_version: Option<Name>,
@@ -90,6 +92,7 @@
         tried,
         events,
         chunks: 0,
+        has_event: false,
         software_version,
         departures_changed,
         departing_server: None,
@@ -204,6 +207,7 @@
         }
         if !complete.is_empty() {
             self.ignores_stall = false;
+            self.has_event = true;
         }
         if !complete.is_empty() && self.software_version.is_none() {
             let version = self.response.as_ref().map(|response| response.software_version.clone());
@@ -226,6 +230,8 @@
         }
         if self.may_have_stopped {
             Some("response ended after its run may have been stopped")
+        } else if !self.has_event {
+            Some("response ended before its first event")
         } else {
             end_check::doubt(&self.cx, &self.request, response).await
         }
@@ -236,6 +242,7 @@
         self.events.discard_incomplete();
         self.progress_at = Instant::now();
         self.may_have_stopped = false;
+        self.has_event = false;
         self.response.replace(response)
     }
 
