relay: a response of another media type does not continue a stream

Any success counted as a continuation. If the first response and the next one both state a media type, these have to be the same now; else the next server is tried.

The fault was constructed, not seen in a run of the users.

--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -7,7 +7,7 @@
 use crate::request::AdmittedRequest;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
 use pick::Choice;
 
@@ -86,6 +86,12 @@
     body.size_hint().exact().is_none() && !is_chunked
 }
 
+/// Returns the media type of a body in lower case, without parameters.
+pub(crate) fn media_type(headers: &HeaderMap) -> Option<String> {
+    let essence = headers.get(CONTENT_TYPE)?.to_str().ok()?.split(';').next()?;
+    Some(essence.trim().to_ascii_lowercase())
+}
+
 /// Hop-by-hop headers besides `connection` and `transfer-encoding`.
 const HOP_BY_HOP_HEADERS: [&str; 7] = [
     "keep-alive",
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,7 +9,7 @@
 use crate::end_check;
 use crate::events::EventSplitter;
 use crate::forward;
-use crate::headers::forwarded_reply;
+use crate::headers::{forwarded_reply, media_type};
 use crate::origins;
 use crate::paths;
 use crate::pool::release_connection;
@@ -41,6 +41,8 @@
     chunks: u64,
     /// Whether the present response has brought an event.
     has_event: bool,
+    /// Media type of the first response, if it stated one.
+    media_type: Option<String>,
     /// Software version of the server that wrote the first event which the caller got. The output of
     /// two versions does not fit together, so that only servers of this version can go on.
     software_version: Option<Name>,
@@ -82,6 +84,7 @@
     let tried = vec![response.guard.server.clone()];
     let history = AttemptHistory { runs: history.runs + 1, ..history };
     let software_version = request.software_version.clone();
+    let media_type = media_type(response.head.headers());
     let events = EventSplitter::default();
     let departures_changed = cx.departures_changed.subscribe();
     let relay = StreamRelay {
@@ -93,6 +96,7 @@
         events,
         chunks: 0,
         has_event: false,
+        media_type,
         software_version,
         departures_changed,
         departing_server: None,
@@ -237,6 +241,17 @@
         }
     }
 
+    /// Whether a response can go on with the stream.
+    fn is_continuation(&self, response: &ServerResponse) -> bool {
+        let stated = media_type(response.head.headers());
+        let is_foreign = stated.is_some() && self.media_type.is_some() && stated != self.media_type;
+        if is_foreign {
+            info!(self.cx.log, "no continuation"; "request" => self.request.id_text(),
+                "server" => %response.guard.server, "media_type" => stated);
+        }
+        response.head.status().is_success() && !is_foreign
+    }
+
     /// Goes on with the response of another server. Nothing of the previous response is read any more.
     fn replace_response(&mut self, response: ServerResponse) -> Option<ServerResponse> {
         self.events.discard_incomplete();
@@ -308,7 +323,7 @@
             self.history.runs += 1;
         }
         let is_replaced = match attempted {
-            Ok(Attempt::Answered(response)) if response.head.status().is_success() => {
+            Ok(Attempt::Answered(response)) if self.is_continuation(&response) => {
                 if let Some(previous) = self.replace_response(*response) {
                     previous.guard.outcome.set(Outcome::Failed);
                 }
@@ -360,7 +375,7 @@
             self.history.sends += 1;
             let resume = self.resume_point();
             match try_target(&cx, &request, &target, &resume, self.history).await {
-                Attempt::Answered(response) if response.head.status().is_success() => {
+                Attempt::Answered(response) if self.is_continuation(&response) => {
                     self.history.runs += 1;
                     info!(cx.log, "stream goes on"; "request" => request.id_text(),
                         "server" => %target.name(), "chunks" => self.chunks);
--- a/crates/relay/src/stream/moving.rs
+++ b/crates/relay/src/stream/moving.rs
@@ -46,7 +46,7 @@
         };
         let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
         let response = match attempted {
-            Attempt::Answered(response) if response.head.status().is_success() => Some(*response),
+            Attempt::Answered(response) if self.is_continuation(&response) => Some(*response),
             _ => None,
         };
         info!(cx.log, "stream moved"; "request" => request.id_text(), "server" => %from,
