relay: a planned stop cuts off no request that was sent to a server late

Here: a stream whose body came slowly was sent to a server 1.5 s into a grace of 3 s, although streams are refused after a quarter of it; a request that was open at the exit, or whose body was still awaited, got no answer at all.

Cause: whether a request is taken was decided once, when its head had arrived, but it was sent after its body, its version and its quota had been waited for. The deadline of a request was allowed to be the time of the exit, which leaves no time to write its answer. Nothing failed open requests before the exit. For a grace over 12 s streams were taken after the 3 s in which a stop excuses that they are cut, and for one under 2.4 s the exit came before its last sixth.

Class: a decision that is made once and holds while its reason changes.

Fix: the decision is asked for again right before the request is sent, with the time that it has left, and its quota is refunded if it is refused. All answers are due 0.1 s before the exit; a request without one gets 503 if it was not sent yet, or 504. Both margins shrink with the grace. The same holds for requests that other entries pass on, whose senders are told that they were not taken over.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -177,7 +177,7 @@
     pub(crate) blocked_connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Schedule and start of the planned stop.
-    pub(crate) shutdown: Cell<Option<(Shutdown, Instant)>>,
+    pub(crate) shutdown: watch::Sender<Option<(Shutdown, Instant)>>,
     /// Whether the store answers this entry.
     pub(crate) store_health: Cell<StoreHealth>,
     /// Number of restores of the store as of its newest answer; `None` before one has told.
@@ -300,7 +300,7 @@
             open_requests: Cell::new(0),
             blocked_connections: Cell::new(0),
             stopping: Cell::new(false),
-            shutdown: Cell::default(),
+            shutdown: watch::Sender::new(None),
             store_health: Cell::default(),
             restores: Cell::new(None),
             restore: Cell::new(None),
--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::dispatch;
 use crate::entry_headers as fields;
 use crate::paths;
+use crate::planned_stop;
 use crate::reply::error_reply;
 use crate::request::AdmittedRequest;
 use crate::serve::read_body;
@@ -95,10 +96,8 @@
     }
     let names = cx.protocol.names();
     let deadline_ms = fields::number(&headers, &names.deadline).ok_or("the deadline is missing")?;
-    let timeout = Duration::from_millis(deadline_ms);
-    if cx.shutdown.get().is_some_and(|(shutdown, began)| {
-        !shutdown.accepts(route.retry_policy.is_stream(), timeout, began.elapsed())
-    }) {
+    let deadline = started + Duration::from_millis(deadline_ms);
+    if !planned_stop::accepts(cx, &route, deadline) {
         return Err("the entry is leaving");
     }
     let runs_before = fields::number(&headers, &fields::RUNS).unwrap_or(0) as u32;
@@ -108,6 +107,9 @@
     let priority = organisation.as_ref().and_then(|owner| owner.priority).unwrap_or(route.priority);
     let body = read_body(body, rules.limits.max_body_bytes).await;
     let body = body.map_err(|_| "the body is incomplete")?;
+    if !planned_stop::accepts(cx, &route, deadline) {
+        return Err("the entry is leaving");
+    }
     headers.remove(CONTENT_LENGTH);
     headers.remove(hyper::header::CONNECTION);
     fields::strip(&mut headers);
@@ -130,7 +132,7 @@
         priority,
         software_version,
         started,
-        deadline: started + timeout,
+        deadline,
         usage_counted: Cell::new(runs_before > 0),
         mark,
         rules_version: rules.version,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod path_probe;
 mod paths;
 mod peers;
+mod planned_stop;
 mod pool;
 mod protocol;
 mod quarantine;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -161,7 +161,7 @@
     let schedule = Shutdown::new(cx.settings.promises.grace);
     let began = Instant::now();
     cx.stopping.set(true);
-    cx.shutdown.set(Some((schedule, began)));
+    cx.shutdown.send_replace(Some((schedule, began)));
     info!(cx.log, "stopping"; "open" => cx.open_requests.get());
     let unfinished = || cx.open_requests.get() + cx.blocked_connections.get();
     while schedule.next_step(unfinished(), began.elapsed()) == ShutdownStep::Serve {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::forwarded;
 use crate::headers::{LAST_EVENT_ID, strip_hop_by_hop_headers};
 use crate::origins;
+use crate::planned_stop;
 use crate::pool::set_socket_options;
 use crate::quota_exchange;
 use crate::reply::{empty_reply, error_reply};
@@ -25,7 +26,7 @@
 use hyper_util::rt::TokioTimer;
 use kernel::boot_ms;
 use kernel::prelude::*;
-use rules::{RetryPolicy, Route};
+use rules::{Quota, RetryPolicy, Route};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -187,12 +188,56 @@
     })
 }
 
+/// Serves a request. One that has no answer when the entry is about to exit gets a failure instead.
 async fn admit_and_dispatch(
     cx: &Rc<Context>,
     parts: Parts,
     body: Incoming,
     started: Instant,
 ) -> Result<(Reply, Option<Code>), Failure> {
+    let (request, charge) = tokio::select! {
+        biased;
+        admitted = admit_request(cx, parts, body, started) => admitted?,
+        () = planned_stop::wait_until_answers_due(cx) => return Err(leaving("the entry exits")),
+    };
+    let request = Rc::new(request);
+    let (reply, code) = tokio::select! {
+        biased;
+        served = dispatch(cx, request.clone()) => served,
+        () = planned_stop::wait_until_answers_due(cx) => {
+            let context = format!("{}: the entry exits", request.id_text());
+            return Err(Failure::new(Code::DeadlinePassed, context));
+        }
+    };
+    if code.is_some_and(|code| code.outcome() == kernel::Outcome::NotRun) {
+        charge.refund(cx);
+    }
+    Ok((reply, code))
+}
+
+fn leaving(context: impl Into<String>) -> Failure {
+    Failure::new(Code::Leaving, context).retry_after(LEAVING_RETRY_AFTER)
+}
+
+/// Quota units that a request was charged.
+struct Charge(Option<(Name, Quota, f64)>);
+
+impl Charge {
+    /// Returns the units, as the request has not run.
+    fn refund(&self, cx: &Context) {
+        if let Some((organisation, quota, units)) = &self.0 {
+            cx.quota_shares.borrow_mut().refund(organisation, quota, *units, boot_ms());
+        }
+    }
+}
+
+/// Admits a request: reads its body and charges its organisation.
+async fn admit_request(
+    cx: &Rc<Context>,
+    parts: Parts,
+    body: Incoming,
+    started: Instant,
+) -> Result<(AdmittedRequest, Charge), Failure> {
     let Parts { method, uri, mut headers, .. } = parts;
     let header_bytes = header_bytes(&uri, &headers);
     if header_bytes > cx.rules.borrow().limits.max_header_bytes {
@@ -211,37 +256,32 @@
         }
     })?;
     let Admitted { rules, route, organisation, prompt, priority, timeout_ms } = admitted;
-    let timeout = Duration::from_millis(timeout_ms.min(route.timeout_ms));
-    if cx.shutdown.get().is_some_and(|(shutdown, began)| {
-        !shutdown.accepts(route.retry_policy.is_stream(), timeout, began.elapsed())
-    }) {
-        return Err(Failure::new(Code::Leaving, host).retry_after(LEAVING_RETRY_AFTER));
+    let deadline = started + Duration::from_millis(timeout_ms.min(route.timeout_ms));
+    if !planned_stop::accepts(cx, &route, deadline) {
+        return Err(leaving(host));
     }
     let body = read_body(body, rules.limits.max_body_bytes).await?;
     let service = route.choose_service(rand::random()).cloned();
     let service = service.ok_or_else(|| Failure::new(Code::NoServer, route.name.as_str()))?;
     let software_version = version_to_resume(cx, &route, &service, &headers).await?;
-    let quota = organisation.as_ref().and_then(|o| o.quota.map(|quota| (o.name.clone(), quota)));
     let tokens = prompt.as_ref().map(|prompt| prompt.tokens + prompt.answer_tokens);
-    if let Some((organisation_name, quota)) = &quota {
-        let cost = quota.cost(tokens);
-        quota_exchange::charge(cx, organisation_name, quota, cost, route.target_latency_ms).await?;
+    let charge = Charge(organisation.as_ref().and_then(|organisation| {
+        let quota = organisation.quota?;
+        Some((organisation.name.clone(), quota, quota.cost(tokens)))
+    }));
+    if let Charge(Some((organisation, quota, units))) = &charge {
+        quota_exchange::charge(cx, organisation, quota, *units, route.target_latency_ms).await?;
     }
-    let refund = || {
-        if let Some((organisation_name, quota)) = &quota {
-            cx.quota_shares.borrow_mut().refund(
-                organisation_name,
-                quota,
-                quota.cost(tokens),
-                boot_ms(),
-            );
-        }
-    };
-    // The rules may have become stale while the request waited for its body or for quota.
+    // The rules may have become stale, and the entry may have begun to stop, while the request waited for its body or
+    // for quota.
     if organisation.is_some() && !cx.is_fresh() {
-        refund();
+        charge.refund(cx);
         return Err(Failure::new(Code::RulesStale, host).retry_after(STALE_RULES_RETRY_AFTER));
     }
+    if !planned_stop::accepts(cx, &route, deadline) {
+        charge.refund(cx);
+        return Err(leaving(host));
+    }
     cx.retry_budget.borrow_mut().record_request(&service, boot_ms());
     let names = cx.protocol.names();
     let id = headers.get(&names.request).cloned().unwrap_or(HeaderValue::from_static(""));
@@ -274,7 +314,7 @@
         priority,
         software_version,
         started,
-        deadline: started + timeout,
+        deadline,
         usage_counted: Cell::new(false),
         mark,
         rules_version: rules.version,
@@ -282,11 +322,7 @@
         runs_before: 0,
         route,
     };
-    let (reply, code) = dispatch(cx, Rc::new(request)).await;
-    if code.is_some_and(|code| code.outcome() == kernel::Outcome::NotRun) {
-        refund();
-    }
-    Ok((reply, code))
+    Ok((request, charge))
 }
 
 /// Returns the software version at which a stream has to go on that its caller resumes; `None` for any
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -4,12 +4,20 @@
 
 /// Time before the end of the grace period at which the process exits in any case.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the exit at which every request has its answer, which still has to be sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// Number of these margins that fit into the grace period at least: both together take no more than its last sixth, in
+/// which a stop may cut streams.
+const MIN_MARGINS: u32 = 12;
 /// Time after SIGTERM for which new callers are expected, because callers cache the replies of the
 /// directory.
 const NEW_CALLER_GRACE: Duration = Duration::from_millis(3_500);
 /// Fraction of the grace period after which new streams are refused. By then callers know other
 /// entries, and a later stream might not end in time.
 const STREAM_CUTOFF: f64 = 0.25;
+/// Time after SIGTERM from which a stop may not cut a new stream. It includes the time that SIGTERM and the stream take
+/// to arrive.
+const MAX_STREAM_CUTOFF: Duration = Duration::from_millis(2_500);
 
 /// Schedule of a planned stop; all times count from SIGTERM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,16 +40,21 @@
         Self { grace }
     }
 
-    /// Whether a request that arrives `elapsed` after SIGTERM is accepted.
+    /// Whether a request is accepted `elapsed` after SIGTERM, at which time it has this time left.
     ///
     /// Streams are accepted for a fixed time. Any other request is accepted if its timeout passes
     /// before the process exits, so that the stop cuts none off, however late a caller with an old
     /// reply of the directory comes.
     pub fn accepts(&self, is_stream: bool, timeout: Duration, elapsed: Duration) -> bool {
         if is_stream {
-            return elapsed < self.grace.mul_f64(STREAM_CUTOFF);
+            return elapsed < self.grace.mul_f64(STREAM_CUTOFF).min(MAX_STREAM_CUTOFF);
         }
-        elapsed + timeout <= self.exit_at()
+        elapsed + timeout <= self.answers_due_at()
+    }
+
+    /// Returns the time after SIGTERM at which a request without an answer is failed.
+    pub fn answers_due_at(&self) -> Duration {
+        self.exit_at().saturating_sub(ANSWER_MARGIN.min(self.grace / MIN_MARGINS))
     }
 
     /// Decides whether the entry exits, given the number of open requests.
@@ -52,6 +65,6 @@
     }
 
     fn exit_at(&self) -> Duration {
-        self.grace.saturating_sub(GRACE_MARGIN)
+        self.grace.saturating_sub(GRACE_MARGIN.min(self.grace / MIN_MARGINS))
     }
 }
