relay: the text of an error does not get into a stream as an event

What callers saw, by the report of another operator: a stream broke off, the next server answered with an error, and callers found its text in their stream, or the stream ended as if it were complete.

Cause: a response counted as a stream's if its status was a success and it bore the seal. A page of text/html, such as the text of an error, was split at its empty lines and passed on as events, and the end of its connection was the end of the stream.

Class: what a response is taken for is decided by its status alone.

Fix: a success that states another media type than text/event-stream is no answer to a stream, wherever the stream is sent: at first, when it is taken up within one answer or by its caller, for a silent server and through another entry. A response that states no media type is believed.

--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -1,15 +1,17 @@
 //! Where a request is sent next: to a server, or to an entry that reaches servers.
 
-use crate::attempt::AttemptHistory;
+use crate::attempt::{AttemptHistory, AttemptResult};
 use crate::context::Context;
 use crate::dispatch::{Attempt, ResumePoint, choose_server, try_server};
 use crate::forward::{choose_entry, try_entry};
 use crate::paths;
 use crate::request::AdmittedRequest;
 use coord::{Entry, Path};
+use hyper::Response;
+use hyper::header::CONTENT_TYPE;
 use kernel::boot_ms;
 use kernel::prelude::*;
-use pick::Choice;
+use pick::{Choice, Outcome};
 use std::rc::Rc;
 
 /// Where a request is sent next.
@@ -30,6 +32,8 @@
     }
 }
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Number of servers to which a request could not be connected, after which it is found out first whether any is
 /// reached.
 const MAX_FAILED_CONNECTIONS: usize = 3;
@@ -90,8 +94,30 @@
     resume: &ResumePoint,
     history: AttemptHistory,
 ) -> Attempt {
-    match target {
+    let attempt = match target {
         Target::Server(choice) => try_server(cx, request, choice, resume, history).await,
         Target::Entry(entry) => try_entry(cx, request, entry, resume, history).await,
+    };
+    match attempt {
+        Attempt::Answered(response) if !is_stream_if_due(request, &response.head) => {
+            response.guard.outcome.set(Outcome::Failed);
+            info!(cx.log, "attempt ended"; "request" => request.id_text(), "server" => %target.name(),
+                "result" => "foreign", "cause" => "response to a stream is no event stream",
+                "left_ms" => request.remaining_ms(), "mark" => request.mark_text());
+            Attempt::NoResponse(AttemptResult::ResponseLost)
+        }
+        attempt => attempt,
+    }
+}
+
+/// Whether a response can be forwarded to a caller that expects events, if it does. A success of another media type is a
+/// page, or the text of an error, and no event is told from the next one in it.
+fn is_stream_if_due(request: &AdmittedRequest, head: &Response<()>) -> bool {
+    if !request.route.retry_policy.is_stream() || !head.status().is_success() {
+        return true;
     }
+    head.headers().get(CONTENT_TYPE).is_none_or(|media_type| {
+        let essence = media_type.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+        essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+    })
 }
