relay: streams whose events are larger than a megabyte arrive whole

What callers saw: a sound stream of events of 1.2 MB was cut, at an entry and at each further server, with "event is larger than the limit" in the log.

Cause: the limit of an event was 1 MiB, while a plain response may have 4 MiB. Whether an event of such a size passed depended on how its bytes were read.

Fix: one limit for both. Larger events still end a stream, which looks cut.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -3,8 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, in bytes. It equals that of a response that is read completely.
+const MAX_EVENT_BYTES: usize = 4 << 20;
 
 /// Splits a stream of bytes at the ends of its events.
 #[derive(Debug, Default)]
