relay: a body with an unknown transfer coding is not passed on as whole

Here: a success with "transfer-encoding: chunk", or another coding, was passed on with a length, its framing in the body; and a response 101 was passed on, after which the connection is no HTTP any more.

Cause: the HTTP library reads a body whose coding it does not know to the end of its connection. The entry took the header for a sign that the body was framed, removed it and stated the length of what had arrived.

Class: framing is taken from what a header is, and not from what it says.

Fix: such a response counts as broken off, where connections get their responses, so that it holds for servers and entries, for plain requests, streams and calls to move a stream.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderName};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
 use kernel::{Code, Failure};
@@ -194,16 +194,21 @@
         &mut self,
         req: ServerRequest,
     ) -> Result<Response<Incoming>, SendError> {
+        let failure = |code, cause: &dyn std::fmt::Display| {
+            Failure::new(code, format!("{}: {cause}", self.address))
+        };
         let sent = self.tx.try_send_request(req).await;
-        sent.map_err(|mut e| {
-            let failure =
-                |code, e: &hyper::Error| Failure::new(code, format!("{}: {e}", self.address));
+        let response = sent.map_err(|mut e| {
             if e.take_message().is_some() {
                 SendError::Unwritten(failure(Code::NotDispatched, e.error()))
             } else {
                 SendError::Broke(failure(Code::BackendBroke, e.error()))
             }
-        })
+        })?;
+        match framing_error(&response) {
+            Some(cause) => Err(SendError::Broke(failure(Code::BackendBroke, &cause))),
+            None => Ok(response),
+        }
     }
 }
 
@@ -249,10 +254,21 @@
     socket.set_tcp_user_timeout(Some(unacked_timeout))
 }
 
+/// Returns why the bytes after a head are not the body of its response; `None` if they are.
+///
+/// The HTTP library reads a body with an unknown transfer coding to the end of its connection, with the coding in it.
+fn framing_error(response: &Response<Incoming>) -> Option<&'static str> {
+    if response.status().is_informational() {
+        return Some("response switches to another protocol");
+    }
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let is_chunked = |coding: &HeaderValue| coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    (!codings.all(is_chunked)).then_some("response body has an unknown transfer coding")
+}
+
 /// Returns how long a connection may stay idle after a response; `None` if it must not be reused.
 fn reusable_for(headers: &HeaderMap) -> Option<Duration> {
-    let text =
-        |name| headers.get(name).and_then(|value: &hyper::header::HeaderValue| value.to_str().ok());
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     if text(CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
     }
