--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderName};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
 use kernel::{Code, Failure};
@@ -195,16 +195,21 @@
         &mut self,
         req: ServerRequest,
     ) -> Result<Response<Incoming>, SendError> {
+        let failure = |code, cause: &dyn std::fmt::Display| {
+            Failure::new(code, format!("{}: {cause}", self.address))
+        };
         let sent = self.tx.try_send_request(req).await;
-        sent.map_err(|mut e| {
-            let failure =
-                |code, e: &hyper::Error| Failure::new(code, format!("{}: {e}", self.address));
+        let response = sent.map_err(|mut e| {
             if e.take_message().is_some() {
                 SendError::Unwritten(failure(Code::NotDispatched, e.error()))
             } else {
                 SendError::Broke(failure(Code::BackendBroke, e.error()))
             }
-        })
+        })?;
+        match framing_error(&response) {
+            Some(cause) => Err(SendError::Broke(failure(Code::BackendBroke, &cause))),
+            None => Ok(response),
+        }
     }
 }
 
@@ -250,10 +255,31 @@
     socket.set_tcp_user_timeout(Some(unacked_timeout))
 }
 
+/// Returns why the bytes after a head are not the body of its response; `None` if they are.
+///
+/// The HTTP library reads a body with an unknown transfer coding to the end of its connection, with the coding in it.
+fn framing_error(response: &Response<Incoming>) -> Option<&'static str> {
+    if response.status().is_informational() {
+        return Some("response switches to another protocol");
+    }
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let is_known = |coding: &HeaderValue| is_chunked(coding) || is_identity(coding);
+    (!codings.all(is_known)).then_some("response body has an unknown transfer coding")
+}
+
+/// Whether a value of the transfer coding is that of chunks.
+pub(crate) fn is_chunked(coding: &HeaderValue) -> bool {
+    coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+}
+
+/// Whether a value of the transfer coding states that there is none.
+fn is_identity(coding: &HeaderValue) -> bool {
+    coding.as_bytes().eq_ignore_ascii_case(b"identity")
+}
+
 /// Returns how long a connection may stay idle after a response; `None` if it must not be reused.
 fn reusable_for(headers: &HeaderMap) -> Option<Duration> {
-    let text =
-        |name| headers.get(name).and_then(|value: &hyper::header::HeaderValue| value.to_str().ok());
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     if text(CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
     }
--- a/crates/relay/src/stream/moving.rs
+++ b/crates/relay/src/stream/moving.rs
@@ -1,10 +1,11 @@
 //! Moves a stream from a departing server to another one, with the KV cache of its run.
 
 use super::StreamRelay;
-use crate::dispatch::{Attempt, ResumePoint, choose_server, try_server};
+use crate::dispatch::{Attempt, ResumePoint, choose_server};
 use crate::move_call::{MoveResult, request_move};
 use crate::quarantine;
 use crate::retries;
+use crate::target::{Target, try_target};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::{Choice, Outcome};
@@ -44,13 +45,14 @@
             moved_from: Some(moved_from),
             software_version: None,
         };
-        let attempted = try_server(&cx, &request, &choice, &resume, self.history).await;
+        let target = Target::Server(choice);
+        let attempted = try_target(&cx, &request, &target, &resume, self.history).await;
         let response = match attempted {
-            Attempt::Answered(response) if self.is_continuation(&response) => Some(*response),
+            Attempt::Answered(response) if response.head.status().is_success() => Some(*response),
             _ => None,
         };
         info!(cx.log, "stream moved"; "request" => request.id_text(), "server" => %from,
-            "to" => %choice.id, "moved" => response.is_some(), "chunks" => self.chunks);
+            "to" => %target.name(), "moved" => response.is_some(), "chunks" => self.chunks);
         match response {
             Some(response) => {
                 // The stopped response was dropped above.
