relay: one server at most runs a request on a detour, and the sender decides about the next

What callers and servers saw: an entry that reaches no servers passes a stream on to another entry; the servers fall silent. The other entry goes on at a second server, the first entry replaces the silent stream at a third one, where the route allows two (BUDGET, the number of servers in one attempt).

Cause: two processes each spent the attempts of the route, and each knew only its own. The sender guessed what the other had used from whether it still listened, and not at all when it replaced a silent stream; if the other entry ended, its attempts were forgotten. Class: one limit, counted in two places, the count lost with one of them.

That a helping entry which ends lets a third server run a request is read from the code, not played.

Why it works: the sender states how many servers may run the request there (one), so that each detour is one attempt, counted where the limit is. The sender then also counts the usage, and takes retries after a failure there from its own share; a failure that may have run is a lost response to it, no longer the final answer. A sender of an earlier build states nothing and is served as before.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -8,7 +8,6 @@
 use crate::body::{Reply, full_body};
 use crate::context::Context;
 use crate::entry_headers;
-use crate::forward;
 use crate::headers::{build_server_request, forwarded_reply};
 use crate::limits::full_brittle_servers;
 use crate::path_probe;
@@ -83,7 +82,7 @@
     Answered(Box<ServerResponse>),
     /// There is no response to forward.
     NoResponse(AttemptResult),
-    /// Another entry could not get a response and reports the failure for the caller.
+    /// Another entry could not send the request to a server and reports the failure for the caller.
     Failed(Box<Reply>, Code),
 }
 
@@ -156,13 +155,6 @@
                 record_usage(cx, &request);
             }
         }
-        if let Target::Entry(entry) = &target
-            && !matches!(result, AttemptResult::Unsent | AttemptResult::NotRun)
-            && let Ok(address) = entry.peer.parse()
-        {
-            let is_lost = result == AttemptResult::ResponseLost;
-            history = forward::history_after(&request, history, address, is_lost).await;
-        }
         let mut step = next_step(
             result,
             request.route.retry_policy,
--- a/crates/relay/src/entry_headers.rs
+++ b/crates/relay/src/entry_headers.rs
@@ -14,6 +14,8 @@
 pub(crate) static ORGANISATION: HeaderName = HeaderName::from_static("entry-organisation");
 /// Number of servers that may have run the request before.
 pub(crate) static RUNS: HeaderName = HeaderName::from_static("entry-runs");
+/// Number of servers that may run the request at the receiver.
+pub(crate) static RUNS_ALLOWED: HeaderName = HeaderName::from_static("entry-runs-allowed");
 /// In a request, the version that began the stream; in a response, that of the server.
 pub(crate) static SOFTWARE_VERSION: HeaderName = HeaderName::from_static("entry-software-version");
 /// Server that responded.
@@ -23,12 +25,13 @@
 /// Result code of a request that the receiver took over and no server answered.
 pub(crate) static CODE: HeaderName = HeaderName::from_static("entry-code");
 
-static ALL: [&HeaderName; 9] = [
+static ALL: [&HeaderName; 10] = [
     &RULES_VERSION,
     &SENDER,
     &SERVICE,
     &ORGANISATION,
     &RUNS,
+    &RUNS_ALLOWED,
     &SOFTWARE_VERSION,
     &SERVER,
     &DECLINED,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::entry_headers as fields;
 use crate::headers::{LAST_EVENT_ID, forwarded_reply};
 use crate::peers::sample_live_peers;
-use crate::pool::{Reachability, SendError, ServerRequest, probe};
+use crate::pool::{SendError, ServerRequest};
 use crate::request::AdmittedRequest;
 use coord::Entry;
 use http_body_util::{BodyExt, Full, Limited};
@@ -26,9 +26,12 @@
 const MAX_REACHED_MS: Millis = 3_000;
 /// Maximum number of live entries from which one is chosen.
 const MAX_CANDIDATES: usize = 64;
-/// Multiple of the target latency after which another entry is tried, if the request may be repeated. It
-/// leaves the first one the time for two attempts.
-const TIMEOUT_FACTOR: u32 = 5;
+/// Number of servers that may run a request at the other entry. This entry decides about each further one, so that
+/// it knows their number even if the other entry ends.
+const RUNS_PER_DETOUR: u32 = 1;
+/// Multiple of the target latency after which a further attempt is made, if one is allowed. A detour takes longer than
+/// an attempt of this entry.
+const TIMEOUT_FACTOR: u32 = 3;
 /// Maximum size of the body of a failure that another entry reports, in bytes.
 const MAX_FAILURE_BYTES: usize = 64 << 10;
 
@@ -81,7 +84,7 @@
     };
     debug!(cx.log, "forwarded"; "request" => request.id_text(), "entry" => %entry.name,
         "service" => %request.service);
-    let sent = tokio::time::timeout(response_timeout(request), connection.send(req)).await;
+    let sent = tokio::time::timeout(response_timeout(request, history), connection.send(req)).await;
     let response = match sent {
         Err(_) => {
             return end(AttemptResult::ResponseLost, "late", "no response before the timeout");
@@ -101,11 +104,12 @@
         }
         return end(AttemptResult::Unsent, "declined", reason);
     }
-    // The other entry counts the run of the request.
-    request.usage_counted.set(true);
     if let Some(code) = fields::text(response.headers(), &fields::CODE) {
         // An unreadable code does not tell whether the request has run.
         let code = code.parse().ok().and_then(Code::from_number).unwrap_or(Code::BackendBroke);
+        if code.outcome() != kernel::Outcome::NotRun {
+            return end(AttemptResult::ResponseLost, "failed", code.title());
+        }
         return failed_there(cx, request, entry, response, code).await;
     }
     let names = cx.protocol.names();
@@ -141,22 +145,7 @@
     }))
 }
 
-/// Returns the history of a request after another entry took it over and its response is complete, or lost.
-///
-/// That entry has used all attempts which the route allows, unless it ended itself.
-pub(crate) async fn history_after(
-    request: &AdmittedRequest,
-    history: AttemptHistory,
-    entry: SocketAddr,
-    is_lost: bool,
-) -> AttemptHistory {
-    if is_lost && probe(entry).await != Reachability::Listening {
-        return history;
-    }
-    AttemptHistory { runs: history.runs.max(request.route.max_attempts), ..history }
-}
-
-/// Passes on the failure with which a request ended at the other entry.
+/// Passes on the failure with which a request ended at the other entry without having run.
 async fn failed_there(
     cx: &Context,
     request: &AdmittedRequest,
@@ -201,6 +190,7 @@
     headers.insert(&names.deadline, HeaderValue::from(request.remaining_ms()));
     headers.insert(&fields::RULES_VERSION, HeaderValue::from(request.rules_version));
     headers.insert(&fields::RUNS, HeaderValue::from(history.runs));
+    headers.insert(&fields::RUNS_ALLOWED, HeaderValue::from(RUNS_PER_DETOUR));
     fields::set(headers, &fields::SENDER, &cx.settings.name);
     fields::set(headers, &fields::SERVICE, &request.service);
     if let Some(organisation) = &request.organisation {
@@ -217,9 +207,11 @@
 }
 
 /// Returns the time in which the other entry has to send the head of the response.
-fn response_timeout(request: &AdmittedRequest) -> Duration {
+fn response_timeout(request: &AdmittedRequest, history: AttemptHistory) -> Duration {
     let remaining = request.deadline.saturating_duration_since(Instant::now());
-    if !request.route.retry_policy.is_retryable() {
+    if !request.route.retry_policy.is_retryable()
+        || history.runs + RUNS_PER_DETOUR >= request.route.max_attempts
+    {
         return remaining;
     }
     (TIMEOUT_FACTOR * Duration::from_millis(request.route.target_latency_ms)).min(remaining)
--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -74,7 +74,7 @@
         return Err("other rules are in force");
     }
     let route = rules.find_route(request_host(&uri, &headers), uri.path());
-    let route = route.ok_or("the route is unknown")?.clone();
+    let mut route = route.ok_or("the route is unknown")?.clone();
     let service = fields::name(&headers, &fields::SERVICE).ok_or("the service is missing")?;
     let organisation = match fields::text(&headers, &fields::ORGANISATION) {
         Some(name) => {
@@ -102,6 +102,11 @@
         return Err("the entry is leaving");
     }
     let runs_before = fields::number(&headers, &fields::RUNS).unwrap_or(0) as u32;
+    let runs_allowed = fields::number(&headers, &fields::RUNS_ALLOWED);
+    if let Some(runs) = runs_allowed {
+        let route = Arc::make_mut(&mut route);
+        route.max_attempts = route.max_attempts.min(runs_before + runs as u32);
+    }
     let software_version = fields::name(&headers, &fields::SOFTWARE_VERSION);
     let sender = fields::name(&headers, &fields::SENDER).unwrap_or_default();
     let prompt = cx.protocol.parse_prompt(&headers).filter(|_| route.has_prompt);
@@ -131,7 +136,8 @@
         software_version,
         started,
         deadline: started + timeout,
-        usage_counted: Cell::new(runs_before > 0),
+        // A sender that decides about each run also counts it.
+        usage_counted: Cell::new(runs_before > 0 || runs_allowed.is_some()),
         mark,
         rules_version: rules.version,
         sender: Some(sender),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,7 +7,6 @@
     Attempt, ResumePoint, ServerResponse, choose_server, record_usage, try_server,
 };
 use crate::events::EventSplitter;
-use crate::forward;
 use crate::headers::forwarded_reply;
 use crate::move_call::{MoveResult, request_move};
 use crate::origins;
@@ -155,11 +154,8 @@
     async fn read_input(&mut self) -> StreamInput {
         // After a failure the response was aborted and there is nothing left to read.
         let Some(response) = &mut self.response else { return StreamInput::End };
-        // Another entry replaces a silent server itself; it is replaced if it does not.
-        let extra = if response.is_forwarded { 2 * REPLACEMENT_TIMEOUT } else { Duration::ZERO };
         let read_until = match stall_timeout(&self.request, self.history, self.chunks) {
             Some(stall_timeout) if !self.ignores_stall => {
-                let stall_timeout = stall_timeout + extra;
                 self.request.deadline.min(self.progress_at + stall_timeout)
             }
             _ => self.request.deadline,
@@ -419,10 +415,7 @@
                 "answered_ms" => response.answered_at.elapsed().as_millis() as u64,
                 "parts" => self.request.prompt_parts(), "mark" => self.request.mark_text());
             let address = response.connection.address();
-            if response.is_forwarded {
-                self.history =
-                    forward::history_after(&self.request, self.history, address, true).await;
-            } else {
+            if !response.is_forwarded {
                 check_server(&self.cx, &response.guard.server, address);
             }
         }
@@ -443,10 +436,6 @@
                     drop(self.replace_response(*response));
                     return None;
                 }
-                // The other entry has used the attempts that were left.
-                Attempt::Failed(_, code) if code.outcome() != kernel::Outcome::NotRun => {
-                    return Some(Failure::new(Code::Incomplete, cause));
-                }
                 Attempt::Failed(..) => {}
                 Attempt::Answered(_) | Attempt::NoResponse(AttemptResult::ResponseLost) => {
                     self.history.runs += 1
