relay: nothing is sent after the deadline of a request

What callers saw: 504 for a request that no server had got, 100 ms and more after its deadline; 504 leaves open whether it has run.

Cause: the deadline was checked before a target is chosen. The wait for a decided path (up to 600 ms), the connection (300 ms) and a move (600 ms) come after it, and the wait did not end with the deadline.

Why it works: the check stands where the request is handed to a connection, which all ways of sending pass; the wait ends with the deadline.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -116,6 +116,9 @@
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::NoServer };
             return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         };
+        if request.remaining_ms() == 0 {
+            continue;
+        }
         // An entry that takes the request over counts its demand.
         if let (true, Target::Server(choice)) = (tried.is_empty(), &target) {
             record_demand(cx, &request, choice.uncached_tokens);
@@ -302,6 +305,11 @@
             "the server wants no requests",
         );
     }
+    if request.remaining_ms() == 0 {
+        cx.pool.give_back(connection);
+        let cause = "the deadline has passed";
+        return end(Outcome::Unknown, AttemptResult::Unsent, "expired", cause);
+    }
     let req = match build_server_request(cx, request, choice, resume) {
         Ok(req) => req,
         Err(e) => return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &e.to_string()),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -78,6 +78,10 @@
         Ok(connection) => connection,
         Err(failure) => return end(AttemptResult::Unsent, "unreachable", &failure.context),
     };
+    if request.remaining_ms() == 0 {
+        cx.pool.give_back(connection);
+        return end(AttemptResult::Unsent, "expired", "the deadline has passed");
+    }
     let req = match build_request(cx, request, resume, history) {
         Ok(req) => req,
         Err(e) => return end(AttemptResult::Unsent, "unsent", &e.to_string()),
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -121,9 +121,9 @@
     servers.iter().filter(|server| paths.has_failed(service, server)).count()
 }
 
-/// Waits until it is known whether this entry reaches the servers of a service, to which connections fail.
-/// Returns at once if there is no other entry to compare with.
-pub(crate) async fn settle(cx: &Context, service: &Name) {
+/// Waits until it is known whether this entry reaches the servers of a service, to which connections fail, or until
+/// `deadline`. Returns at once if there is no other entry to compare with.
+pub(crate) async fn settle(cx: &Context, service: &Name, deadline: Instant) {
     let undecided_since = || cx.server_paths.borrow().undecided_since(service);
     let Some(since) = undecided_since() else { return };
     if cx.roster.borrow().present().all(|entry| entry.name == cx.settings.name) {
@@ -134,7 +134,7 @@
     // The sender lives as long as the context.
     let settled = async { while undecided_since().is_some() && changed.changed().await.is_ok() {} };
     // A doubt that lasts longer is left as it is.
-    drop(tokio::time::timeout(left, settled).await);
+    drop(tokio::time::timeout_at(deadline.min(Instant::now() + left), settled).await);
 }
 
 /// Returns whether connections to servers of a service that broke at `broke_at` turn out to be those of this entry's
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -50,7 +50,7 @@
         return Some(target);
     }
     if failed > 0 && request.sender.is_none() {
-        paths::settle(cx, &request.service).await;
+        paths::settle(cx, &request.service, request.deadline).await;
     }
     target()
 }
