--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -9,7 +9,6 @@
 use crate::context::Context;
 use crate::end_check;
 use crate::entry_headers;
-use crate::forward;
 use crate::headers::{build_server_request, ends_with_connection, forwarded_reply};
 use crate::limits::full_brittle_servers;
 use crate::path_probe;
@@ -84,7 +83,7 @@
     Answered(Box<ServerResponse>),
     /// There is no response to forward.
     NoResponse(AttemptResult),
-    /// Another entry could not get a response and reports the failure for the caller.
+    /// Another entry could not send the request to a server and reports the failure for the caller.
     Failed(Box<Reply>, Code),
 }
 
@@ -118,6 +117,9 @@
             let code = if history.runs > 0 { Code::BackendBroke } else { Code::NoServer };
             return failure_reply(cx, &request, code, history, retry_after(cx, &request));
         };
+        if request.remaining_ms() == 0 {
+            continue;
+        }
         // An entry that takes the request over counts its demand.
         if let (true, Target::Server(choice)) = (tried.is_empty(), &target) {
             record_demand(cx, &request, choice.uncached_tokens);
@@ -157,13 +159,6 @@
                 record_usage(cx, &request);
             }
         }
-        if let Target::Entry(entry) = &target
-            && !matches!(result, AttemptResult::Unsent | AttemptResult::NotRun)
-            && let Ok(address) = entry.peer.parse()
-        {
-            let is_lost = result == AttemptResult::ResponseLost;
-            history = forward::history_after(&request, history, address, is_lost).await;
-        }
         let mut step = next_step(
             result,
             request.route.retry_policy,
@@ -311,6 +306,11 @@
             "the server wants no requests",
         );
     }
+    if request.remaining_ms() == 0 {
+        cx.pool.give_back(connection);
+        let cause = "the deadline has passed";
+        return end(Outcome::Unknown, AttemptResult::Unsent, "expired", cause);
+    }
     let req = match build_server_request(cx, request, choice, resume) {
         Ok(req) => req,
         Err(e) => return end(Outcome::Unknown, AttemptResult::Unsent, "unsent", &e.to_string()),
