--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -124,30 +124,25 @@
         if let (true, Target::Server(choice)) = (tried.is_empty(), &target) {
             record_demand(cx, &request, choice.uncached_tokens);
         }
-        tried.push(target.name().clone());
         history.sends += 1;
-        let (result, reply) =
-            match try_target(cx, &request, &target, &ResumePoint::default(), history).await {
-                Attempt::Failed(reply, code) => return (*reply, Some(code)),
-                Attempt::NoResponse(result) => (result, None),
-                Attempt::Answered(response) => {
-                    let status = response.head.status();
-                    if request.route.retry_policy.is_stream() && status.is_success() {
-                        cx.count_attempt("answered");
-                        return (
-                            stream::reply(cx.clone(), request.clone(), *response, history),
-                            None,
-                        );
-                    }
-                    match read_full_response(cx, &request, *response).await {
-                        Some(reply) if status.is_success() => {
-                            (AttemptResult::Succeeded, Some(reply))
-                        }
-                        Some(reply) => (AttemptResult::Failed(status), Some(reply)),
-                        None => (AttemptResult::ResponseLost, None),
-                    }
+        let attempt = try_target(cx, &request, &target, &ResumePoint::default(), history).await;
+        target.record_tried(&mut tried, &attempt);
+        let (result, reply) = match attempt {
+            Attempt::Failed(reply, code) => return (*reply, Some(code)),
+            Attempt::NoResponse(result) => (result, None),
+            Attempt::Answered(response) => {
+                let status = response.head.status();
+                if request.route.retry_policy.is_stream() && status.is_success() {
+                    cx.count_attempt("answered");
+                    return (stream::reply(cx.clone(), request.clone(), *response, history), None);
                 }
-            };
+                match read_full_response(cx, &request, *response).await {
+                    Some(reply) if status.is_success() => (AttemptResult::Succeeded, Some(reply)),
+                    Some(reply) => (AttemptResult::Failed(status), Some(reply)),
+                    None => (AttemptResult::ResponseLost, None),
+                }
+            }
+        };
         if matches!(
             result,
             AttemptResult::ResponseLost | AttemptResult::Succeeded | AttemptResult::Failed(_)
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -78,7 +78,9 @@
     let mut head = response.head.clone();
     // A stream that resumes elsewhere may differ in length from what the first server stated.
     head.headers_mut().remove(CONTENT_LENGTH);
-    let tried = vec![response.guard.server.clone()];
+    // Another entry may send the rest of the stream to another server.
+    let tried =
+        if response.is_forwarded { Vec::new() } else { vec![response.guard.server.clone()] };
     let history = AttemptHistory { runs: history.runs + 1, ..history };
     let software_version = request.software_version.clone();
     let events = EventSplitter::default();
@@ -268,8 +270,11 @@
         if !matches!(step, NextStep::Retry { .. }) {
             return None;
         }
-        let last = self.tried.last()?;
-        if quarantine::is_held_after(cx, request, last).await {
+        let is_held = match self.tried.last() {
+            Some(last) => quarantine::is_held_after(cx, request, last).await,
+            None => quarantine::is_held(cx, request),
+        };
+        if is_held {
             return None;
         }
         let software_version = self.software_version.as_ref();
@@ -288,7 +293,6 @@
     async fn replace_stalled_server(&mut self) -> bool {
         let Some(target) = self.next_target().await else { return false };
         let (request, cx) = (self.request.clone(), self.cx.clone());
-        self.tried.push(target.name().clone());
         self.history.sends += 1;
         let resume = self.resume_point();
         let started = Instant::now();
@@ -296,15 +300,15 @@
             REPLACEMENT_TIMEOUT,
             try_target(&cx, &request, &target, &resume, self.history),
         )
-        .await;
-        if !matches!(
-            attempted,
-            Ok(Attempt::NoResponse(AttemptResult::Unsent | AttemptResult::NotRun))
-        ) {
+        .await
+        .unwrap_or(Attempt::NoResponse(AttemptResult::ResponseLost));
+        target.record_tried(&mut self.tried, &attempted);
+        if !matches!(attempted, Attempt::NoResponse(AttemptResult::Unsent | AttemptResult::NotRun))
+        {
             self.history.runs += 1;
         }
         let is_replaced = match attempted {
-            Ok(Attempt::Answered(response)) if response.head.status().is_success() => {
+            Attempt::Answered(response) if response.head.status().is_success() => {
                 if let Some(previous) = self.replace_response(*response) {
                     previous.guard.outcome.set(Outcome::Failed);
                 }
@@ -349,10 +353,11 @@
             let Some(target) = self.next_target().await else {
                 return Some(Failure::new(Code::Incomplete, cause));
             };
-            self.tried.push(target.name().clone());
             self.history.sends += 1;
             let resume = self.resume_point();
-            match try_target(&cx, &request, &target, &resume, self.history).await {
+            let attempt = try_target(&cx, &request, &target, &resume, self.history).await;
+            target.record_tried(&mut self.tried, &attempt);
+            match attempt {
                 Attempt::Answered(response) if response.head.status().is_success() => {
                     self.history.runs += 1;
                     info!(cx.log, "stream goes on"; "request" => request.id_text(),
--- a/crates/relay/src/target.rs
+++ b/crates/relay/src/target.rs
@@ -30,6 +30,18 @@
             Self::Entry(entry) => &entry.name,
         }
     }
+
+    /// Records that a request was sent here, so that it goes elsewhere next. Another entry knows several servers, and is
+    /// of no use only if it did not take the request over.
+    pub(crate) fn record_tried(&self, tried: &mut Vec<Name>, attempt: &Attempt) {
+        let has_taken_over = matches!(
+            attempt,
+            Attempt::Answered(_) | Attempt::NoResponse(AttemptResult::ResponseLost)
+        );
+        if matches!(self, Self::Server(_)) || !has_taken_over {
+            tried.push(self.name().clone());
+        }
+    }
 }
 
 /// Media type of event streams.
