relay: what is no event of a stream is not passed on in it

What callers saw, by the report of another operator: the text of an error, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete. Here: the head and the text of an error that a server wrote behind the events of an unframed answer, if it ended with an empty line; the text of an error in a sealed success without a media type, and with one after a move; and events that came twice from a server that began the stream again instead of going on after Last-Event-Id.

Cause: whatever ended with an empty line was an event.

Fix: the splitter passes on blocks that have a field of an event, or are empty, and whose ID, if both are numbers, is above the last one; the protocol says that IDs increase. It holds back everything from the first other block on, so that the existing ways to go on at another server, or to cut the stream, apply. A stream that its caller takes up begins after the ID that the caller named.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -8,7 +8,7 @@
 };
 use crate::events::EventSplitter;
 use crate::forward;
-use crate::headers::forwarded_reply;
+use crate::headers::{LAST_EVENT_ID, forwarded_reply};
 use crate::move_call::{MoveResult, request_move};
 use crate::origins;
 use crate::paths;
@@ -81,7 +81,8 @@
     let tried = vec![response.guard.server.clone()];
     let history = AttemptHistory { runs: history.runs + 1, ..history };
     let software_version = request.software_version.clone();
-    let events = EventSplitter::default();
+    let is_resumable = request.route.retry_policy.is_retryable();
+    let events = EventSplitter::after(request.headers.get(LAST_EVENT_ID).filter(|_| is_resumable));
     let departures_changed = cx.departures_changed.subscribe();
     let relay = StreamRelay {
         cx,
@@ -116,9 +117,8 @@
                     if !complete.is_empty() {
                         return Some(Ok(complete));
                     }
-                    if self.events.is_oversized()
-                        && let Some(failure) =
-                            self.resume_elsewhere("event is larger than the limit".into()).await
+                    if let Some(cause) = self.events.invalid()
+                        && let Some(failure) = self.resume_elsewhere(cause.into()).await
                     {
                         return Some(Err(failure));
                     }
