--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -1,6 +1,7 @@
 //! Shared state of one entry, read and updated by all of its tasks and requests.
 
 use crate::change_log::ChangeLog;
+use crate::end_check::LifeQueries;
 use crate::origin_store::OriginStore;
 use crate::origins::{PendingQuery, ServedVersions};
 use crate::peers::Peers;
@@ -72,10 +73,12 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     forwarded: Counter<u64>,
+    life_queries: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers: Gauge<u64>,
     entries: Gauge<u64>,
+    retry_share: Gauge<u64>,
     quarantined: Gauge<u64>,
     services_cut: Gauge<u64>,
     open: Gauge<u64>,
@@ -160,7 +163,9 @@
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
     /// Servers for which a check is under way whether they have ended.
     pub(crate) servers_checked: RefCell<BTreeSet<Name>>,
-    /// Signals the end of such a check.
+    /// Queries whether servers still run.
+    pub(crate) life_queries: LifeQueries,
+    /// Signals the end of a check in `servers_checked`.
     pub(crate) server_check_ended: Notify,
     /// Recent changes of the servers' registrations.
     pub(crate) server_changes: RefCell<ChangeLog>,
@@ -177,7 +182,7 @@
     pub(crate) blocked_connections: Cell<u32>,
     pub(crate) stopping: Cell<bool>,
     /// Schedule and start of the planned stop.
-    pub(crate) shutdown: Cell<Option<(Shutdown, Instant)>>,
+    pub(crate) shutdown: watch::Sender<Option<(Shutdown, Instant)>>,
     /// Whether the store answers this entry.
     pub(crate) store_health: Cell<StoreHealth>,
     /// Number of restores of the store as of its newest answer; `None` before one has told.
@@ -234,10 +239,14 @@
                 "forwarded",
                 "Requests passed on to another entry or taken over from one, by result",
             ),
+            life_queries: metrics
+                .counter("life_queries", "Queries whether a server still runs, by result"),
             first_byte: metrics
                 .seconds("first_byte", "Time until the head of the answer was ready"),
             servers: metrics.gauge("servers_known", "Backend servers that may take work"),
             entries: metrics.gauge("entries_known", "Entries that share limits"),
+            retry_share: metrics
+                .gauge("retry_share_held", "1 while this entry holds a share of the retry slack"),
             quarantined: metrics
                 .gauge("quarantined", "Requests and prompt parts under which servers crash"),
             services_cut: metrics
@@ -291,6 +300,7 @@
             servers_followed_at: Cell::default(),
             missing_servers: RefCell::default(),
             servers_checked: RefCell::default(),
+            life_queries: LifeQueries::default(),
             server_check_ended: Notify::new(),
             server_changes: RefCell::default(),
             live_changes: RefCell::default(),
@@ -300,7 +310,7 @@
             open_requests: Cell::new(0),
             blocked_connections: Cell::new(0),
             stopping: Cell::new(false),
-            shutdown: Cell::default(),
+            shutdown: watch::Sender::new(None),
             store_health: Cell::default(),
             restores: Cell::new(None),
             restore: Cell::new(None),
@@ -400,6 +410,7 @@
         let servers = self.picker.borrow().servers().filter(|server| !server.is_leaving()).count();
         self.meters.servers.record(servers as u64, &[]);
         self.meters.entries.record(self.roster.borrow_mut().share_count(now) as u64, &[]);
+        self.meters.retry_share.record(u64::from(self.was_counted.get()), &[]);
         self.meters.quarantined.record(self.quarantine.borrow().held_count() as u64, &[]);
         let services_cut = self.server_paths.borrow().cut_services().count();
         self.meters.services_cut.record(services_cut as u64, &[]);
@@ -430,6 +441,10 @@
         self.meters.forwarded.add(1, &labels);
     }
 
+    pub(crate) fn count_life_query(&self, result: &'static str) {
+        self.meters.life_queries.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn record_first_byte(&self, elapsed: Duration) {
         self.meters.first_byte.record(elapsed.as_secs_f64(), &[]);
     }
