relay: a response waits for its own query when an earlier one to its server was slow

A response that ended while an earlier query was under way had only the rest of 300 ms for its own, so that a server slower than about 150 ms would have been doubted although it ran (read from the code, not seen). Each query has its 300 ms now, within the request's deadline.

--- a/crates/relay/src/end_check.rs
+++ b/crates/relay/src/end_check.rs
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Maximum time for a server to show that it still runs.
+/// Maximum time of a query. A response may have to wait for one that was sent too early, and then for its own.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Number of times that a server is asked while it closes the connections: it may have too many of them.
 const MAX_QUERIES: u32 = 3;
@@ -86,9 +86,9 @@
         return Some("response of another entry ended with its connection");
     }
     let ended_at = Instant::now();
-    let until = request.deadline.min(ended_at + CHECK_TIMEOUT);
     let (server, address) = (&response.guard.server, response.connection.address());
-    let life = tokio::time::timeout_at(until, life_after(cx, server, address, ended_at)).await;
+    let life = life_after(cx, server, address, ended_at);
+    let life = tokio::time::timeout_at(request.deadline, life).await;
     match life.unwrap_or(ServerLife::Silent) {
         ServerLife::Runs => None,
         ServerLife::Replaced => Some("response ended with its server, which was replaced"),
