relay: a refused move whose answer is cut off may have stopped the run

A refusal that only its connection ended tells nothing now, so that the end of the old response is no end of the stream.

--- a/crates/relay/src/move_call.rs
+++ b/crates/relay/src/move_call.rs
@@ -1,6 +1,7 @@
 //! The call with which an engine moves a run to another one.
 
 use crate::context::Context;
+use crate::headers::ends_with_connection;
 use crate::pool::SendError;
 use crate::request::AdmittedRequest;
 use bytes::Bytes;
@@ -55,6 +56,7 @@
             Err(SendError::Broke(failure)) => return MoveResult::Unknown(failure.context),
         };
         let (head, body) = response.into_parts();
+        let may_be_cut = ends_with_connection(&head.headers, &body);
         let body = match Limited::new(body, MAX_MOVE_REPLY_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) => return MoveResult::Unknown(e.to_string()),
@@ -67,6 +69,8 @@
             // An engine that stopped the run and could not copy its KV cache names the one that it keeps.
             return if cx.protocol.parse_move_reply(at, &body).is_some() {
                 MoveResult::Stopped(cause)
+            } else if may_be_cut {
+                MoveResult::Unknown(cause)
             } else {
                 MoveResult::NotStopped(cause)
             };
