--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -262,9 +262,12 @@
     if response.status().is_informational() {
         return Some("response switches to another protocol");
     }
-    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
-    let is_known = |coding: &HeaderValue| is_chunked(coding) || is_identity(coding);
-    (!codings.all(is_known)).then_some("response body has an unknown transfer coding")
+    let codings: Vec<&HeaderValue> = response.headers().get_all(TRANSFER_ENCODING).iter().collect();
+    let is_known = match codings[..] {
+        [coding] => is_chunked(coding) || is_identity(coding),
+        _ => codings.iter().all(|coding| is_identity(coding)),
+    };
+    (!is_known).then_some("response body has an unknown transfer coding")
 }
 
 /// Whether a value of the transfer coding is that of chunks.
