relay: an answer that may run once waits longer for its server to show that it runs

A query may take 1 s; a request that may be repeated still goes elsewhere after 600 ms, any other one waits up to 2 s, within its deadline.

--- a/crates/relay/src/end_check.rs
+++ b/crates/relay/src/end_check.rs
@@ -22,8 +22,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Maximum time of a query. A response may have to wait for one that was sent too early, and then for its own.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time of a query.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum time for which the response to a request that may be repeated waits for a query.
+const MAX_WAIT: Duration = Duration::from_millis(600);
+/// The same for any other request, which fails otherwise. It may wait for a query that was sent too early, and then for its
+/// own.
+const MAX_WAIT_ONCE: Duration = Duration::from_millis(2_000);
 /// Number of times that a server is asked while it closes the connections: it may have too many of them.
 const MAX_QUERIES: u32 = 3;
 /// Pause between two queries.
@@ -88,7 +93,10 @@
     let ended_at = Instant::now();
     let (server, address) = (&response.guard.server, response.connection.address());
     let life = life_after(cx, server, address, ended_at);
-    let life = tokio::time::timeout_at(request.deadline, life).await;
+    let is_repeatable = request.route.retry_policy.is_retryable();
+    let until =
+        request.deadline.min(ended_at + if is_repeatable { MAX_WAIT } else { MAX_WAIT_ONCE });
+    let life = tokio::time::timeout_at(until, life).await;
     match life.unwrap_or(ServerLife::Silent) {
         ServerLife::Runs => None,
         ServerLife::Replaced => Some("response ended with its server, which was replaced"),
@@ -131,7 +139,7 @@
         let asked = async {
             if is_paused { hold(address).await } else { ask(&cx, &server, address).await }
         };
-        let asked = tokio::time::timeout(CHECK_TIMEOUT, asked).await;
+        let asked = tokio::time::timeout(QUERY_TIMEOUT, asked).await;
         let life = asked.unwrap_or(ServerLife::Silent);
         cx.count_life_query(life.label());
         info!(cx.log, "server asked"; "server" => %server, "result" => life.label(),
