--- a/crates/pick/src/choose.rs
+++ b/crates/pick/src/choose.rs
@@ -142,7 +142,7 @@
     pub open: u32,
     /// Number of servers that were considered.
     pub candidates: usize,
-    /// Whether the request could be sent to another server as well.
+    /// Whether the request could be sent to another server as well, now or once that one has room or wants requests again.
     pub has_alternative: bool,
     /// Reason for the choice.
     pub reason: ChoiceReason,
@@ -176,17 +176,19 @@
 impl Picker {
     /// Chooses a server; returns `None` if no server of the service accepts new requests.
     pub fn choose(&self, requirements: &Requirements<'_>, now: Millis) -> Option<Choice> {
-        let is_eligible = |server: &&Server| {
+        let is_possible = |server: &&Server| {
             server.info.service == *requirements.service
                 && !server.is_leaving()
-                && !server.is_paused(now)
                 && requirements
                     .software_version
                     .is_none_or(|version| *version == server.info.software_version)
                 && !requirements.tried.contains(&server.info.id)
-                && !requirements.exhausted.contains(&server.info.id)
         };
-        let eligible: Vec<&Server> = self.servers().filter(is_eligible).collect();
+        let possible: Vec<&Server> = self.servers().filter(is_possible).collect();
+        let is_eligible = |server: &&&Server| {
+            !server.is_paused(now) && !requirements.exhausted.contains(&server.info.id)
+        };
+        let eligible: Vec<&Server> = possible.iter().filter(is_eligible).copied().collect();
         let outcomes = self.service_outcomes(requirements.service, now);
         // Servers that have ended have no load, so that one request would try them one after another.
         let met_doubt = requirements.tried.iter().any(|id| self.is_in_doubt(id));
@@ -219,7 +221,7 @@
                 .map(|other| other.info.address),
             open: best.server.load().open,
             candidates: candidates.len(),
-            has_alternative: eligible.len() > 1,
+            has_alternative: possible.len() > 1,
             reason,
         })
     }
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -116,6 +116,19 @@
     assert_ne!(next.copy_from, Some(primary.address));
 }
 
+// Guards against an attempt that is held to its deadline although another server wants requests again meanwhile.
+#[test]
+fn a_server_that_wants_no_requests_now_is_an_alternative_and_a_tried_one_is_not() {
+    let mut picker = picker(&["s1", "s2"]);
+    let prompt = prompt(10);
+    let first = choose(&picker, Some(&prompt), &[], 1);
+    assert!(first.has_alternative);
+    let other = choose(&picker, Some(&prompt), &[first.id.clone()], 1);
+    assert!(!other.has_alternative);
+    picker.record_pause(&first.id, 2_000, 0);
+    assert!(choose(&picker, Some(&prompt), &[], 1).has_alternative);
+}
+
 #[test]
 fn an_idle_primary_is_preferred_to_a_server_that_would_copy() {
     let mut picker = picker(&["s1", "s2", "s3", "s4"]);
