relay: no start gives the retries of a whole window (BUDGET)

What callers saw: repeats beyond the budget, where all entries end before the first history of versions is in the store and start again with the settings of their first start.

Cause: a start that the store did not contradict was taken for the first, and each of those gave the retries of a whole window. Class: evidence of the past that is written after the past has happened.

Why it works: retries accrue from each start on, so that nothing depends on which start is the first.

--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -36,8 +36,6 @@
     /// Number of retries that may be sent now.
     retries: f64,
     accrued_at: Millis,
-    /// Time before `accrued_at` for which the slack is still to accrue.
-    head_start_ms: Millis,
     /// Arrival times of unused retries granted by other entries.
     granted: VecDeque<Millis>,
 }
@@ -68,7 +66,6 @@
     entries: Option<usize>,
     /// Time from which this entry has had a share without interruption.
     accrues_from: Millis,
-    head_start_ms: Millis,
     services: BTreeMap<Name, Bucket>,
 }
 
@@ -76,14 +73,7 @@
     /// Creates the budget of an entry that has no share of the slack yet.
     pub fn new(settings: RetrySettings) -> Self {
         let services = BTreeMap::new();
-        Self { settings, entries: None, accrues_from: 0, head_start_ms: 0, services }
-    }
-
-    /// Lets the share of the slack accrue for this much time before the start as well, in which the
-    /// whole deployment has sent no retries.
-    pub fn add_head_start(&mut self, time_ms: Millis) {
-        self.head_start_ms += time_ms;
-        self.services.values_mut().for_each(|bucket| bucket.head_start_ms += time_ms);
+        Self { settings, entries: None, accrues_from: 0, services }
     }
 
     /// Sets the number of entries that share [`RetrySettings::slack`] from `now` on; `None` if this entry has no
@@ -154,7 +144,6 @@
             requests: VecDeque::new(),
             retries: 0.0,
             accrued_at,
-            head_start_ms: self.head_start_ms,
             granted: VecDeque::new(),
         };
         let bucket = self.services.entry(service.clone()).or_insert_with(new);
@@ -162,10 +151,7 @@
         while bucket.requests.front().is_some_and(|at| *at < window_start) {
             bucket.requests.pop_front();
         }
-        let mut elapsed = now.saturating_sub(bucket.accrued_at);
-        if share.is_some() {
-            elapsed += std::mem::take(&mut bucket.head_start_ms);
-        }
+        let elapsed = now.saturating_sub(bucket.accrued_at);
         let windows = elapsed as f64 / window_ms.max(1) as f64;
         let accrued = (1.0 - SAVED_FRACTION) * USED_FRACTION * slack * windows;
         let budget = USED_FRACTION * (ratio * bucket.requests.len() as f64 + slack);
--- a/crates/relay/src/start_kind.rs
+++ b/crates/relay/src/start_kind.rs
@@ -22,9 +22,6 @@
         }
         let has_run_before = has_run_before || self.restores() != 0;
         let kind = if self.settings.first_start && !has_run_before {
-            // Before its first start a deployment has sent no retries.
-            let window_ms = self.settings.promises.retry_window.as_millis() as Millis;
-            self.retry_budget.borrow_mut().add_head_start(window_ms);
             StartKind::First
         } else {
             StartKind::Later
