relay: streams begin only after the store holds a history of their service (ORDER)

Cause: the history of versions, by which the next start judges, was written after streams had begun; a missing history was no objection, and an entry of a first start took the servers of that moment for all that ever served. Class: evidence of the past that is written after the past has happened.

A mark is written before the first history; the duties are led only after it. A missing history confirms nothing.

Open: a version that comes later and is gone again before it was written, with all entries killed in between.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,6 +9,7 @@
 mod copy_age;
 mod fingerprint;
 mod freshness;
+mod missing_histories;
 mod origin;
 mod quarantine;
 mod quarantine_news;
@@ -29,6 +30,7 @@
 pub use copy_age::{ChangeSource, CopyAge};
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
+pub use missing_histories::{MissingHistories, MissingHistoryStep};
 pub use origin::StreamOrigins;
 pub use quarantine::{
     AnswerId, Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId,
--- a/crates/coord/src/origin.rs
+++ b/crates/coord/src/origin.rs
@@ -95,6 +95,12 @@
         self.recorders().next() == Some(&self.own_name)
     }
 
+    /// Returns the number of entries that come before this one when a history is written for the first time;
+    /// `None` before the others can know this entry.
+    pub fn history_rank(&self) -> Option<usize> {
+        rendezvous::rank(&self.own_name, &self.entries, RECORDERS_KEY_HASH)
+    }
+
     fn recorders(&self) -> impl Iterator<Item = &Name> {
         rendezvous::ranked(&self.entries, RECORDERS_KEY_HASH).into_iter().take(RECORDERS)
     }
--- a/crates/coord/src/version_history.rs
+++ b/crates/coord/src/version_history.rs
@@ -8,6 +8,10 @@
 /// Time after which no stream of a version that has left is still open, in milliseconds.
 pub const MIXED_VERSIONS_MS: u64 = 30_000;
 
+/// Name that stands for versions which may have served unseen. A build that does not know it takes it for
+/// one more version that has left.
+const UNSEEN_VERSIONS: &str = "(unseen)";
+
 /// The software versions of the servers of a service. It is kept in the store, as an entry that has just
 /// started cannot see which servers have left.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -17,6 +21,17 @@
 }
 
 impl VersionHistory {
+    /// Creates the history of a service of which any version may have served until now.
+    pub fn in_doubt(now_unix_ms: u64) -> Self {
+        Self { versions: BTreeMap::from([(UNSEEN_VERSIONS.into(), Some(now_unix_ms))]) }
+    }
+
+    /// Whether a version that nobody saw may have begun a stream which is still open.
+    pub fn is_in_doubt(&self, now_unix_ms: u64) -> bool {
+        let left_at = self.versions.get(UNSEEN_VERSIONS);
+        left_at.is_some_and(|at| at.is_none_or(|at| is_recent(at, now_unix_ms)))
+    }
+
     /// Returns the history after the versions `present` were seen; `None` if it stays the same.
     pub fn after(&self, present: &BTreeSet<Name>, now_unix_ms: u64) -> Option<Self> {
         let mut versions = self.versions.clone();
--- a/crates/coord/tests/version_history.rs
+++ b/crates/coord/tests/version_history.rs
@@ -62,3 +62,16 @@
     let encoded = serde_json::to_vec(&known).expect("not encoded");
     assert_eq!(serde_json::from_slice::<VersionHistory>(&encoded).expect("not decoded"), known);
 }
+
+// Guards against ORDER broken: a version that nobody had seen was taken for none.
+#[test]
+fn a_history_in_doubt_names_no_version_until_no_stream_of_before_is_open() {
+    let in_doubt = VersionHistory::in_doubt(NOW);
+    let known = in_doubt.after(&set(&["v1"]), NOW + 1_000).expect("no change");
+    let certain_at = NOW + MIXED_VERSIONS_MS + CLOCK_TOLERANCE_MS;
+    assert_eq!(known.sole(certain_at - 1), None);
+    assert!(known.is_in_doubt(certain_at - 1));
+    assert_eq!(known.sole(certain_at), Some(&Name::from("v1")));
+    assert!(!known.is_in_doubt(certain_at));
+    assert_eq!(known.after(&set(&["v1"]), certain_at), Some(history(&[(0, &["v1"])])));
+}
--- a/crates/relay/src/duty.rs
+++ b/crates/relay/src/duty.rs
@@ -2,6 +2,7 @@
 //! servers.
 
 use crate::context::Context;
+use crate::origin_store;
 use crate::readers::is_reader;
 use crate::start_kind::StartKind;
 use crate::sync::LEADER_KEY;
@@ -77,6 +78,8 @@
     /// Waits until it is known whether an earlier process may have held the lease.
     async fn prepare(&self) {
         if self.cx.wait_for_start_kind().await == StartKind::First {
+            // Else a process that starts after this one would take its start for the first as well.
+            origin_store::wait_for_deployment_mark(&self.cx).await;
             self.holder.replace(Holder::at_first_start(self.times, boot_ms()));
         }
     }
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -220,9 +220,10 @@
     // An entry that has just started did not see which servers left before. A store that was restored
     // from an older copy may lack what its history told.
     let now_unix = Clock::unix_ms();
-    let has_seen_enough = cx.is_first_start()
-        || now_unix.saturating_sub(cx.incarnation) >= MIXED_VERSIONS_MS
+    let store = &cx.origin_store;
+    let has_run_long = now_unix.saturating_sub(cx.incarnation) >= MIXED_VERSIONS_MS;
+    let has_seen_enough = (has_run_long && !store.is_in_doubt(service, now_unix))
         || (cx.restore.get().is_none()
-            && cx.origin_store.sole_version(service, now_unix).as_ref() == Some(sole));
+            && store.sole_version(service, now_unix).as_ref() == Some(sole));
     has_seen_enough.then(|| sole.clone())
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::dispatch::dispatch;
 use crate::forwarded;
 use crate::headers::{LAST_EVENT_ID, strip_hop_by_hop_headers};
+use crate::origin_store;
 use crate::origins;
 use crate::pool::set_socket_options;
 use crate::quota_exchange;
@@ -237,7 +238,14 @@
             );
         }
     };
-    // The rules may have become stale while the request waited for its body or for quota.
+    let begins = software_version.is_none()
+        && route.retry_policy == (RetryPolicy::Stream { resumable: true });
+    if begins && !origin_store::wait_for_history(cx, &service, started + timeout).await {
+        refund();
+        return Err(Failure::new(Code::OriginUnknown, "the store holds no history of the service")
+            .retry_after(UNKNOWN_ORIGIN_RETRY_AFTER));
+    }
+    // The rules may have become stale while the request waited for its body, for quota or for the store.
     if organisation.is_some() && !cx.is_fresh() {
         refund();
         return Err(Failure::new(Code::RulesStale, host).retry_after(STALE_RULES_RETRY_AFTER));
--- a/crates/relay/src/version_check.rs
+++ b/crates/relay/src/version_check.rs
@@ -45,7 +45,7 @@
         }
         let histories = histories.items.iter().filter_map(|(key, stored)| {
             let service = Name::from(key.strip_prefix(VERSIONS_PREFIX)?);
-            Some((service, parse_history(cx, key, &stored.value)?))
+            Some((service, parse_history(cx, key, &stored.value)))
         });
         Self { requested_at, present, histories: histories.collect() }
     }
@@ -55,8 +55,9 @@
             .present
             .get(service)
             .is_some_and(|present| present.len() == 1 && present.contains(version));
+        // A missing history tells nothing: no stream begins without one.
         let history = self.histories.get(service);
-        is_alone && history.is_none_or(|history| history.sole(now_unix_ms) == Some(version))
+        is_alone && history.is_some_and(|history| history.sole(now_unix_ms) == Some(version))
     }
 }
 
