relay: one server at most runs a request on a detour beside entries of an earlier build

What servers would see during an upgrade: a request of an entry of this build, passed on to one of an earlier build, runs at two servers there, is taken for run once, and may run at a third one. The reverse, too: an earlier sender replaces a silent stream beside the second run of the entry that helps.

Cause: stated the limit in a field that earlier builds don't know. Class: a promise that both ends must keep, told to one.

Why it works: earlier builds stop when their count of runs reaches that of the route, so the field that they read names all but one; a new field holds the count. An entry that helps runs a request once whoever asks. While both builds are mixed, a request with a route of one attempt counts twice in the usage if an earlier build helps a later one.

--- a/crates/relay/src/entry_headers.rs
+++ b/crates/relay/src/entry_headers.rs
@@ -12,10 +12,11 @@
 pub(crate) static SERVICE: HeaderName = HeaderName::from_static("entry-service");
 /// Organisation of the caller.
 pub(crate) static ORGANISATION: HeaderName = HeaderName::from_static("entry-organisation");
-/// Number of servers that may have run the request before.
+/// Number of servers that count as having run the request before. Receivers of earlier builds use up what is left of
+/// the attempts, so that only one is.
 pub(crate) static RUNS: HeaderName = HeaderName::from_static("entry-runs");
-/// Number of servers that may run the request at the receiver.
-pub(crate) static RUNS_ALLOWED: HeaderName = HeaderName::from_static("entry-runs-allowed");
+/// Number of servers that may have run the request before, from a sender that lets it run at one further server.
+pub(crate) static FORMER_RUNS: HeaderName = HeaderName::from_static("entry-former-runs");
 /// In a request, the version that began the stream; in a response, that of the server.
 pub(crate) static SOFTWARE_VERSION: HeaderName = HeaderName::from_static("entry-software-version");
 /// Server that responded.
@@ -31,7 +32,7 @@
     &SERVICE,
     &ORGANISATION,
     &RUNS,
-    &RUNS_ALLOWED,
+    &FORMER_RUNS,
     &SOFTWARE_VERSION,
     &SERVER,
     &DECLINED,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -26,9 +26,9 @@
 const MAX_REACHED_MS: Millis = 3_000;
 /// Maximum number of live entries from which one is chosen.
 const MAX_CANDIDATES: usize = 64;
-/// Number of servers that may run a request at the other entry. This entry decides about each further one, so that
+/// Number of servers that may run a request at the other entry. The sender decides about each further one, so that
 /// it knows their number even if the other entry ends.
-const RUNS_PER_DETOUR: u32 = 1;
+pub(crate) const RUNS_PER_DETOUR: u32 = 1;
 /// Multiple of the target latency after which a further attempt is made, if one is allowed. A detour takes longer than
 /// an attempt of this entry.
 const TIMEOUT_FACTOR: u32 = 3;
@@ -193,8 +193,8 @@
     headers.insert(&names.request, request.id.clone());
     headers.insert(&names.deadline, HeaderValue::from(request.remaining_ms()));
     headers.insert(&fields::RULES_VERSION, HeaderValue::from(request.rules_version));
-    headers.insert(&fields::RUNS, HeaderValue::from(history.runs));
-    headers.insert(&fields::RUNS_ALLOWED, HeaderValue::from(RUNS_PER_DETOUR));
+    headers.insert(&fields::RUNS, HeaderValue::from(runs_for_earlier_builds(request, history)));
+    headers.insert(&fields::FORMER_RUNS, HeaderValue::from(history.runs));
     fields::set(headers, &fields::SENDER, &cx.settings.name);
     fields::set(headers, &fields::SERVICE, &request.service);
     if let Some(organisation) = &request.organisation {
@@ -210,6 +210,15 @@
     Ok(req)
 }
 
+/// Returns the number of runs that leaves an entry of an earlier build [`RUNS_PER_DETOUR`] of the attempts.
+fn runs_for_earlier_builds(request: &AdmittedRequest, history: AttemptHistory) -> u32 {
+    let route = &request.route;
+    if !route.retry_policy.is_retryable() {
+        return history.runs;
+    }
+    history.runs.max(route.max_attempts.saturating_sub(RUNS_PER_DETOUR))
+}
+
 /// Returns the time in which the other entry has to send the head of the response.
 fn response_timeout(request: &AdmittedRequest, history: AttemptHistory) -> Duration {
     let remaining = request.deadline.saturating_duration_since(Instant::now());
--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::dispatch::dispatch;
 use crate::entry_headers as fields;
+use crate::forward::RUNS_PER_DETOUR;
 use crate::paths;
 use crate::reply::error_reply;
 use crate::request::AdmittedRequest;
@@ -101,12 +102,11 @@
     }) {
         return Err("the entry is leaving");
     }
-    let runs_before = fields::number(&headers, &fields::RUNS).unwrap_or(0) as u32;
-    let runs_allowed = fields::number(&headers, &fields::RUNS_ALLOWED);
-    if let Some(runs) = runs_allowed {
-        let route = Arc::make_mut(&mut route);
-        route.max_attempts = route.max_attempts.min(runs_before + runs as u32);
-    }
+    let former_runs = fields::number(&headers, &fields::FORMER_RUNS);
+    let runs_before = former_runs.or_else(|| fields::number(&headers, &fields::RUNS));
+    let runs_before = runs_before.unwrap_or(0) as u32;
+    let max_attempts = runs_before.saturating_add(RUNS_PER_DETOUR).min(route.max_attempts);
+    Arc::make_mut(&mut route).max_attempts = max_attempts;
     let software_version = fields::name(&headers, &fields::SOFTWARE_VERSION);
     let sender = fields::name(&headers, &fields::SENDER).unwrap_or_default();
     let prompt = cx.protocol.parse_prompt(&headers).filter(|_| route.has_prompt);
@@ -137,7 +137,7 @@
         started,
         deadline: started + timeout,
         // A sender that decides about each run also counts it.
-        usage_counted: Cell::new(runs_before > 0 || runs_allowed.is_some()),
+        usage_counted: Cell::new(runs_before > 0 || former_runs.is_some()),
         mark,
         rules_version: rules.version,
         sender: Some(sender),
