--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -123,7 +123,7 @@
     let prompt = prompt(10);
     let first = choose(&picker, Some(&prompt), &[], 1);
     assert!(first.has_alternative);
-    let other = choose(&picker, Some(&prompt), &[first.id.clone()], 1);
+    let other = choose(&picker, Some(&prompt), std::slice::from_ref(&first.id), 1);
     assert!(!other.has_alternative);
     picker.record_pause(&first.id, 2_000, 0);
     assert!(choose(&picker, Some(&prompt), &[], 1).has_alternative);
