--- a/crates/relay/src/end_check.rs
+++ b/crates/relay/src/end_check.rs
@@ -2,7 +2,7 @@
 //!
 //! When a process is killed, the kernel of its VM closes its connections in order. A response without a length or
 //! chunks ends in the same way when it is complete and when its server was killed. Only a server that answers
-//! afterwards has ended the response itself.
+//! afterwards can have ended the response itself.
 
 use crate::context::Context;
 use crate::dispatch::ServerResponse;
