--- a/crates/conf/src/check/fields.rs
+++ b/crates/conf/src/check/fields.rs
@@ -68,6 +68,18 @@
         self.parse(key, &expected, default, |text| text.parse().ok().filter(|n| range.contains(n)))
     }
 
+    /// Reads a whole number in the given range, which may be left out.
+    pub(crate) fn optional_count(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        self.parse(key, &expected, None, |text| {
+            text.parse().ok().filter(|n| range.contains(n)).map(Some)
+        })
+    }
+
     /// Reads a number in the given range; `unit` describes it in the error.
     pub(crate) fn number(
         &mut self,
@@ -169,8 +181,8 @@
 }
 
 fn parse_bytes(text: &str) -> Option<usize> {
-    let units = [("KiB", 10), ("MiB", 20), ("GiB", 30), ("B", 0)];
-    let (unit, shift) = units.iter().find(|(unit, _)| text.ends_with(unit))?;
+    let units = [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("MB", 1_000_000), ("B", 1)];
+    let (unit, size) = units.iter().find(|(unit, _)| text.ends_with(unit))?;
     let number: usize = text.strip_suffix(unit)?.trim().parse().ok()?;
-    number.checked_mul(1 << shift)
+    number.checked_mul(*size)
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,6 +10,7 @@
 mod generation;
 mod node;
 mod relay;
+mod resources;
 mod source;
 
 pub use check::{ConfigError, ConfigErrors};
@@ -19,4 +20,5 @@
 pub use generation::{Body, Head};
 pub use node::{Membership, Node, Platform};
 pub use relay::{Fleet, Promises, Relay, Services};
+pub use resources::Resources;
 pub use source::{Merged, Source};
--- a/crates/conf/src/node.rs
+++ b/crates/conf/src/node.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry process: its name, addresses and platform.
 
 use crate::check::{ConfigError, ConfigErrors, Fields};
+use crate::resources::{Resources, read_resources};
 use crate::source::{Merged, Section, Source};
 use kernel::Name;
 use std::net::SocketAddr;
@@ -23,6 +24,8 @@
     pub platform: Platform,
     /// Discovery and failure detection of other entries.
     pub membership: Membership,
+    /// Resources of the VM that the process may use.
+    pub resources: Resources,
 }
 
 /// Addresses of the platform's services.
@@ -62,6 +65,9 @@
     }
 }
 
+/// Names of the sections.
+const SECTIONS: [&str; 4] = ["node", "platform", "membership", "resources"];
+
 impl Node {
     /// Reads and validates the settings of an entry process.
     ///
@@ -88,13 +94,15 @@
 
         let platform = read_platform(Fields::new(&platform, &mut errors));
         let membership = read_membership(Fields::new(&membership, &mut errors));
+        let resources = read_resources(Fields::new(&section("resources"), &mut errors));
         for (name, section) in &merged.sections {
-            if !["node", "platform", "membership"].contains(&name.as_str()) {
-                let expected = "one of the sections node, platform, membership";
-                errors.push(ConfigError::new(&section.file, section.line, name, expected, name));
+            if !SECTIONS.contains(&name.as_str()) {
+                let expected = format!("one of the sections {}", SECTIONS.join(", "));
+                errors.push(ConfigError::new(&section.file, section.line, name, &expected, name));
             }
         }
-        errors.into_result(Self { name, data_centre, region, http, peer, platform, membership })
+        let node = Self { name, data_centre, region, http, peer, platform, membership, resources };
+        errors.into_result(node)
     }
 }
 
--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry that relays requests according to the operators' rules in a store.
 
 use crate::check::{ConfigError, ConfigErrors, Fields};
+use crate::resources::{Resources, read_resources};
 use crate::source::{Merged, Section, Source};
 use kernel::Name;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
     pub promises: Promises,
     /// Number of backend servers, if entries order them.
     pub fleet: Fleet,
+    /// Resources of the VM that the process may use.
+    pub resources: Resources,
 }
 
 /// Number of backend servers in a deployment whose entries order them.
@@ -118,7 +121,7 @@
 }
 
 /// Names of the sections.
-const SECTIONS: [&str; 4] = ["entry", "services", "promises", "fleet"];
+const SECTIONS: [&str; 5] = ["entry", "services", "promises", "fleet", "resources"];
 
 impl Relay {
     /// Reads and validates the settings.
@@ -137,6 +140,7 @@
         let services = read_services(Fields::new(&services, &mut errors));
         let promises = read_promises(Fields::new(&promises, &mut errors));
         let fleet = read_fleet(Fields::new(&fleet, &mut errors));
+        let resources = read_resources(Fields::new(&section("resources"), &mut errors));
         let mut fields = Fields::new(&entry, &mut errors);
         let relay = Self {
             name: fields.required("name", "a name that is unique in the deployment"),
@@ -150,6 +154,7 @@
             services,
             promises,
             fleet,
+            resources,
         };
         fields.finish();
         for (name, section) in &merged.sections {
--- a/crates/conf/tests/relay.rs
+++ b/crates/conf/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Parsing of the settings of an entry that relays requests.
 
-use conf::{Promises, Relay, Source};
+use conf::{Promises, Relay, Resources, Source};
 use std::time::Duration;
 
 const VALID: &str = "[entry]
@@ -49,3 +49,22 @@
         assert!(text.contains(expected), "{expected:?} is missing in:\n{text}");
     }
 }
+
+#[test]
+fn resources_are_read_from_the_settings() {
+    let text = format!("{VALID}[resources]\nmemory = 260MB\ndescriptors = 4100\n");
+    let relay = Relay::read(&Source::new("r.ini", text)).expect("the settings are valid");
+    assert_eq!(relay.resources, Resources { memory: 260_000_000, descriptors: Some(4100) });
+    let unset = Relay::read(&Source::new("r.ini", VALID)).expect("the settings are valid");
+    assert_eq!(unset.resources, Resources::default());
+}
+
+#[test]
+fn resources_with_which_no_entry_can_run_are_errors() {
+    let text = format!("{VALID}[resources]\nmemory = 8MB\ndescriptors = none\n");
+    let errors = Relay::read(&Source::new("r.ini", text)).expect_err("the settings have errors");
+    let text = errors.to_string();
+    for expected in ["r.ini:12: memory", "r.ini:13: descriptors"] {
+        assert!(text.contains(expected), "{expected:?} is missing in:\n{text}");
+    }
+}
