--- /dev/null
+++ b/crates/fennelfold/tests/clients.rs
@@ -0,0 +1,95 @@
+//! Crowds of clients that keep to no limit, against an entry that runs as a process of its own.
+//!
+//! The tests check that the process lives, that its memory and its descriptors stay within the limits of its settings,
+//! and that an ordinary request is answered. They run one at a time.
+
+#[allow(dead_code, reason = "only the tests of the platform use all of it")]
+#[path = "../../../platform/tests/clients/crowd.rs"]
+mod crowd;
+#[allow(dead_code, reason = "only the tests of processes use all of it")]
+mod deployment;
+#[path = "../../../platform/tests/clients/measure.rs"]
+mod measure;
+
+use crowd::{Bytes, Crowd};
+use deployment::{Deployment, Told};
+use measure::{Limits, Process};
+use std::time::Duration;
+use tokio::sync::Mutex;
+
+/// Memory of a process, in bytes.
+const MEMORY: u64 = 64_000_000;
+/// Largest body that the operators allow, in bytes.
+const MAX_BODY: usize = 256 << 10;
+/// Largest configuration that an operator may send, in bytes.
+const MAX_CONFIGURATION: usize = 1 << 20;
+/// Time that a server takes while its callers wait.
+const SLOW: Duration = Duration::from_secs(3);
+/// Path of a service that runs a request at most once.
+const REMINDER: &str = "/v1/services/reminder";
+
+/// Sends a crowd against the first of two entries whose processes may open this number of descriptors. A caller is
+/// answered while the crowd stays, and after it has left.
+async fn check_crowd(descriptors: usize, clients: usize, bytes: &Bytes, slow: Duration) {
+    static RUNNING: Mutex<()> = Mutex::const_new(());
+    let _alone = RUNNING.lock().await;
+    let sections = format!("[resources]\nmemory = {MEMORY}B\ndescriptors = {descriptors}\n");
+    let deployment = Deployment::start_with(2, &sections).await;
+    let limits = Limits { memory: MEMORY, descriptors };
+    let process = |entry| Process::new(deployment.pid(entry), [deployment.http(entry)], limits);
+    let processes = [process(0), process(1)];
+    deployment.slow_down(slow);
+    let crowd = Crowd::start(deployment.http(0), clients, bytes).await;
+    processes[0].wait_until_read().await;
+    deployment.slow_down(Duration::ZERO);
+    processes.iter().for_each(Process::check);
+    check_caller(&deployment, 1).await;
+    drop(crowd);
+    check_caller(&deployment, 2).await;
+    processes.iter().for_each(Process::check);
+}
+
+/// Checks that a caller of the first entry is answered there.
+async fn check_caller(deployment: &Deployment, number: usize) {
+    let history = deployment.caller_of_one(number, 0).remind().await;
+    let answered = matches!(history.told.last(), Some(Told::Answered { run: 1, .. }));
+    assert!(answered, "{history:?}");
+}
+
+fn request(path: &str, framing: (&str, &str)) -> Bytes {
+    Bytes::post(path, &[("host", "h"), ("x-organisation", "friends"), framing])
+}
+
+fn with_length(path: &str, bytes: usize) -> Bytes {
+    request(path, ("content-length", &bytes.to_string()))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_that_lack_their_last_byte_at_an_entry() {
+    let bytes = with_length(REMINDER, MAX_BODY).with_pieces(1, MAX_BODY - 1);
+    check_crowd(2_000, 512, &bytes, Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_chunks_of_one_byte_that_lack_their_last_chunk_at_an_entry() {
+    let bytes = request(REMINDER, ("transfer-encoding", "chunked"));
+    check_crowd(2_000, 32, &bytes.with_chunks(150_000, 1), Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_that_wait_for_slow_servers_at_an_entry() {
+    let bytes = with_length(REMINDER, MAX_BODY).with_pieces(1, MAX_BODY);
+    check_crowd(2_000, 512, &bytes, SLOW).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_that_lack_their_last_byte_at_an_entry() {
+    let path = "/v1/operator/config";
+    let bytes = with_length(path, MAX_CONFIGURATION).with_pieces(1, MAX_CONFIGURATION - 1);
+    check_crowd(2_000, 128, &bytes, Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_at_an_entry() {
+    check_crowd(300, 400, &Bytes::nothing(), Duration::ZERO).await;
+}
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -78,6 +78,11 @@
 impl Deployment {
     /// Starts this many entries, half in each data centre, and applies the configuration.
     pub(crate) async fn start(count: usize) -> Self {
+        Self::start_with(count, "").await
+    }
+
+    /// The same with these further sections in the settings of each entry.
+    pub(crate) async fn start_with(count: usize, sections: &str) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (kv, plain) = (Kv::new(), Plain::new(Duration::from_millis(5)));
         let kv = standin::start(any, move |req| kv.clone().handle(req)).await.expect("a port");
@@ -98,7 +103,7 @@
             let text = format!(
                 "[node]\nname = entry-{i}\ndata_centre = {data_centre}\nregion = coast\n\
                  http = {http}\npeer = {peer}\n[platform]\nkv = {}\nvm_list = {}\ncloud = {}\n\
-                 [membership]\nseeds = {}\n",
+                 [membership]\nseeds = {}\n{sections}",
                 kv.address,
                 list.address,
                 list.address,
@@ -169,6 +174,11 @@
         }
     }
 
+    /// Returns the address at which an entry serves callers.
+    pub(crate) fn http(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].1
+    }
+
     pub(crate) fn pid(&self, entry: usize) -> u32 {
         self.entries[entry].0.id()
     }
@@ -205,6 +215,12 @@
         self.caller_of(number, entry, entry)
     }
 
+    /// Returns a caller that sends its request to no other entry than this one, where its home is.
+    pub(crate) fn caller_of_one(&self, number: usize, entry: usize) -> Caller {
+        let entries = vec![self.http(entry)];
+        Caller { entries, ..self.caller_at(number, entry) }
+    }
+
     fn caller_of(&self, number: usize, home: usize, first: usize) -> Caller {
         let count = self.entries.len();
         let prefix = &self.prefixes[home % count];
--- a/crates/fennelfold/tests/processes.rs
+++ b/crates/fennelfold/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Real processes that are killed, stopped and continued while callers send requests.
 
+#[allow(dead_code, reason = "only the crowds of clients use all of it")]
 mod deployment;
 
 use deployment::{Deployment, Told, signal};
