coord, web: what the clients of a process make it hold is charged and bounded

coord::Clients decides, without I/O: connections, buffers of heads, bodies and answers are charged to one account of memory before they are kept, connections to the descriptors of their listener. When there is too little, those go that use it worst: connections that have said nothing, clients that make no progress, the connection that has been idle for longest. Large bodies use 5/8 of the memory, so that a crowd of them leaves small requests their room; large answers 7/8, as they end what their requests hold.

--- a/crates/conf/src/resources.rs
+++ b/crates/conf/src/resources.rs
@@ -18,14 +18,14 @@
 }
 
 /// Smallest memory with which an entry starts, in bytes.
-const MIN_MEMORY: usize = 32_000_000;
+const MIN_MEMORY: usize = 16_000_000;
 /// Numbers of descriptors with which an entry starts.
-const DESCRIPTORS: std::ops::RangeInclusive<u64> = 128..=10_000_000;
+const DESCRIPTORS: std::ops::RangeInclusive<u64> = 64..=10_000_000;
 
 pub(crate) fn read_resources(mut fields: Fields<'_>) -> Resources {
     let memory = fields.bytes("memory", Resources::default().memory);
     if memory < MIN_MEMORY {
-        fields.reject("memory", "at least 32MB");
+        fields.reject("memory", "at least 16MB");
     }
     let descriptors = fields.optional_count("descriptors", DESCRIPTORS);
     fields.finish();
--- /dev/null
+++ b/crates/coord/src/clients.rs
@@ -0,0 +1,586 @@
+//! Decides what the clients of a process may make it hold: connections, heads, bodies and answers.
+//!
+//! Everything is charged to one account of memory before it is kept, and each connection to the descriptors of its
+//! listener. When there is too little of either, those go that use it worst: connections that have said nothing, bodies
+//! that make no progress, connections that have been idle for longest. A newcomer is refused if all others do as they
+//! should.
+
+use kernel::Millis;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Memory of an open connection, in bytes: its state, its read buffer, and what the kernel keeps of it.
+pub const CONNECTION_BYTES: usize = 16 << 10;
+/// Memory of a request that runs, in bytes: its state and a connection to a backend server.
+pub const REQUEST_BYTES: usize = 32 << 10;
+/// Size of the head of a request from which its buffer is charged on top of [`CONNECTION_BYTES`].
+pub const LARGE_HEAD_BYTES: usize = 8 << 10;
+/// Memory of a large head, in bytes: its buffer, which grows in powers of two, while it is copied.
+const HEAD_BUFFER_BYTES: usize = 128 << 10;
+/// Size up to which a body or an answer may use all memory for clients, in bytes.
+const SMALL_BYTES: usize = 16 << 10;
+/// Numerators of the fractions of the memory for clients that large bodies, large answers and everything else may use.
+/// Answers have more, as they end what their requests hold.
+const EIGHTHS: [usize; 3] = [5, 7, 8];
+/// Fifths of the memory of a process that are for clients. The rest is for the process itself, and for what the kernel
+/// and the allocator keep.
+const CLIENT_FIFTHS: usize = 2;
+/// Maximum number of descriptors that are kept for files and for the process itself.
+const MAX_FILES: usize = 200;
+/// Divisor of all descriptors that gives the most of them that are kept so.
+const FILES_DIVISOR: usize = 4;
+/// Divisor of the memory for clients that gives the memory for open connections.
+const CONNECTIONS_DIVISOR: usize = 2;
+/// Divisor of the other descriptors that gives those for calls to the platform and messages to entries.
+const OWN_DIVISOR: usize = 8;
+/// Divisor of the other descriptors that gives those for each listener that answers at once.
+const INTERNAL_DIVISOR: usize = 32;
+/// Divisor of the other descriptors that gives those for requests that other entries pass on.
+const ENTRIES_DIVISOR: usize = 8;
+/// Pace of a client that sends a body or reads an answer, in bytes per second, below which it may have to go.
+const PACE_BYTES_PER_S: u64 = 64 << 10;
+/// Time for which a client may fall behind that pace, in milliseconds.
+const GRACE_MS: Millis = 1_000;
+/// The same for a client that reads an answer, which may be on a bad line.
+const ANSWER_GRACE_MS: Millis = 5_000;
+/// Number of connections that were told to go and have not gone, from which none is taken up.
+const MAX_LEAVING: usize = 32;
+/// Maximum number of connections that are closed to make room for one.
+const MAX_DISMISSED: usize = 64;
+
+/// Identity of a connection.
+pub type ConnectionId = u64;
+
+/// Memory that is in use, in bytes.
+#[derive(Clone, Debug, Default)]
+struct Account(Arc<AtomicUsize>);
+
+impl Account {
+    fn used(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn charge(&self, bytes: usize) -> ClientCharge {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+        ClientCharge { account: self.clone(), bytes }
+    }
+}
+
+/// Memory that is charged for as long as this exists.
+#[derive(Debug)]
+pub struct ClientCharge {
+    account: Account,
+    bytes: usize,
+}
+
+impl ClientCharge {
+    /// Returns the charged memory, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds another charge to this one.
+    pub fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
+    /// Takes a part of this charge.
+    fn split(&mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Self { account: self.account.clone(), bytes }
+    }
+}
+
+impl Drop for ClientCharge {
+    fn drop(&mut self) {
+        self.account.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Descriptors of a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListenerShare {
+    /// Number of descriptors that its connections and their requests may use.
+    pub descriptors: usize,
+    /// Number of further descriptors that a request needs while it runs.
+    pub per_request: usize,
+}
+
+/// What clients may use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClientSettings {
+    /// Memory, in bytes.
+    pub memory: usize,
+    /// Descriptors, by listener.
+    pub listeners: Vec<ListenerShare>,
+}
+
+/// Listeners of a process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Listeners {
+    /// Whether other entries pass requests on to it.
+    pub has_entries: bool,
+    /// Number of listeners that answer at once, without a request to a backend server.
+    pub internal: usize,
+}
+
+impl ClientSettings {
+    /// Divides the memory and the descriptors of a process. The listener of callers has the index 0, that of entries the
+    /// next one, and the internal ones follow.
+    pub fn divide(memory: usize, descriptors: usize, listeners: Listeners) -> Self {
+        let memory = memory / 5 * CLIENT_FIFTHS;
+        let sockets = descriptors - MAX_FILES.min(descriptors / FILES_DIVISOR);
+        let entries = if listeners.has_entries { sockets / ENTRIES_DIVISOR } else { 0 };
+        let internal = sockets / INTERNAL_DIVISOR;
+        let others = sockets / OWN_DIVISOR + entries + internal * listeners.internal;
+        let relaying = |descriptors| ListenerShare { descriptors, per_request: 1 };
+        let mut shares = vec![relaying(sockets.saturating_sub(others))];
+        shares.extend(listeners.has_entries.then(|| relaying(entries)));
+        let internal = ListenerShare { descriptors: internal, per_request: 0 };
+        shares.extend(std::iter::repeat_n(internal, listeners.internal));
+        let total: usize = shares.iter().map(|share| share.descriptors).sum();
+        let affordable = memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        if total > affordable {
+            for share in &mut shares {
+                share.descriptors = share.descriptors * affordable / total;
+            }
+        }
+        Self { memory, listeners: shares }
+    }
+}
+
+/// What is charged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Content {
+    /// The body of a request, which has this size so far.
+    Body(usize),
+    /// An answer, which has this size so far.
+    Answer(usize),
+}
+
+impl Content {
+    /// Returns the fraction of the memory that may be in use afterwards, in eighths.
+    fn eighths(self) -> usize {
+        match self {
+            Self::Body(bytes) if bytes > SMALL_BYTES => EIGHTHS[0],
+            Self::Answer(bytes) if bytes > SMALL_BYTES => EIGHTHS[1],
+            Self::Body(_) | Self::Answer(_) => EIGHTHS[2],
+        }
+    }
+}
+
+/// What becomes of something that needs room.
+#[derive(Debug)]
+pub struct Room<T> {
+    /// The room; `None` if there is none.
+    pub granted: Option<T>,
+    /// Connections that have to be closed.
+    pub dismissed: Vec<ConnectionId>,
+}
+
+impl<T> Room<T> {
+    fn granted(room: T, dismissed: Vec<ConnectionId>) -> Self {
+        Self { granted: Some(room), dismissed }
+    }
+
+    fn refused(dismissed: Vec<ConnectionId>) -> Self {
+        Self { granted: None, dismissed }
+    }
+}
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Activity {
+    /// It has sent nothing yet.
+    Silent,
+    /// The head of a request arrives.
+    Head,
+    /// The body of a request arrives.
+    Body,
+    /// A request runs, or its answer is sent.
+    Running,
+    /// It waits for the next request.
+    Idle,
+    /// It was told to go.
+    Leaving,
+}
+
+#[derive(Debug)]
+struct Connection {
+    listener: usize,
+    activity: Activity,
+    /// Start of the activity.
+    since: Millis,
+    /// Time at which the client falls behind the pace, unless it sends or reads more.
+    due: Millis,
+    /// Whether bytes of an answer wait until the client reads.
+    is_blocked: bool,
+    /// Size of the head that arrives, in bytes.
+    head: usize,
+    /// Memory of the connection, of a large head, and of a request that runs.
+    charge: ClientCharge,
+    /// Memory of the body that arrives, or of the answer that is sent, in bytes. Its own charge counts it.
+    content: usize,
+}
+
+impl Connection {
+    fn bytes(&self) -> usize {
+        self.charge.bytes + self.content
+    }
+
+    fn begin(&mut self, activity: Activity, now: Millis) {
+        (self.activity, self.since) = (activity, now);
+    }
+
+    fn is_overdue(&self, now: Millis) -> bool {
+        let waits_for_client = match self.activity {
+            Activity::Head | Activity::Body => true,
+            Activity::Running => self.is_blocked,
+            Activity::Silent | Activity::Idle | Activity::Leaving => false,
+        };
+        waits_for_client && self.due < now
+    }
+
+    fn progress(&mut self, bytes: usize, grace: Millis, now: Millis) {
+        let earned = bytes as u64 * 1_000 / PACE_BYTES_PER_S;
+        self.due = (self.due.max(now) + earned).min(now + grace);
+    }
+}
+
+/// Use of memory and descriptors by clients.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClientUse {
+    /// Number of open connections.
+    pub connections: usize,
+    /// Memory in use, in bytes.
+    pub memory: usize,
+}
+
+/// Connections of clients and what they hold.
+#[derive(Debug)]
+pub struct Clients {
+    settings: ClientSettings,
+    account: Account,
+    connections: BTreeMap<ConnectionId, Connection>,
+    /// Descriptors in use, by listener.
+    descriptors: Vec<usize>,
+    /// Memory of connections that were told to go, in bytes, and their number.
+    leaving: usize,
+    leaving_count: usize,
+    next: ConnectionId,
+}
+
+impl Clients {
+    /// Creates the state without connections.
+    pub fn new(settings: ClientSettings) -> Self {
+        let descriptors = vec![0; settings.listeners.len()];
+        Self {
+            settings,
+            account: Account::default(),
+            connections: BTreeMap::new(),
+            descriptors,
+            leaving: 0,
+            leaving_count: 0,
+            next: 0,
+        }
+    }
+
+    /// Returns what is in use.
+    pub fn usage(&self) -> ClientUse {
+        ClientUse { connections: self.connections.len(), memory: self.account.used() }
+    }
+
+    /// Takes up a connection that was accepted by the listener with this index.
+    pub fn open(&mut self, listener: usize, now: Millis) -> Room<ConnectionId> {
+        let has_descriptor =
+            self.descriptors[listener] < self.settings.listeners[listener].descriptors;
+        let mut dismissed = Vec::new();
+        if self.leaving_count >= MAX_LEAVING {
+            return Room::refused(dismissed);
+        }
+        if !(has_descriptor && self.fits(CONNECTION_BYTES, EIGHTHS[2])) {
+            // A connection of the same listener, so that no other has to pay.
+            let Some(worst) = self.worst_connection(listener, None, now) else {
+                return Room::refused(dismissed);
+            };
+            self.dismiss(worst, now);
+            dismissed.push(worst);
+        }
+        let id = self.next;
+        self.next += 1;
+        self.descriptors[listener] += 1;
+        let connection = Connection {
+            listener,
+            activity: Activity::Silent,
+            since: now,
+            due: now + GRACE_MS,
+            is_blocked: false,
+            head: 0,
+            charge: self.account.charge(CONNECTION_BYTES),
+            content: 0,
+        };
+        self.connections.insert(id, connection);
+        Room::granted(id, dismissed)
+    }
+
+    /// Takes a connection out that has been closed.
+    pub fn close(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.remove(&id) else { return };
+        self.descriptors[connection.listener] -= self.descriptors_of(&connection);
+        if connection.activity == Activity::Leaving {
+            self.leaving = self.leaving.saturating_sub(connection.bytes());
+            self.leaving_count -= 1;
+        }
+    }
+
+    /// Notes bytes that arrived on a connection on which no request runs; returns whether they may be kept.
+    pub fn receive_head(&mut self, id: ConnectionId, bytes: usize, now: Millis) -> Room<()> {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return Room::refused(Vec::new());
+        };
+        match connection.activity {
+            Activity::Silent | Activity::Idle => {
+                connection.begin(Activity::Head, now);
+                connection.due = now + GRACE_MS;
+                connection.head = bytes;
+            }
+            Activity::Head => connection.head += bytes,
+            Activity::Body | Activity::Running | Activity::Leaving => {
+                return Room::granted((), Vec::new());
+            }
+        }
+        connection.progress(bytes, GRACE_MS, now);
+        let is_charged = connection.charge.bytes > CONNECTION_BYTES;
+        if connection.head <= LARGE_HEAD_BYTES || is_charged {
+            return Room::granted((), Vec::new());
+        }
+        let room = self.charge(id, HEAD_BUFFER_BYTES, EIGHTHS[0], now);
+        self.keep(id, room)
+    }
+
+    /// Begins a request, whose head has arrived.
+    pub fn begin_request(&mut self, id: ConnectionId, now: Millis) -> Room<()> {
+        let Some(connection) = self.connections.get(&id) else {
+            return Room::refused(Vec::new());
+        };
+        if connection.activity == Activity::Leaving {
+            return Room::refused(Vec::new());
+        }
+        let listener = connection.listener;
+        let ListenerShare { descriptors, per_request } = self.settings.listeners[listener];
+        let mut dismissed = Vec::new();
+        while self.descriptors[listener] + per_request > descriptors {
+            let Some(worst) = self.worst_connection(listener, Some(id), now) else {
+                return Room::refused(dismissed);
+            };
+            self.dismiss(worst, now);
+            dismissed.push(worst);
+        }
+        let bytes = if per_request == 0 { 0 } else { REQUEST_BYTES };
+        let room = self.charge(id, bytes, EIGHTHS[2], now);
+        let mut room = self.keep(id, room);
+        room.dismissed.extend(dismissed);
+        if room.granted.is_some() {
+            self.descriptors[listener] += per_request;
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.begin(Activity::Running, now);
+                connection.content = 0;
+            }
+        }
+        room
+    }
+
+    /// Begins to receive the body of the request that runs.
+    pub fn begin_body(&mut self, id: ConnectionId, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id)
+            && connection.activity == Activity::Running
+        {
+            connection.begin(Activity::Body, now);
+            connection.due = now + GRACE_MS;
+        }
+    }
+
+    /// Notes bytes of the body that arrived.
+    pub fn receive_body(&mut self, id: ConnectionId, bytes: usize, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.progress(bytes, GRACE_MS, now);
+        }
+    }
+
+    /// Ends the receipt of a body.
+    pub fn end_body(&mut self, id: ConnectionId, now: Millis) {
+        if let Some(connection) = self.connections.get_mut(&id)
+            && connection.activity == Activity::Body
+        {
+            connection.content = 0;
+            connection.begin(Activity::Running, now);
+        }
+    }
+
+    /// Charges further bytes of a body or an answer before they are kept.
+    pub fn hold(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+        content: Content,
+        now: Millis,
+    ) -> Room<ClientCharge> {
+        let room = self.charge(id, bytes, content.eighths(), now);
+        if room.granted.is_some()
+            && let Some(connection) = self.connections.get_mut(&id)
+            && connection.activity != Activity::Leaving
+        {
+            connection.content += bytes;
+        }
+        room
+    }
+
+    /// Notes whether bytes of an answer wait until the client reads, after it has read this number of them.
+    pub fn send(&mut self, id: ConnectionId, bytes: usize, is_blocked: bool, now: Millis) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if is_blocked && !connection.is_blocked {
+            connection.due = now + ANSWER_GRACE_MS;
+        }
+        connection.is_blocked = is_blocked;
+        connection.progress(bytes, ANSWER_GRACE_MS, now);
+    }
+
+    /// Ends the request that runs, after its answer was sent. The connection waits for the next one.
+    pub fn end_request(&mut self, id: ConnectionId, now: Millis) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if !matches!(connection.activity, Activity::Running | Activity::Body) {
+            return;
+        }
+        let ListenerShare { per_request, .. } = self.settings.listeners[connection.listener];
+        self.descriptors[connection.listener] -= per_request;
+        connection.begin(Activity::Idle, now);
+        (connection.content, connection.head) = (0, 0);
+        if per_request > 0 {
+            drop(connection.charge.split(REQUEST_BYTES));
+        }
+    }
+
+    /// Tells all connections to go that have kept the process waiting for too long, and returns them.
+    pub fn expire(&mut self, head_ms: Millis, idle_ms: Millis, now: Millis) -> Vec<ConnectionId> {
+        let has_expired = |connection: &Connection| {
+            let limit = match connection.activity {
+                Activity::Head => head_ms,
+                Activity::Silent | Activity::Idle => idle_ms,
+                Activity::Body | Activity::Running | Activity::Leaving => return false,
+            };
+            now.saturating_sub(connection.since) > limit
+        };
+        let expired: Vec<ConnectionId> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| has_expired(connection))
+            .map(|(id, _)| *id)
+            .collect();
+        expired.iter().for_each(|id| self.dismiss(*id, now));
+        expired
+    }
+
+    fn fits(&self, bytes: usize, eighths: usize) -> bool {
+        self.fits_without(0, bytes, eighths)
+    }
+
+    /// Whether these bytes fit once others have been given back.
+    fn fits_without(&self, given_back: usize, bytes: usize, eighths: usize) -> bool {
+        let used = self.account.used().saturating_sub(self.leaving + given_back);
+        used + bytes <= self.settings.memory / 8 * eighths
+    }
+
+    /// Charges memory. Connections go for it whose clients are overdue, the largest first, if that makes enough room.
+    fn charge(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+        eighths: usize,
+        now: Millis,
+    ) -> Room<ClientCharge> {
+        let mut dismissed = Vec::new();
+        if !self.fits(bytes, eighths) {
+            let overdue = self
+                .connections
+                .iter()
+                .filter(|(other, connection)| **other != id && connection.is_overdue(now));
+            let mut overdue: Vec<(usize, ConnectionId)> =
+                overdue.map(|(other, connection)| (connection.bytes(), *other)).collect();
+            overdue.sort_unstable_by(|one, other| other.cmp(one));
+            overdue.truncate(MAX_DISMISSED);
+            let freed: usize = overdue.iter().map(|(bytes, _)| bytes).sum();
+            if !self.fits_without(freed, bytes, eighths) {
+                return Room::refused(dismissed);
+            }
+            for (_, other) in overdue {
+                if self.fits(bytes, eighths) {
+                    break;
+                }
+                self.dismiss(other, now);
+                dismissed.push(other);
+            }
+        }
+        if self.fits(bytes, eighths) {
+            Room::granted(self.account.charge(bytes), dismissed)
+        } else {
+            Room::refused(dismissed)
+        }
+    }
+
+    /// Adds granted memory to the charge of a connection.
+    fn keep(&mut self, id: ConnectionId, room: Room<ClientCharge>) -> Room<()> {
+        let granted = room.granted.map(|charge| {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.charge.merge(charge);
+            }
+        });
+        Room { granted, dismissed: room.dismissed }
+    }
+
+    /// Returns the connection of a listener that is missed least: one that has said nothing, one whose client is
+    /// overdue, the one that has been idle for longest.
+    fn worst_connection(
+        &self,
+        listener: usize,
+        except: Option<ConnectionId>,
+        now: Millis,
+    ) -> Option<ConnectionId> {
+        let rank = |connection: &Connection| match connection.activity {
+            Activity::Silent => Some((0, connection.since)),
+            Activity::Head | Activity::Body if connection.is_overdue(now) => {
+                Some((1, connection.due))
+            }
+            Activity::Idle => Some((2, connection.since)),
+            Activity::Head | Activity::Body | Activity::Running | Activity::Leaving => None,
+        };
+        let ranked = self
+            .connections
+            .iter()
+            .filter(|(id, connection)| connection.listener == listener && Some(**id) != except)
+            .filter_map(|(id, connection)| Some((rank(connection)?, *id)));
+        ranked.min().map(|(_, id)| id)
+    }
+
+    /// Tells a connection to go. It counts no more, although it holds its part until it is closed.
+    fn dismiss(&mut self, id: ConnectionId, now: Millis) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let descriptors = self.descriptors_of(connection);
+        self.descriptors[connection.listener] -= descriptors;
+        self.leaving += connection.bytes();
+        self.leaving_count += 1;
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.begin(Activity::Leaving, now);
+        }
+    }
+
+    fn descriptors_of(&self, connection: &Connection) -> usize {
+        let per_request = self.settings.listeners[connection.listener].per_request;
+        match connection.activity {
+            Activity::Silent | Activity::Head | Activity::Idle => 1,
+            Activity::Body | Activity::Running => 1 + per_request,
+            Activity::Leaving => 0,
+        }
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,11 +1,13 @@
 //! State shared by entries: rules freshness, quota and retry shares, limits of servers, quarantine of
-//! requests and prompt parts, origins of streams, usage and membership.
+//! requests and prompt parts, origins of streams, usage and membership; and what the clients of an entry may make it
+//! hold.
 //!
 //! The crate does no I/O and reads no clock. Times are milliseconds on a clock that keeps running
 //! while the VM is suspended, unless their name says otherwise. With a clock that stops, an entry
 //! would still consider its rules fresh after a suspension.
 
 mod brittle;
+mod clients;
 mod copy_age;
 mod fingerprint;
 mod freshness;
@@ -27,6 +29,10 @@
 mod version_history;
 
 pub use brittle::{BrittleNews, BrittleServers, BrittleSettings, ServerRoom};
+pub use clients::{
+    CONNECTION_BYTES, ClientCharge, ClientSettings, ClientUse, Clients, ConnectionId, Content,
+    LARGE_HEAD_BYTES, ListenerShare, Listeners, REQUEST_BYTES, Room,
+};
 pub use copy_age::{ChangeSource, CopyAge};
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
 pub use freshness::{Confirmation, Freshness};
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -3,6 +3,7 @@
 //! All other crates depend on this one. A process creates one [`Kernel`] and registers its services
 //! by name; services look each other up in it.
 
+mod descriptors;
 mod error;
 mod log;
 mod metrics;
@@ -10,6 +11,7 @@
 mod registry;
 mod time;
 
+pub use descriptors::descriptor_limit;
 pub use error::{Code, Failure, Outcome};
 pub use log::{LogGuard, logger, logger_to};
 pub use metrics::Metrics;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -1,5 +1,7 @@
 //! Bodies: whole, streamed, and read within a limit.
 
+use crate::clients::ClientConnection;
+use crate::server::Request;
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures::stream::BoxStream;
@@ -10,6 +12,7 @@
 use kernel::{Code, Failure};
 use serde::de::DeserializeOwned;
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The body of a reply.
@@ -55,6 +58,16 @@
     tokio::time::timeout(time, read_limited(body, limit)).await.map_err(late)?
 }
 
+/// Reads the body of a client's request, as [`ClientConnection::receive`] does.
+///
+/// # Errors
+/// As [`ClientConnection::receive`], and [`Code::Internal`] for a request that no server of this crate has taken.
+pub async fn receive_request(req: Request, limit: usize, time: Duration) -> Result<Bytes, Failure> {
+    let client = req.extensions().get::<Arc<ClientConnection>>().cloned();
+    let client = client.ok_or_else(|| Failure::new(Code::Internal, "the connection is unknown"))?;
+    client.receive(req.into_body(), limit, time).await
+}
+
 /// Reads a whole body as JSON.
 ///
 /// # Errors
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -2,12 +2,19 @@
 
 mod body;
 mod client;
+mod client_io;
+mod clients;
 mod head;
+mod intake;
 mod reply;
 mod server;
 mod stall;
 
-pub use body::{Body, Reader, empty, full, read_json, read_limited, receive, stream};
+pub use body::{
+    Body, Reader, empty, full, read_json, read_limited, receive, receive_request, stream,
+};
 pub use client::{Client, ClientSettings};
+pub use client_io::ClientIo;
+pub use clients::{ClientConnection, ClientCounts, ClientRegistry, ClientRequest};
 pub use reply::{Reply, json, problem, read_problem, text};
 pub use server::{Request, ServerSettings, bind, serve};
