relay: connections of clients are bounded on every port

Callers saw: 400 connections that sent nothing, to any port of an entry with 300 descriptors, left no ordinary request answered: accepts failed every 10 ms, each with a log line, and no connection to a server could be made. 1,200 heads without an end took 108 MB.

Cause: nothing bounded connections or the heads that arrive on them, all ports shared one table of descriptors with the connections to servers, store and peers, and the time limits that operators set for heads and idle connections were read and not used (90 s for both).

Now memory and descriptors of the VM come with the settings (relay.ini) and are divided: an eighth of the descriptors stays for the store, peers and the platform, each internal port has a share of its own, a request counts the connection to its server as well. A full listener closes the connection that is missed least. Heads and idle connections end with the operators' limits, once a second, and not right after the process stood still. Failed accepts are logged once. The future of a request is allocated when it runs, so that idle connections are smaller.

--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -165,6 +165,17 @@
         }
         errors.into_result(relay)
     }
+
+    /// Returns the addresses at which the entry answers itself. Some deployments use one address for all.
+    pub fn internal_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for address in [self.ready, self.directory, self.metrics] {
+            if ![self.front, self.peer].contains(&address) && !addresses.contains(&address) {
+                addresses.push(address);
+            }
+        }
+        addresses
+    }
 }
 
 fn read_services(mut fields: Fields<'_>) -> Services {
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -11,9 +11,10 @@
 use crate::start_kind::StartKind;
 use crate::version_check::VersionCheck;
 use coord::{
-    BrittleServers, BrittleSettings, Freshness, Quarantine, QuarantineSettings, QuotaSettings,
-    QuotaShares, Restore, RetryBudget, RetrySettings, Roster, ServerLimitSettings, ServerLimits,
-    ServerPaths, StoreChange, StoreHealth, StreamOrigins, UsageCounter, UsageReports,
+    BrittleServers, BrittleSettings, ClientSettings, Freshness, Listeners, Quarantine,
+    QuarantineSettings, QuotaSettings, QuotaShares, Restore, RetryBudget, RetrySettings, Roster,
+    ServerLimitSettings, ServerLimits, ServerPaths, StoreChange, StoreHealth, StreamOrigins,
+    UsageCounter, UsageReports,
 };
 use infra::{Duties, Lease, Store};
 use kernel::prelude::*;
@@ -27,6 +28,7 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
+use web::{ClientCounts, ClientRegistry};
 
 /// Safety margin within the time allowed to revoke a key, for clocks that run at different rates,
 /// in milliseconds.
@@ -83,6 +85,9 @@
     services_cut: Gauge<u64>,
     open: Gauge<u64>,
     freshness: Gauge<u64>,
+    clients_turned_away: Counter<u64>,
+    client_connections: Gauge<u64>,
+    client_memory: Gauge<u64>,
 }
 
 /// Shared state of one entry.
@@ -178,8 +183,8 @@
     /// Signals a change of `departures`.
     pub(crate) departures_changed: watch::Sender<u64>,
     pub(crate) open_requests: Cell<u32>,
-    /// Number of callers' connections with bytes that wait to be sent.
-    pub(crate) blocked_connections: Cell<u32>,
+    /// Connections of callers and of entries, and what they hold.
+    pub(crate) clients: Arc<ClientRegistry>,
     pub(crate) stopping: Cell<bool>,
     /// Schedule and start of the planned stop.
     pub(crate) shutdown: watch::Sender<Option<(Shutdown, Instant)>>,
@@ -202,6 +207,14 @@
     peers: OnceCell<Peers>,
 }
 
+/// Divides the resources of the VM among the clients.
+fn client_settings(settings: &conf::Relay) -> ClientSettings {
+    let conf::Resources { memory, descriptors } = settings.resources;
+    let descriptors = descriptors.unwrap_or_else(kernel::descriptor_limit);
+    let internal = settings.internal_addresses().len();
+    ClientSettings::divide(memory, descriptors, Listeners { has_entries: true, internal })
+}
+
 impl Context {
     pub(crate) fn new(
         settings: conf::Relay,
@@ -226,6 +239,7 @@
             slack: promises.retry_slack,
         };
         let retry_budget = RetryBudget::new(retry);
+        let clients = client_settings(&settings);
         let server_limits =
             ServerLimits::new(ServerLimitSettings::default(), settings.name.clone());
         let quarantine = Quarantine::new(QuarantineSettings::default(), settings.name.clone());
@@ -254,6 +268,14 @@
             open: metrics.gauge("requests_open", "Requests of callers that are open"),
             freshness: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store_calls: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
+            clients_turned_away: metrics.counter(
+                "clients_turned_away",
+                "Connections refused or closed and requests refused, by reason",
+            ),
+            client_connections: metrics
+                .gauge("client_connections", "Open connections of callers and entries"),
+            client_memory: metrics
+                .gauge("client_memory_bytes", "Memory that clients hold, in bytes"),
         };
         Ok(Rc::new(Self {
             incarnation: Clock::unix_ms(),
@@ -308,7 +330,7 @@
             copy_behind: Notify::new(),
             departures_changed: watch::Sender::new(0),
             open_requests: Cell::new(0),
-            blocked_connections: Cell::new(0),
+            clients: ClientRegistry::new(clients),
             stopping: Cell::new(false),
             shutdown: watch::Sender::new(None),
             store_health: Cell::default(),
@@ -415,10 +437,26 @@
         let services_cut = self.server_paths.borrow().cut_services().count();
         self.meters.services_cut.record(services_cut as u64, &[]);
         self.meters.open.record(u64::from(self.open_requests.get()), &[]);
+        let clients = self.clients.usage();
+        self.meters.client_connections.record(clients.connections as u64, &[]);
+        self.meters.client_memory.record(clients.memory as u64, &[]);
         self.meters.freshness.record(self.freshness.borrow().age(now).unwrap_or(u64::MAX), &[]);
         self.metrics.render()
     }
 
+    /// Counts the clients that were turned away between two counts.
+    pub(crate) fn count_clients(&self, counts: &ClientCounts, before: &ClientCounts) {
+        let reasons = [
+            ("connection refused", counts.refused_connections - before.refused_connections),
+            ("request refused", counts.refused_requests - before.refused_requests),
+            ("dismissed", counts.dismissed - before.dismissed),
+            ("expired", counts.expired - before.expired),
+        ];
+        for (reason, count) in reasons.into_iter().filter(|(_, count)| *count > 0) {
+            self.meters.clients_turned_away.add(count, &[KeyValue::new("reason", reason)]);
+        }
+    }
+
     pub(crate) fn count_request(&self, status: u16, code: Option<Code>) {
         let code = code.map_or(0, Code::number);
         let labels =
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt_guard;
 mod body;
 mod change_log;
+mod client_sweep;
 mod context;
 mod directory;
 mod dispatch;
@@ -49,7 +50,6 @@
 mod supervise;
 mod sync;
 mod target;
-mod tracked_io;
 mod usage_report;
 mod version_check;
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts an entry, runs its tasks and stops it.
 
+use crate::client_sweep::ClientSweep;
 use crate::context::Context;
 use crate::duty::{self, LeaderLease};
 use crate::message::WatchedPrefix;
@@ -8,7 +9,7 @@
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
 use crate::registration;
-use crate::serve::{ListenerKind, accept_connections};
+use crate::serve::{Listener, ListenerKind, accept_connections};
 use crate::share_claim;
 use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::supervise::supervise;
@@ -24,6 +25,8 @@
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
+/// Size of the buffer of the kernel for bytes that a client has sent and the entry has not read.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// Interval between two checks whether a stopping entry may exit.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two sweeps of expired idle connections.
@@ -114,16 +117,12 @@
     cx.set_peers(Peers::new(socket));
     let mut listeners =
         vec![(settings.front, ListenerKind::Callers), (settings.peer, ListenerKind::Entries)];
-    // Some deployments use one address for readiness, directory and metrics.
-    for address in [settings.ready, settings.directory, settings.metrics] {
-        if !listeners.iter().any(|(taken, _)| *taken == address) {
-            listeners.push((address, ListenerKind::Internal));
-        }
-    }
-    for (address, kind) in listeners {
+    let internal = settings.internal_addresses().into_iter();
+    listeners.extend(internal.map(|address| (address, ListenerKind::Internal)));
+    for (index, (address, kind)) in listeners.into_iter().enumerate() {
         let listener = bind(address).map_err(|e| port_in_use(address, e))?;
-        let listener = Rc::new(listener);
-        supervise_with(cx, "connections", move |cx| accept_connections(cx, listener.clone(), kind));
+        let listener = Rc::new(Listener { listener, kind, index });
+        supervise_with(cx, "connections", move |cx| accept_connections(cx, listener.clone()));
     }
     Ok(())
 }
@@ -131,14 +130,18 @@
 fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    // Connections inherit it.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
 
 async fn sweep(cx: Rc<Context>) {
+    let mut clients = ClientSweep::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         cx.pool.remove_expired();
+        clients.sweep(&cx);
     }
 }
 
@@ -163,7 +166,7 @@
     cx.stopping.set(true);
     cx.shutdown.send_replace(Some((schedule, began)));
     info!(cx.log, "stopping"; "open" => cx.open_requests.get());
-    let unfinished = || cx.open_requests.get() + cx.blocked_connections.get();
+    let unfinished = || cx.open_requests.get() + cx.clients.blocked();
     while schedule.next_step(unfinished(), began.elapsed()) == ShutdownStep::Serve {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -14,7 +14,6 @@
 use crate::quota_exchange;
 use crate::reply::{empty_reply, error_reply};
 use crate::request::AdmittedRequest;
-use crate::tracked_io::TrackedIo;
 use coord::request_mark;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -24,7 +23,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, StatusCode};
-use hyper_util::rt::TokioTimer;
+use hyper_util::rt::TokioIo;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use rules::{Quota, RetryPolicy, Route};
@@ -33,9 +32,8 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
+use web::{ClientConnection, ClientIo, ClientRequest};
 
-/// Timeout for the headers of a request, which also limits how long a connection may be idle.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(90);
 /// Time that bytes sent to a caller may stay unacknowledged before the connection is treated as dead. A caller may
 /// read slowly for as long as its requests last.
 const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(15);
@@ -45,6 +43,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Timeout for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time to send the answer to a request whose connection has to go.
+const DISMISSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Retry-after time of an entry that is about to shut down. It is short because another entry can
 /// serve the caller at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -65,75 +65,135 @@
     Internal,
 }
 
+/// A socket that accepts connections.
+pub(crate) struct Listener {
+    pub(crate) listener: TcpListener,
+    pub(crate) kind: ListenerKind,
+    /// Index among the listeners of the entry.
+    pub(crate) index: usize,
+}
+
 /// Accepts connections for as long as the process lives.
-pub(crate) async fn accept_connections(
-    cx: Rc<Context>,
-    listener: Rc<TcpListener>,
-    kind: ListenerKind,
-) {
+pub(crate) async fn accept_connections(cx: Rc<Context>, listener: Rc<Listener>) {
+    let mut failures = 0_u64;
     loop {
-        match listener.accept().await {
+        match listener.listener.accept().await {
             Ok((stream, _)) => {
-                drop(tokio::task::spawn_local(serve_connection(cx.clone(), stream, kind)))
+                if failures > 0 {
+                    info!(cx.log, "accepting again"; "failures" => failures);
+                    failures = 0;
+                }
+                // Without room for it, the connection is closed.
+                if let Some(client) = cx.clients.open(listener.index) {
+                    let serving = serve_connection(cx.clone(), stream, client, listener.kind);
+                    drop(tokio::task::spawn_local(serving));
+                }
+                // Connections that have to go for this one go now.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
-                warn!(cx.log, "accept failed"; "cause" => %e);
+                if failures == 0 {
+                    warn!(cx.log, "accept failed"; "cause" => %e);
+                }
+                failures += 1;
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn serve_connection(cx: Rc<Context>, stream: TcpStream, kind: ListenerKind) {
+async fn serve_connection(
+    cx: Rc<Context>,
+    stream: TcpStream,
+    client: Arc<ClientConnection>,
+    kind: ListenerKind,
+) {
     if set_socket_options(&stream, CALLER_UNACKED_TIMEOUT).is_err() {
         // The caller has already disconnected.
         return;
     }
     let service = service_fn(|req: Request<Incoming>| {
-        let cx = cx.clone();
-        async move {
-            // The HTTP parser may have dropped a content-length next to the transfer-encoding, so
-            // the sender may regard the following bytes as part of the body. The connection is
-            // closed to prevent request smuggling.
-            let has_transfer_encoding = req.headers().contains_key(TRANSFER_ENCODING);
-            let mut reply = match kind {
-                ListenerKind::Callers => handle_request(&cx, req).await,
-                ListenerKind::Entries => {
-                    let open_request = OpenRequest::new(&cx, true);
-                    let (parts, body) = req.into_parts();
-                    track_body(forwarded::handle(&cx, parts, body).await, open_request)
-                }
-                ListenerKind::Internal => directory::handle_internal(&cx, &req),
-            };
-            if cx.stopping.get() || has_transfer_encoding {
-                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(reply)
-        }
+        let (cx, client) = (cx.clone(), client.clone());
+        // Boxed, as an idle connection has the size of its largest future.
+        Box::pin(async move { Ok::<_, Infallible>(answer(&cx, &client, kind, req).await) })
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(READ_BUFFER_BYTES);
+    // The sweep of the clients ends connections that wait for too long.
+    builder.header_read_timeout(None).max_buf_size(READ_BUFFER_BYTES);
+    let io = TokioIo::new(ClientIo::new(stream, client.clone()));
+    let mut serving = std::pin::pin!(builder.serve_connection(io, service));
+    let served = tokio::select! {
+        served = &mut serving => served,
+        () = client.dismissed() => {
+            if !client.runs_request() {
+                return;
+            }
+            // The body of the request is read no further, or its answer is not read: there may be a refusal to send.
+            let Ok(served) = tokio::time::timeout(DISMISSAL_TIMEOUT, serving).await else { return };
+            served
+        }
+    };
     // A connection error affects only its caller, who notices it too.
-    drop(builder.serve_connection(TrackedIo::new(cx.clone(), stream), service).await);
+    drop(served);
+}
+
+/// Answers a request to a listener of this kind.
+async fn answer(
+    cx: &Rc<Context>,
+    client: &Arc<ClientConnection>,
+    kind: ListenerKind,
+    req: Request<Incoming>,
+) -> Reply {
+    // The HTTP parser may have dropped a content-length next to the transfer-encoding, so
+    // the sender may regard the following bytes as part of the body. The connection is
+    // closed to prevent request smuggling.
+    let has_transfer_encoding = req.headers().contains_key(TRANSFER_ENCODING);
+    let mut reply = match client.begin_request() {
+        Err(failure) => return refuse(cx, &req, &failure),
+        Ok(request) => match kind {
+            ListenerKind::Callers => handle_request(cx, request, req).await,
+            ListenerKind::Entries => {
+                let open_request = OpenRequest::new(cx, request, true);
+                let (parts, body) = req.into_parts();
+                let reply = forwarded::handle(cx, parts, body).await;
+                track_body(reply, open_request)
+            }
+            ListenerKind::Internal => directory::handle_internal(cx, &req),
+        },
+    };
+    if cx.stopping.get() || has_transfer_encoding {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+/// Refuses a request for which there is no room, and ends its connection.
+fn refuse(cx: &Context, req: &Request<Incoming>, failure: &Failure) -> Reply {
+    let id = req.headers().get(&cx.protocol.names().request);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
+    debug!(cx.log, "refused"; "request" => id, "code" => failure.code.number(),
+        "cause" => failure.context.clone());
+    let mut reply = error_reply(failure);
+    cx.count_request(reply.status().as_u16(), Some(failure.code));
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
 }
 
 /// Counts a request as open until dropped.
 struct OpenRequest {
     cx: Rc<Context>,
+    _request: ClientRequest,
     /// Whether another entry passed the request on.
     is_forwarded: bool,
 }
 
 impl OpenRequest {
-    fn new(cx: &Rc<Context>, is_forwarded: bool) -> Self {
+    fn new(cx: &Rc<Context>, request: ClientRequest, is_forwarded: bool) -> Self {
         cx.open_requests.set(cx.open_requests.get() + 1);
         if is_forwarded {
             cx.open_forwarded.set(cx.open_forwarded.get() + 1);
         }
-        Self { cx: cx.clone(), is_forwarded }
+        Self { cx: cx.clone(), _request: request, is_forwarded }
     }
 }
 
@@ -147,9 +207,9 @@
     }
 }
 
-async fn handle_request(cx: &Rc<Context>, req: Request<Incoming>) -> Reply {
+async fn handle_request(cx: &Rc<Context>, request: ClientRequest, req: Request<Incoming>) -> Reply {
     let started = Instant::now();
-    let open_request = OpenRequest::new(cx, false);
+    let open_request = OpenRequest::new(cx, request, false);
     let (parts, body) = req.into_parts();
     let id = parts.headers.get(&cx.protocol.names().request).cloned();
     let id = id.unwrap_or(HeaderValue::from_static(""));
