relay: bodies of requests are bounded in sum

Cause: a body had a limit, their sum had none. A handle was kept for each frame of a body (a frame is a chunk, however small), all were copied into one at the end, and an announced length was compared with the limit only after the bytes had come.

Now a body is charged to the memory for clients before it is read, in the port for entries as well: whole if its length was announced, else as its one buffer grows.

--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -10,7 +10,7 @@
 use crate::planned_stop;
 use crate::reply::error_reply;
 use crate::request::AdmittedRequest;
-use crate::serve::read_body;
+use crate::serve::BODY_TIMEOUT;
 use coord::{Path, request_mark};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
@@ -20,6 +20,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::Instant;
+use web::ClientConnection;
 
 /// Number of open requests of other entries for each one of this entry's own callers, up to which further
 /// ones are taken over.
@@ -28,7 +29,12 @@
 const MIN_FORWARDED: u32 = 48;
 
 /// Handles a request that another entry passes on. It was admitted, charged and counted there.
-pub(crate) async fn handle(cx: &Rc<Context>, parts: Parts, body: Incoming) -> Reply {
+pub(crate) async fn handle(
+    cx: &Rc<Context>,
+    client: &Arc<ClientConnection>,
+    parts: Parts,
+    body: Incoming,
+) -> Reply {
     let sender = fields::name(&parts.headers, &fields::SENDER).unwrap_or_default();
     let id = parts.headers.get(&cx.protocol.names().request).cloned();
     let id = id.unwrap_or(HeaderValue::from_static(""));
@@ -42,7 +48,7 @@
         headers.insert(&fields::RULES_VERSION, HeaderValue::from(cx.rules.borrow().version));
         reply
     };
-    let request = match take_over(cx, parts, body, id.clone()).await {
+    let request = match take_over(cx, client, parts, body, id.clone()).await {
         Ok(request) => Rc::new(request),
         Err(reason) => return declined(reason),
     };
@@ -59,6 +65,7 @@
 /// Reads a request of another entry; fails with the reason for which it is not taken over.
 async fn take_over(
     cx: &Rc<Context>,
+    client: &Arc<ClientConnection>,
     parts: Parts,
     body: Incoming,
     id: HeaderValue,
@@ -110,7 +117,7 @@
     let sender = fields::name(&headers, &fields::SENDER).unwrap_or_default();
     let prompt = cx.protocol.parse_prompt(&headers).filter(|_| route.has_prompt);
     let priority = organisation.as_ref().and_then(|owner| owner.priority).unwrap_or(route.priority);
-    let body = read_body(body, rules.limits.max_body_bytes).await;
+    let body = client.receive(body, rules.limits.max_body_bytes, BODY_TIMEOUT).await;
     let body = body.map_err(|_| "the body is incomplete")?;
     if !planned_stop::accepts(cx, &route, deadline) {
         return Err("the entry is leaving");
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,8 +15,7 @@
 use crate::reply::{empty_reply, error_reply};
 use crate::request::AdmittedRequest;
 use coord::request_mark;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -42,7 +41,7 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Timeout for the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time to send the answer to a request whose connection has to go.
 const DISMISSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Retry-after time of an entry that is about to shut down. It is short because another entry can
@@ -148,6 +147,7 @@
     // the sender may regard the following bytes as part of the body. The connection is
     // closed to prevent request smuggling.
     let has_transfer_encoding = req.headers().contains_key(TRANSFER_ENCODING);
+    client.set_unread_body(!req.body().is_end_stream());
     let mut reply = match client.begin_request() {
         Err(failure) => return refuse(cx, &req, &failure),
         Ok(request) => match kind {
@@ -155,13 +155,13 @@
             ListenerKind::Entries => {
                 let open_request = OpenRequest::new(cx, request, true);
                 let (parts, body) = req.into_parts();
-                let reply = forwarded::handle(cx, parts, body).await;
+                let reply = forwarded::handle(cx, client, parts, body).await;
                 track_body(reply, open_request)
             }
             ListenerKind::Internal => directory::handle_internal(cx, &req),
         },
     };
-    if cx.stopping.get() || has_transfer_encoding {
+    if cx.stopping.get() || has_transfer_encoding || client.has_failed_body() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reply
@@ -209,11 +209,12 @@
 
 async fn handle_request(cx: &Rc<Context>, request: ClientRequest, req: Request<Incoming>) -> Reply {
     let started = Instant::now();
+    let client = request.client().clone();
     let open_request = OpenRequest::new(cx, request, false);
     let (parts, body) = req.into_parts();
     let id = parts.headers.get(&cx.protocol.names().request).cloned();
     let id = id.unwrap_or(HeaderValue::from_static(""));
-    let (reply, code) = match admit_and_dispatch(cx, parts, body, started).await {
+    let (reply, code) = match admit_and_dispatch(cx, &client, parts, body, started).await {
         Ok(served) => served,
         Err(failure) => {
             info!(cx.log, "refused"; "request" => id.to_str().unwrap_or(""),
@@ -252,13 +253,14 @@
 /// Serves a request. One that has no answer when the entry is about to exit gets a failure instead.
 async fn admit_and_dispatch(
     cx: &Rc<Context>,
+    client: &Arc<ClientConnection>,
     parts: Parts,
     body: Incoming,
     started: Instant,
 ) -> Result<(Reply, Option<Code>), Failure> {
     let (request, charge) = tokio::select! {
         biased;
-        admitted = admit_request(cx, parts, body, started) => admitted?,
+        admitted = admit_request(cx, client, parts, body, started) => admitted?,
         () = planned_stop::wait_until_answers_due(cx) => return Err(leaving("the entry exits")),
     };
     let request = Rc::new(request);
@@ -295,6 +297,7 @@
 /// Admits a request: reads its body and charges its organisation.
 async fn admit_request(
     cx: &Rc<Context>,
+    client: &Arc<ClientConnection>,
     parts: Parts,
     body: Incoming,
     started: Instant,
@@ -321,7 +324,7 @@
     if !planned_stop::accepts(cx, &route, deadline) {
         return Err(leaving(host));
     }
-    let body = read_body(body, rules.limits.max_body_bytes).await?;
+    let body = client.receive(body, rules.limits.max_body_bytes, BODY_TIMEOUT).await?;
     let service = route.choose_service(rand::random()).cloned();
     let service = service.ok_or_else(|| Failure::new(Code::NoServer, route.name.as_str()))?;
     let software_version = version_to_resume(cx, &route, &service, &headers).await?;
@@ -431,16 +434,6 @@
     target + headers.iter().map(field).sum::<usize>()
 }
 
-pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<bytes::Bytes, Failure> {
-    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    let read = read.map_err(|_| Failure::new(Code::BodyLate, format!("{BODY_TIMEOUT:?}")))?;
-    read.map(|body| body.to_bytes()).map_err(|e| {
-        let code =
-            if e.is::<LengthLimitError>() { Code::BodyTooLarge } else { Code::MalformedBody };
-        Failure::new(code, e.to_string())
-    })
-}
-
 /// Returns the readiness of the entry as a response.
 pub(crate) fn readiness_reply(cx: &Context) -> Reply {
     empty_reply(if cx.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
