relay: answers that callers do not read are bounded in sum

Callers saw: 32 callers that asked for answers of 3 MiB and did not read them made an entry hold 92 to 119 MB.

Cause: an answer is read whole before it is passed on, up to 4 MiB each, without a bound on the sum; the connection to each server buffered up to 400 KiB more.

Now answers are charged to the memory for clients until they are sent. A connection to a server buffers 64 KiB.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -459,7 +459,7 @@
     mut response: ServerResponse,
 ) -> Option<Reply> {
     response.guard.mark_prompt_read();
-    let read = Limited::new(&mut response.body, MAX_BUFFERED_RESPONSE_BYTES).collect();
+    let read = request.client.collect_answer(&mut response.body, MAX_BUFFERED_RESPONSE_BYTES);
     let read = tokio::time::timeout_at(request.deadline, read).await;
     let doubt = if matches!(read, Ok(Ok(_))) {
         end_check::doubt(cx, request, &response).await
@@ -479,11 +479,11 @@
             quarantine::record_completion(cx, answer);
             guard.mark_completed();
             release_connection(cx, request, connection, head.headers());
-            return Some(forwarded_reply(head, full_body(bytes.to_bytes())));
+            return Some(forwarded_reply(head, full_body(bytes)));
         }
         (Ok(Err(e)), _) => {
             check_server(cx, &guard.server, connection.address());
-            e.to_string()
+            e.context.to_string()
         }
         (Err(_), _) => "response incomplete at the deadline".to_owned(),
     };
--- a/crates/relay/src/forwarded.rs
+++ b/crates/relay/src/forwarded.rs
@@ -151,6 +151,7 @@
         rules_version: rules.version,
         sender: Some(sender),
         runs_before,
+        client: client.clone(),
         route,
     })
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -32,6 +32,9 @@
 /// Safety margin before the idle limit stated by a server, within which a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum number of bytes of a response that are buffered for a connection before they are read.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Header field in which a server states how long it keeps an idle connection open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -126,7 +129,9 @@
         let stream = stream.map_err(|_| failed("connection timed out".into()))?;
         let stream = stream.map_err(|e| failed(e.to_string()))?;
         set_socket_options(&stream, UNACKED_TIMEOUT).map_err(|e| failed(e.to_string()))?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
         let broken = self.broken.clone();
         tokio::task::spawn_local(async move {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -10,6 +10,7 @@
 use rules::{Organisation, Route};
 use std::cell::Cell;
 use tokio::time::Instant;
+use web::ClientConnection;
 
 /// A request that passed admission.
 pub(crate) struct AdmittedRequest {
@@ -37,6 +38,8 @@
     pub(crate) sender: Option<Name>,
     /// Number of servers that may have run the request before it came here.
     pub(crate) runs_before: u32,
+    /// Connection on which the request came.
+    pub(crate) client: Arc<ClientConnection>,
 }
 
 impl AdmittedRequest {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -391,6 +391,7 @@
         rules_version: rules.version,
         sender: None,
         runs_before: 0,
+        client: client.clone(),
         route,
     };
     Ok((request, charge))
