web: the own interface charges what callers and operators send

Callers saw: 512 clients with bodies of 256 KiB, short of their last byte, made an entry of the own interface (fennelfold entry) hold 170 MB; with slow servers 215, with chunks of one byte 204, with configurations of 1 MiB 161. 400 silent connections left no caller answered at an entry with 300 descriptors.

Cause: a limit for each body and 20,000 connections, and no sum: 20,000 x 256 KiB.

Operators' bodies are received in the same way. The bound of 20,000 connections stays.

--- a/crates/fennelfold/src/entry/mod.rs
+++ b/crates/fennelfold/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use servers::Servers;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use web::ServerSettings;
 
 /// Time kept back from a reclaim notice for the last bytes to leave.
 const NOTICE_MARGIN: Duration = Duration::from_millis(300);
@@ -36,6 +37,7 @@
 /// It listens and has its services, and answers nobody yet.
 struct Starting {
     http: TcpListener,
+    http_settings: ServerSettings,
     peer: std::net::TcpListener,
 }
 
@@ -86,6 +88,12 @@
         let in_use = |e| Failure::new(Code::PortInUse, format!("{}: {e}", node.peer));
         let peer = std::net::TcpListener::bind(node.peer).map_err(in_use)?;
         let kernel = services::build(node, &log).await?;
+        let conf::Resources { memory, descriptors } = node.resources;
+        let http_settings = ServerSettings {
+            memory,
+            descriptors: descriptors.unwrap_or_else(kernel::descriptor_limit),
+            ..ServerSettings::default()
+        };
         Ok(Self {
             cluster: kernel.find(Cluster::NAME)?,
             configuration: kernel.find(Configuration::NAME)?,
@@ -93,12 +101,13 @@
             servers: kernel.find(Servers::NAME)?,
             kernel,
             log,
-            state: Starting { http, peer },
+            state: Starting { http, http_settings, peer },
         })
     }
 
     fn serve(self) -> Result<Entry<Serving>, Failure> {
-        let (mut entry, Starting { http, peer }) = self.change(Serving { tasks: JoinSet::new() });
+        let (mut entry, Starting { http, http_settings, peer }) =
+            self.change(Serving { tasks: JoinSet::new() });
         let kernel = entry.kernel.clone();
         let stop = || kernel.stop_signal();
         let handler = PeerHandler {
@@ -117,7 +126,7 @@
         tasks.spawn(entry.configuration.clone().run(stop()));
         tasks.spawn(entry.servers.clone().run(stop()));
         tasks.spawn(entry.requests.clone().run(stop()));
-        tasks.spawn(web::serve(http, web::ServerSettings::default(), stop(), handler));
+        tasks.spawn(web::serve(http, http_settings, stop(), handler));
         info!(entry.log, "started"; "node" => entry.cluster.local_node().to_string(), "http" => at,
             "services" => format!("{:?}", kernel.names()));
         Ok(entry)
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -9,7 +9,7 @@
 use ledger::{Cursor, RequestSpec};
 use rand::RngExt;
 use serde::Deserialize;
-use web::{Reply, Request, receive};
+use web::{Reply, Request, receive_request};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Header that names the caller's organisation.
@@ -115,7 +115,7 @@
 
 async fn read(req: Request, config: &Config) -> Result<(Head, Bytes), Failure> {
     let head = read_head(req.headers(), config)?;
-    let body = receive(req.into_body(), config.limits.max_body_bytes, BODY_TIME).await?;
+    let body = receive_request(req, config.limits.max_body_bytes, BODY_TIME).await?;
     Ok((head, body))
 }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,22 +1,32 @@
 //! An HTTP server with bounds on connections, requests and time.
 
+use crate::body::Body;
+use crate::client_io::ClientIo;
+use crate::clients::{ClientConnection, ClientRegistry, ClientRequest};
 use crate::head::check_head;
 use crate::reply::{Reply, problem};
 use crate::stall::StallGuard;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use coord::{ClientSettings, Listeners};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use kernel::{Code, Failure, StopSignal};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 use tokio_util::task::AbortOnDropHandle;
 use tower::ServiceBuilder;
 
@@ -27,6 +37,10 @@
 const REFUSALS: usize = 256;
 /// Time for a connection above the bound to send its request and read the refusal.
 const REFUSAL_TIME: Duration = Duration::from_secs(2);
+/// Interval between two looks for connections that wait for too long.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time to send the answer to a request whose connection has to go.
+const DISMISSAL_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -35,11 +49,15 @@
 pub struct ServerSettings {
     /// Open connections; a further one is told at once that the process is overloaded.
     pub connections: usize,
+    /// Memory of the process, in bytes, a part of which clients may use.
+    pub memory: usize,
+    /// File descriptors of the process, a part of which clients may use.
+    pub descriptors: usize,
     /// Bytes of the target and the header fields of a request.
     pub head_bytes: usize,
     /// Header fields of a request.
     pub headers: usize,
-    /// Time for the head of a request to arrive.
+    /// Time that a connection may be idle, and time for the head of a request to arrive.
     pub head_time: Duration,
     /// Time a reader may take nothing before its connection ends.
     pub stall: Duration,
@@ -51,6 +69,8 @@
     fn default() -> Self {
         Self {
             connections: 20_000,
+            memory: 1 << 30,
+            descriptors: kernel::descriptor_limit(),
             head_bytes: 32 << 10,
             headers: 64,
             head_time: Duration::from_secs(10),
@@ -82,10 +102,19 @@
     R: Future<Output = Result<Reply, Failure>> + Send + 'static,
 {
     let slots = Slots::new(settings.connections);
+    let clients =
+        ClientSettings::divide(settings.memory, settings.descriptors, Listeners::default());
+    let clients = ClientRegistry::new(clients);
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut open = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            _ = sweep.tick() => {
+                clients.expire(settings.head_time, settings.head_time);
+                continue;
+            }
             () = stop.wait() => break,
         };
         // A failed accept concerns one connection, or too many open files: wait and go on.
@@ -93,9 +122,12 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        // Without room for it, the connection is closed.
+        let Some(client) = clients.open(0) else { continue };
         match slots.admit() {
             Admission::Serve(slot) => {
-                let connection = connection(stream, settings, stop.clone(), handler.clone());
+                let client = Client { stream, connection: client };
+                let connection = connection(client, settings, stop.clone(), handler.clone());
                 open.spawn(with_slot(slot, connection));
             }
             Admission::Refuse(slot) => drop(open.spawn(with_slot(slot, refuse(stream, settings)))),
@@ -158,8 +190,14 @@
     let _ = tokio::time::timeout(REFUSAL_TIME, refusing).await;
 }
 
-async fn connection<F, R>(
+/// A client that was accepted.
+struct Client {
     stream: TcpStream,
+    connection: Arc<ClientConnection>,
+}
+
+async fn connection<F, R>(
+    client: Client,
     settings: ServerSettings,
     mut stop: StopSignal,
     handler: F,
@@ -167,40 +205,87 @@
     F: Fn(Request) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Result<Reply, Failure>> + Send + 'static,
 {
+    let Client { stream, connection: client } = client;
     let _ = stream.set_nodelay(true);
-    let service = ServiceBuilder::new().service_fn(move |req: Request| {
-        let handled = check_head(&req, &settings).map(|()| handler(req));
+    let served = client.clone();
+    let service = ServiceBuilder::new().service_fn(move |mut req: Request| {
+        let client = served.clone();
+        client.set_unread_body(!req.body().is_end_stream());
+        let handled = client.begin_request().and_then(|request| {
+            check_head(&req, &settings)?;
+            req.extensions_mut().insert(client.clone());
+            Ok((request, handler(req)))
+        });
         async move {
             let reply = match handled {
                 // A handler that panics must not take the connection's answer with it, and one
                 // whose caller is gone is given up.
-                Ok(handled) => {
-                    AbortOnDropHandle::new(tokio::spawn(handled)).await.unwrap_or_else(internal)
+                Ok((request, handled)) => {
+                    let handled = AbortOnDropHandle::new(tokio::spawn(handled)).await;
+                    handled.unwrap_or_else(internal).map(|reply| until_sent(reply, request))
                 }
                 Err(failure) => Err(failure),
             };
-            Ok::<_, Infallible>(reply.unwrap_or_else(|failure| problem(&failure)))
+            let mut reply = reply.unwrap_or_else(|failure| problem(&failure));
+            if client.has_failed_body() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(reply)
         }
     });
-    let io = TokioIo::new(StallGuard::new(stream, settings.stall));
+    let io = TokioIo::new(StallGuard::new(ClientIo::new(stream, client.clone()), settings.stall));
     let connection = builder(&settings).serve_connection(io, TowerToHyperService::new(service));
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => Some(ended),
-        () = stop.wait() => None,
-    };
-    if ended.is_none() {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    tokio::select! {
+        _ = &mut connection => return,
+        () = stop.wait() => connection.as_mut().graceful_shutdown(),
+        () = client.dismissed() => {
+            if client.runs_request() {
+                let _ = tokio::time::timeout(DISMISSAL_TIME, connection).await;
+            }
+            return;
+        }
     }
+    let _ = connection.await;
+}
+
+/// The body of a reply, which keeps its request running until it has been handed to the connection.
+struct ReplyBody {
+    body: Body,
+    _request: ClientRequest,
+}
+
+impl hyper::body::Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Keeps a request running until the body of its reply has been handed to the connection.
+fn until_sent(reply: Reply, request: ClientRequest) -> Reply {
+    reply.map(|body| ReplyBody { body, _request: request }.boxed_unsync())
 }
 
 /// Sets the parser to twice the limits, so that a head a little above them gets a numbered error.
 fn builder(settings: &ServerSettings) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(settings.head_time)
+        // The sweep of the clients ends connections that wait for too long.
+        .header_read_timeout(None)
         .max_buf_size(settings.head_bytes * 2)
         .max_headers(settings.headers * 2);
     builder
--- a/crates/web/src/stall.rs
+++ b/crates/web/src/stall.rs
@@ -6,27 +6,26 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
 /// Fails a write that has made no progress for `limit`, so that half-open connections end.
-pub(crate) struct StallGuard {
-    inner: TcpStream,
+pub(crate) struct StallGuard<T> {
+    inner: T,
     limit: Duration,
     waiting: bool,
     timer: Pin<Box<Sleep>>,
 }
 
-impl StallGuard {
-    pub(crate) fn new(inner: TcpStream, limit: Duration) -> Self {
+impl<T> StallGuard<T> {
+    pub(crate) fn new(inner: T, limit: Duration) -> Self {
         Self { inner, limit, waiting: false, timer: Box::pin(tokio::time::sleep(limit)) }
     }
 
-    fn guard<T>(
+    fn guard<R>(
         &mut self,
         cx: &mut Context<'_>,
-        polled: Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
+        polled: Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
         if polled.is_ready() {
             self.waiting = false;
             return polled;
@@ -42,7 +41,7 @@
     }
 }
 
-impl AsyncRead for StallGuard {
+impl<T: AsyncRead + Unpin> AsyncRead for StallGuard<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -52,7 +51,7 @@
     }
 }
 
-impl AsyncWrite for StallGuard {
+impl<T: AsyncWrite + Unpin> AsyncWrite for StallGuard<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
