ledger, front: what ended requests leave behind is bounded

Callers saw: after 400 requests with bodies of 256 KiB, one after the other, an entry of the own interface held 234 MB, after 400 chats that no server could take 131 MB, for the two minutes that answers are kept.

Cause: a record kept the body of its request until it was removed, in the request table and in its execution state; the body made for an engine was charged to nobody; records had no bound on the bytes of their answers.

Now a body is given up once its request has ended and is not sent to a server any more; the body for an engine is charged like that of the caller, three times, as the message to the witness holds two more copies; and a request is refused as overloaded, not run, while the records hold more than an eighth of the memory (a quarter for small bodies, so that ordinary callers go on being answered).

--- a/crates/coord/src/clients.rs
+++ b/crates/coord/src/clients.rs
@@ -115,6 +115,8 @@
     pub memory: usize,
     /// Descriptors, by listener.
     pub listeners: Vec<ListenerShare>,
+    /// Number of copies of a body that the process makes while it handles a request.
+    pub body_copies: usize,
 }
 
 /// Listeners of a process.
@@ -147,7 +149,7 @@
                 share.descriptors = share.descriptors * affordable / total;
             }
         }
-        Self { memory, listeners: shares }
+        Self { memory, listeners: shares, body_copies: 1 }
     }
 }
 
@@ -427,6 +429,10 @@
         content: Content,
         now: Millis,
     ) -> Room<ClientCharge> {
+        let bytes = match content {
+            Content::Body(_) => bytes * self.settings.body_copies,
+            Content::Answer(_) => bytes,
+        };
         let room = self.charge(id, bytes, content.eighths(), now);
         if room.granted.is_some()
             && let Some(connection) = self.connections.get_mut(&id)
--- a/crates/coord/tests/clients.rs
+++ b/crates/coord/tests/clients.rs
@@ -15,7 +15,7 @@
 fn clients(memory: usize, descriptors: usize) -> Clients {
     let callers = ListenerShare { descriptors, per_request: 1 };
     let internal = ListenerShare { descriptors: 2, per_request: 0 };
-    Clients::new(ClientSettings { memory, listeners: vec![callers, internal] })
+    Clients::new(ClientSettings { memory, listeners: vec![callers, internal], body_copies: 1 })
 }
 
 fn open(clients: &mut Clients, listener: usize, now: u64) -> ConnectionId {
@@ -179,6 +179,21 @@
     assert_eq!(clients.usage().memory, 0);
 }
 
+#[test]
+fn a_body_is_charged_for_all_its_copies() {
+    let settings = ClientSettings::divide(160_000_000, 4_100, Listeners::default());
+    let mut clients = Clients::new(ClientSettings { body_copies: 3, ..settings });
+    let id = run(&mut clients, 0);
+    let before = clients.usage().memory;
+    let held = [Content::Body(MIB), Content::Answer(MIB)].map(|content| {
+        clients.begin_body(id, 0);
+        clients.hold(id, MIB, content, 0)
+    });
+    assert_eq!(clients.usage().memory, before + 4 * MIB);
+    drop(held);
+    assert_eq!(clients.usage().memory, before);
+}
+
 #[test]
 fn heads_and_idle_connections_expire_and_requests_do_not() {
     let mut clients = clients(64 * MIB, 100);
--- a/crates/exec/src/dispatch.rs
+++ b/crates/exec/src/dispatch.rs
@@ -49,7 +49,10 @@
         attempt: u32,
     ) -> OwnerEvent {
         let left_ms = record.time_left(self.clock.now()).as_millis() as u64;
-        let requirements = requirements(&record.spec, service, left_ms);
+        let Some(spec) = self.with_table(|table| table.spec(&record.spec.key).cloned()) else {
+            return OwnerEvent::Broke { code: Code::Internal, again: false };
+        };
+        let requirements = requirements(&spec, service, left_ms);
         let Some(choice) = self.services.servers.choose(&record.spec.key, &requirements) else {
             return not_sent(Code::NoServer, false);
         };
@@ -65,8 +68,8 @@
             requirements.prompt_tokens,
         );
         let outcome = match service.kind {
-            ServiceKind::Model => self.generate(record, service, &choice, &tag).await,
-            ServiceKind::Plain => self.call_plain(record, &choice, &tag).await,
+            ServiceKind::Model => self.generate(record, service, &choice, &tag, &spec.body).await,
+            ServiceKind::Plain => self.call_plain(record, &choice, &tag, &spec.body).await,
         };
         self.services
             .servers
@@ -103,6 +106,7 @@
         service: &Service,
         choice: &route::Choice,
         tag: &Tag,
+        body: &Bytes,
     ) -> AttemptOutcome {
         let text = |chunk: &Chunk| String::from_utf8_lossy(&chunk.data).into_owned();
         let generated: Vec<String> =
@@ -115,7 +119,6 @@
         let started = self.clock.now();
         let left = record.time_left(started);
         let stall_timeout = self.settings.stall_timeout.max(service.between_tokens);
-        let body = &record.spec.body;
         let generation = self
             .services
             .engine
@@ -159,11 +162,11 @@
         record: &Arc<Record>,
         choice: &route::Choice,
         tag: &Tag,
+        body: &Bytes,
     ) -> AttemptOutcome {
         let left = record.time_left(self.clock.now());
-        let body = record.spec.body.clone();
         let path = format!("/{}{}", record.spec.service, record.spec.path);
-        match self.services.plain.call(choice.address, &path, tag, body, left).await {
+        match self.services.plain.call(choice.address, &path, tag, body.clone(), left).await {
             Ok(answer) => {
                 let head = format!("{} {}", answer.status, answer.content_type);
                 let chunk = |data| Chunk::new(0, data);
--- a/crates/exec/src/perform.rs
+++ b/crates/exec/src/perform.rs
@@ -160,7 +160,7 @@
     pub(crate) fn record(&self, table: &RequestTable, key: &Key) -> Option<Arc<Record>> {
         let spec = table.spec(key)?;
         self.with_records(|records| {
-            let create = || Record::new(spec.clone(), self.clock.now());
+            let create = || Record::new(spec, self.clock.now());
             Some(records.entry(key.clone()).or_insert_with(create).clone())
         })
     }
--- a/crates/exec/src/record.rs
+++ b/crates/exec/src/record.rs
@@ -1,5 +1,6 @@
 //! Execution state of a request: its deadline, its decisions and its running attempt.
 
+use bytes::Bytes;
 use kernel::prelude::*;
 use ledger::{Ending, RequestSpec};
 use std::sync::{Mutex, PoisonError};
@@ -43,13 +44,15 @@
 /// Execution state of a request in the request table.
 #[derive(Debug)]
 pub(crate) struct Record {
+    /// The request without its body, which the request table keeps for as long as it is needed.
     pub(crate) spec: RequestSpec,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
 }
 
 impl Record {
-    pub(crate) fn new(spec: RequestSpec, now: Millis) -> Arc<Self> {
+    pub(crate) fn new(spec: &RequestSpec, now: Millis) -> Arc<Self> {
+        let spec = RequestSpec { body: Bytes::new(), ..spec.clone() };
         let state = State { deadline: now + spec.left_ms, ..State::default() };
         Arc::new(Self { spec, state: Mutex::new(state), changed: watch::channel(0).0 })
     }
--- a/crates/exec/src/requests.rs
+++ b/crates/exec/src/requests.rs
@@ -34,6 +34,8 @@
     pub claim_retries: u32,
     /// Longest wait for a chunk in one read.
     pub max_read_wait: Duration,
+    /// Size of the bodies and answers of all records, in bytes, from which requests with a large body are refused.
+    pub max_kept_bytes: usize,
 }
 
 impl Default for Settings {
@@ -44,6 +46,7 @@
             stall_timeout: Duration::from_secs(5),
             claim_retries: 2,
             max_read_wait: Duration::from_secs(1),
+            max_kept_bytes: Limits::default().max_kept_bytes,
         }
     }
 }
@@ -253,7 +256,11 @@
         });
         self.with_table(|table| {
             let max_open = limits.max_open_requests * RECORDS_PER_OPEN_REQUEST;
-            table.set_limits(Limits { max_open, max_answer_bytes: limits.max_answer_bytes });
+            table.set_limits(Limits {
+                max_open,
+                max_answer_bytes: limits.max_answer_bytes,
+                max_kept_bytes: self.settings.max_kept_bytes,
+            });
             for key in &expired {
                 table.forget(key);
             }
--- a/crates/fennelfold/src/entry/mod.rs
+++ b/crates/fennelfold/src/entry/mod.rs
@@ -23,6 +23,9 @@
 /// Time that open requests may take after SIGTERM.
 const DRAIN_LIMIT: Duration = Duration::from_secs(120);
 
+/// Copies of the body of a request: the record, the message that takes it to the witness, and its buffer.
+const BODY_COPIES: usize = 3;
+
 /// An entry in one state of its life cycle.
 struct Entry<S> {
     kernel: Arc<Kernel>,
@@ -92,6 +95,7 @@
         let http_settings = ServerSettings {
             memory,
             descriptors: descriptors.unwrap_or_else(kernel::descriptor_limit),
+            body_copies: BODY_COPIES,
             ..ServerSettings::default()
         };
         Ok(Self {
--- a/crates/fennelfold/src/entry/services.rs
+++ b/crates/fennelfold/src/entry/services.rs
@@ -15,6 +15,8 @@
 
 /// Low bits of an incarnation that are drawn, so that two starts in one millisecond differ.
 const INCARNATION_RANDOM_BITS: u32 = 10;
+/// Divisor of the memory of the process that gives what is kept of requests with large bodies.
+const KEPT_DIVISOR: usize = 8;
 /// Longest wait for notices in one call to the cloud API.
 const NOTICE_WAIT: Duration = Duration::from_secs(20);
 
@@ -61,7 +63,9 @@
         engine,
         plain: Arc::new(Plain::new(conf::Limits::default().max_answer_bytes)),
     };
-    let requests = Requests::new(to, Settings::default(), &metrics, clock, named(Requests::NAME));
+    let settings =
+        Settings { max_kept_bytes: node.resources.memory / KEPT_DIVISOR, ..Settings::default() };
+    let requests = Requests::new(to, settings, &metrics, clock, named(Requests::NAME));
     kernel.add("metrics", metrics);
     kernel.add(Health::NAME, health);
     kernel.add(peer::Traffic::NAME, Arc::new(traffic));
--- a/crates/fennelfold/tests/clients.rs
+++ b/crates/fennelfold/tests/clients.rs
@@ -31,13 +31,8 @@
 /// Sends a crowd against the first of two entries whose processes may open this number of descriptors. A caller is
 /// answered while the crowd stays, and after it has left.
 async fn check_crowd(descriptors: usize, clients: usize, bytes: &Bytes, slow: Duration) {
-    static RUNNING: Mutex<()> = Mutex::const_new(());
     let _alone = RUNNING.lock().await;
-    let sections = format!("[resources]\nmemory = {MEMORY}B\ndescriptors = {descriptors}\n");
-    let deployment = Deployment::start_with(2, &sections).await;
-    let limits = Limits { memory: MEMORY, descriptors };
-    let process = |entry| Process::new(deployment.pid(entry), [deployment.http(entry)], limits);
-    let processes = [process(0), process(1)];
+    let (deployment, processes) = start(descriptors).await;
     deployment.slow_down(slow);
     let crowd = Crowd::start(deployment.http(0), clients, bytes).await;
     processes[0].wait_until_read().await;
@@ -49,6 +44,19 @@
     processes.iter().for_each(Process::check);
 }
 
+/// One test runs at a time, as each measures the memory of processes under load.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
+/// Starts two entries with limits that a small crowd reaches.
+async fn start(descriptors: usize) -> (Deployment, [Process; 2]) {
+    let sections = format!("[resources]\nmemory = {MEMORY}B\ndescriptors = {descriptors}\n");
+    let deployment = Deployment::start_with(2, &sections).await;
+    let limits = Limits { memory: MEMORY, descriptors };
+    let process = |entry| Process::new(deployment.pid(entry), [deployment.http(entry)], limits);
+    let processes = [process(0), process(1)];
+    (deployment, processes)
+}
+
 /// Checks that a caller of the first entry is answered there.
 async fn check_caller(deployment: &Deployment, number: usize) {
     let history = deployment.caller_of_one(number, 0).remind().await;
@@ -93,3 +101,33 @@
 async fn silent_connections_at_an_entry() {
     check_crowd(300, 400, &Bytes::nothing(), Duration::ZERO).await;
 }
+
+/// Sends requests one after the other, each with a body of nearly the largest size, and checks that what is left of them
+/// when they have ended stays within the memory.
+async fn check_ended(path: &str, body: String, deadline_ms: &str) {
+    let _alone = RUNNING.lock().await;
+    let (deployment, processes) = start(2_000).await;
+    let body = bytes::Bytes::from(body);
+    for number in 0..400 {
+        deployment.post(0, path, 10 + number, body.clone(), deadline_ms).await;
+    }
+    processes.iter().for_each(Process::check);
+    check_caller(&deployment, 1).await;
+}
+
+/// Text of nearly the largest size.
+fn long_text() -> String {
+    "a".repeat(MAX_BODY - 1_000)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_requests_that_have_ended_at_an_entry() {
+    check_ended(REMINDER, long_text(), "10000").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_chats_that_have_ended_at_an_entry() {
+    let message = format!("{{\"role\":\"user\",\"content\":\"{}\"}}", long_text());
+    let body = format!("{{\"model\":\"small\",\"messages\":[{message}]}}");
+    check_ended("/v1/chat/completions", body, "100").await;
+}
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -205,6 +205,27 @@
         String::from_utf8_lossy(&body.expect("metrics")).into_owned()
     }
 
+    /// Sends a request with this number to its home, an entry, and waits for the end of its answer, whatever it is.
+    pub(crate) async fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        number: usize,
+        body: Bytes,
+        deadline_ms: &str,
+    ) {
+        let url = format!("http://{}{path}", self.http(entry));
+        let key = format!("{}{number}", self.prefixes[entry]);
+        let headers = [
+            ("x-organisation", "friends"),
+            ("idempotency-key", &key),
+            ("x-deadline-ms", deadline_ms),
+        ];
+        if let Ok(answer) = self.client.send(Method::POST, &url, &headers, body).await {
+            let _ = read_limited(answer.into_body(), 1 << 20).await;
+        }
+    }
+
     /// Returns a caller whose request has its home at one entry and which begins at another.
     pub(crate) fn caller(&self, number: usize) -> Caller {
         self.caller_of(number, number, number / 2)
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -9,7 +9,7 @@
 use ledger::{Cursor, RequestSpec};
 use rand::RngExt;
 use serde::Deserialize;
-use web::{Reply, Request, receive_request};
+use web::{ClientConnection, Reply, Request, client_of};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Header that names the caller's organisation.
@@ -64,7 +64,8 @@
     let current = usable(front)?;
     let config = &current.config;
     let place = front.limit.enter(config.limits.max_open_requests)?;
-    let (head, body) = read(req, config).await?;
+    let client = client_of(&req)?;
+    let (head, body) = read(&client, req, config).await?;
     let chat = Chat::read(&body)?;
     let (name, service) = find_model(config, &chat.model)?;
     if chat.max_tokens.is_some_and(|tokens| tokens > service.max_tokens) {
@@ -72,7 +73,7 @@
         return Err(Failure::new(Code::MalformedBody, text));
     }
     let digest = digest(&name, "", &body);
-    let body = engine_body(&body, service)?;
+    let body = client.keep(engine_body(&body, service)?)?;
     let terms = terms(head, name, "", service, body, digest);
     let (key, holder) = front.submit(terms).await?;
     if chat.stream {
@@ -97,7 +98,7 @@
         .filter(|(_, found)| found.kind == ServiceKind::Plain);
     let (name, found) = found.ok_or_else(|| Failure::new(Code::UnknownService, service))?;
     let _place = front.limit.enter(config.limits.max_open_requests)?;
-    let (head, body) = read(req, config).await?;
+    let (head, body) = read(&*client_of(&req)?, req, config).await?;
     let path = rest.iter().map(|part| format!("/{part}")).collect::<String>();
     let digest = digest(name, &path, &body);
     let terms = terms(head, name.clone(), &path, found, body, digest);
@@ -113,9 +114,13 @@
     }
 }
 
-async fn read(req: Request, config: &Config) -> Result<(Head, Bytes), Failure> {
+async fn read(
+    client: &ClientConnection,
+    req: Request,
+    config: &Config,
+) -> Result<(Head, Bytes), Failure> {
     let head = read_head(req.headers(), config)?;
-    let body = receive_request(req, config.limits.max_body_bytes, BODY_TIME).await?;
+    let body = client.receive(req.into_body(), config.limits.max_body_bytes, BODY_TIME).await?;
     Ok((head, body))
 }
 
@@ -175,12 +180,12 @@
 }
 
 /// Puts the engine's name of the model and the priority of the service into a request.
-fn engine_body(body: &[u8], service: &Service) -> Result<Bytes, Failure> {
+fn engine_body(body: &[u8], service: &Service) -> Result<Vec<u8>, Failure> {
     let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
     let mut object: Object = serde_json::from_slice(body).map_err(malformed)?;
     object.insert("model".into(), service.model.as_str().into());
     object.insert("priority".into(), (service.priority as u8).into());
-    Ok(serde_json::to_vec(&object).map_err(malformed)?.into())
+    serde_json::to_vec(&object).map_err(malformed)
 }
 
 fn terms(
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -9,7 +9,7 @@
 use member::MemberState;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use web::{Reply, Request, json, receive_request};
+use web::{Reply, Request, client_of, json};
 
 /// Largest body of an operator's request; the key-value service holds values up to this size.
 const BODY_LIMIT: usize = 1 << 20;
@@ -159,7 +159,8 @@
 }
 
 async fn read<T: DeserializeOwned>(req: Request) -> Result<T, Failure> {
-    let body = receive_request(req, BODY_LIMIT, BODY_TIME).await?;
+    let client = client_of(&req)?;
+    let body = client.receive(req.into_body(), BODY_LIMIT, BODY_TIME).await?;
     serde_json::from_slice(&body).map_err(|e| Failure::new(Code::MalformedBody, e.to_string()))
 }
 
--- a/crates/ledger/src/table/forward.rs
+++ b/crates/ledger/src/table/forward.rs
@@ -240,7 +240,9 @@
         let refusal = if self.table.refuses_new {
             Some(Code::Leaving)
         } else {
-            (self.table.counts().1 >= self.table.limits.max_open).then_some(Code::Overloaded)
+            let is_full = self.table.counts().1 >= self.table.limits.max_open
+                || !self.table.has_room(spec.body.len());
+            is_full.then_some(Code::Overloaded)
         };
         if let Some(code) = refusal {
             let failure = Failure::new(code, self.table.me.to_string()).rejected();
--- a/crates/ledger/src/table/mod.rs
+++ b/crates/ledger/src/table/mod.rs
@@ -31,11 +31,17 @@
     pub max_open: usize,
     /// Maximum size of an answer in bytes.
     pub max_answer_bytes: usize,
+    /// Size of the bodies and answers of all records, in bytes, from which requests with a large body are refused. Others
+    /// are from twice that.
+    pub max_kept_bytes: usize,
 }
 
+/// Size from which a body is large, in bytes.
+const LARGE_BODY_BYTES: usize = 16 << 10;
+
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_open: 4096, max_answer_bytes: 4 << 20 }
+        Self { max_open: 4096, max_answer_bytes: 4 << 20, max_kept_bytes: 40 << 20 }
     }
 }
 
@@ -108,6 +114,14 @@
         self.records.get(key).map(|record| &record.spec)
     }
 
+    /// Whether the records leave room for one with this body.
+    fn has_room(&self, body: usize) -> bool {
+        let kept = |record: &Record| record.spec.body.len() + record.answer.bytes();
+        let kept: usize = self.records.values().map(kept).sum();
+        let limit = self.limits.max_kept_bytes;
+        kept + body <= if body < LARGE_BODY_BYTES { 2 * limit } else { limit }
+    }
+
     /// Returns all chunks of the answer so far, visible to callers or not.
     pub fn chunks(&self, key: &Key) -> &[crate::Chunk] {
         self.records.get(key).map(|record| record.answer.all_from(0)).unwrap_or_default()
--- a/crates/ledger/src/table/owner_role.rs
+++ b/crates/ledger/src/table/owner_role.rs
@@ -126,6 +126,7 @@
         }
         record.ending = Some(ending.clone());
         record.visible_ending = Some(ending.clone());
+        record.release_body();
         self.respond_all(key, &Response::Located(Holder::Local));
         self.actions.push(Action::Ended(key.clone(), ending));
         self.actions.push(Action::Changed(key.clone()));
--- a/crates/ledger/src/table/record.rs
+++ b/crates/ledger/src/table/record.rs
@@ -5,6 +5,7 @@
 use crate::owner::{Owner, OwnerState};
 use crate::witness::Witness;
 use crate::{Answer, Chunk};
+use bytes::Bytes;
 use kernel::{Code, Failure, NodeId};
 
 /// Role of this entry for a request.
@@ -87,6 +88,13 @@
         }
     }
 
+    /// Gives up the body once the request is not sent to a server any more.
+    pub(crate) fn release_body(&mut self) {
+        if matches!(self.visible_ending, Some(Ending::Answered | Ending::Unknown(_))) {
+            self.spec.body = Bytes::new();
+        }
+    }
+
     pub(crate) fn owner(&mut self) -> Option<&mut Owner> {
         match &mut self.role {
             Role::Owner(owner) => Some(owner),
--- a/crates/ledger/src/table/witness_role.rs
+++ b/crates/ledger/src/table/witness_role.rs
@@ -115,6 +115,7 @@
                 record.answer.set_unreplicated(true);
                 record.ending = Some(ending.clone());
                 record.visible_ending = Self::ending_visible_at_witness(&ending);
+                record.release_body();
             }
         }
         let has = record.answer.len();
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -58,14 +58,13 @@
     tokio::time::timeout(time, read_limited(body, limit)).await.map_err(late)?
 }
 
-/// Reads the body of a client's request, as [`ClientConnection::receive`] does.
+/// Returns the connection of a client on which a request came.
 ///
 /// # Errors
-/// As [`ClientConnection::receive`], and [`Code::Internal`] for a request that no server of this crate has taken.
-pub async fn receive_request(req: Request, limit: usize, time: Duration) -> Result<Bytes, Failure> {
+/// [`Code::Internal`] for a request that no server of this crate has taken.
+pub fn client_of(req: &Request) -> Result<Arc<ClientConnection>, Failure> {
     let client = req.extensions().get::<Arc<ClientConnection>>().cloned();
-    let client = client.ok_or_else(|| Failure::new(Code::Internal, "the connection is unknown"))?;
-    client.receive(req.into_body(), limit, time).await
+    client.ok_or_else(|| Failure::new(Code::Internal, "the connection is unknown"))
 }
 
 /// Reads a whole body as JSON.
--- a/crates/web/src/intake.rs
+++ b/crates/web/src/intake.rs
@@ -68,6 +68,18 @@
         Ok(joined.finish())
     }
 
+    /// Keeps bytes that were made from the body of a request. They are charged to the memory for clients until their last
+    /// copy is gone.
+    ///
+    /// # Errors
+    /// [`Code::Overloaded`] if there is no memory for them.
+    pub fn keep(&self, bytes: Vec<u8>) -> Result<Bytes, Failure> {
+        let capacity = bytes.capacity();
+        let charge = self.hold(capacity, Content::Body(capacity));
+        let charge = charge.ok_or_else(|| no_room("bodies"))?;
+        Ok(Bytes::from_owner(Charged { bytes, _charge: charge }))
+    }
+
     /// Makes room for further bytes of a body.
     fn make_room(&self, joined: &mut Joined, bytes: usize) -> Result<(), Failure> {
         let Some(missing) = joined.missing(bytes) else { return Ok(()) };
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -10,9 +10,7 @@
 mod server;
 mod stall;
 
-pub use body::{
-    Body, Reader, empty, full, read_json, read_limited, receive, receive_request, stream,
-};
+pub use body::{Body, Reader, client_of, empty, full, read_json, read_limited, receive, stream};
 pub use client::{Client, ClientSettings};
 pub use client_io::ClientIo;
 pub use clients::{ClientConnection, ClientCounts, ClientRegistry, ClientRequest};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -53,6 +53,8 @@
     pub memory: usize,
     /// File descriptors of the process, a part of which clients may use.
     pub descriptors: usize,
+    /// Number of copies of a body that the process makes while it handles a request.
+    pub body_copies: usize,
     /// Bytes of the target and the header fields of a request.
     pub head_bytes: usize,
     /// Header fields of a request.
@@ -71,6 +73,7 @@
             connections: 20_000,
             memory: 1 << 30,
             descriptors: kernel::descriptor_limit(),
+            body_copies: 1,
             head_bytes: 32 << 10,
             headers: 64,
             head_time: Duration::from_secs(10),
@@ -104,7 +107,8 @@
     let slots = Slots::new(settings.connections);
     let clients =
         ClientSettings::divide(settings.memory, settings.descriptors, Listeners::default());
-    let clients = ClientRegistry::new(clients);
+    let body_copies = settings.body_copies;
+    let clients = ClientRegistry::new(ClientSettings { body_copies, ..clients });
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut open = JoinSet::new();
