--- a/crates/fennelfold/src/entry/mod.rs
+++ b/crates/fennelfold/src/entry/mod.rs
@@ -122,7 +122,8 @@
         let traffic: Arc<peer::Traffic> = kernel.find(peer::Traffic::NAME)?;
         Peers::serve(peer, Arc::new(handler), (*traffic).clone(), stop())?;
         let at = http.local_addr().map(|at| at.to_string()).unwrap_or_default();
-        let front = Front::new(&kernel, entry.log.new(o!("service" => "front")))?;
+        let clients = http_settings.clients();
+        let front = Front::new(&kernel, clients.clone(), entry.log.new(o!("service" => "front")))?;
         let handler = move |req| front.clone().handle(req);
 
         let tasks = &mut entry.state.tasks;
@@ -130,7 +131,7 @@
         tasks.spawn(entry.configuration.clone().run(stop()));
         tasks.spawn(entry.servers.clone().run(stop()));
         tasks.spawn(entry.requests.clone().run(stop()));
-        tasks.spawn(web::serve(http, http_settings, stop(), handler));
+        tasks.spawn(web::serve_clients(http, http_settings, clients, stop(), handler));
         info!(entry.log, "started"; "node" => entry.cluster.local_node().to_string(), "http" => at,
             "services" => format!("{:?}", kernel.names()));
         Ok(entry)
--- a/crates/front/src/router.rs
+++ b/crates/front/src/router.rs
@@ -14,7 +14,7 @@
 use opentelemetry::metrics::Counter;
 use servers::Servers;
 use std::future::Future;
-use web::{Reply, Request, text};
+use web::{ClientMeters, ClientRegistry, Reply, Request, text};
 
 /// Answers callers and operators.
 pub struct Front {
@@ -23,6 +23,8 @@
     pub(crate) requests: Arc<Requests>,
     pub(crate) servers: Arc<Servers>,
     pub(crate) limit: Limit,
+    clients: Arc<ClientRegistry>,
+    client_meters: ClientMeters,
     health: Arc<Health>,
     failures: Counter<u64>,
     metrics: Arc<Metrics>,
@@ -39,13 +41,19 @@
 }
 
 impl Front {
-    /// Creates the front from the services of a process.
+    /// Creates the front from the services of a process, for these clients.
     ///
     /// # Errors
     /// [`Code::ServiceMissing`] when a service that it needs was not added.
-    pub fn new(kernel: &Kernel, log: Logger) -> Result<Arc<Self>, Failure> {
+    pub fn new(
+        kernel: &Kernel,
+        clients: Arc<ClientRegistry>,
+        log: Logger,
+    ) -> Result<Arc<Self>, Failure> {
         let metrics: Arc<Metrics> = kernel.find("metrics")?;
         Ok(Arc::new(Self {
+            client_meters: ClientMeters::new(&metrics),
+            clients,
             failures: metrics.counter("failures", "Failures that callers were told, by code"),
             metrics,
             cluster: kernel.find(Cluster::NAME)?,
@@ -109,7 +117,7 @@
         match (req.method().clone(), parts.as_slice()) {
             (Method::GET, ["healthz"]) => Ok(text(200, "ok\n")),
             (Method::GET, ["readyz"]) => Ok(self.readyz()),
-            (Method::GET, ["metrics"]) => Ok(text(200, self.metrics.render())),
+            (Method::GET, ["metrics"]) => Ok(self.metrics()),
             (Method::GET, ["v1", "entries"]) => entries::list(&self),
             (Method::POST, ["v1", "chat", "completions"]) => ask::chat(&self, req).await,
             (Method::POST, ["v1", "services", service, rest @ ..]) => {
@@ -144,6 +152,11 @@
         Self::to_its_end(async move { requests.submit(terms).await }).await
     }
 
+    fn metrics(&self) -> Reply {
+        self.client_meters.record(&self.clients);
+        text(200, self.metrics.render())
+    }
+
     fn readyz(&self) -> Reply {
         match self.ready() {
             Ready::Yes => text(200, "ready\n"),
--- a/crates/relay/src/client_sweep.rs
+++ b/crates/relay/src/client_sweep.rs
@@ -35,6 +35,5 @@
                 "requests_refused" => counts.refused_requests - before.refused_requests,
                 "connections_dismissed" => counts.dismissed - before.dismissed);
         }
-        cx.count_clients(&counts, &before);
     }
 }
--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -28,7 +28,7 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
-use web::{ClientCounts, ClientRegistry};
+use web::{ClientMeters, ClientRegistry};
 
 /// Safety margin within the time allowed to revoke a key, for clocks that run at different rates,
 /// in milliseconds.
@@ -85,9 +85,7 @@
     services_cut: Gauge<u64>,
     open: Gauge<u64>,
     freshness: Gauge<u64>,
-    clients_turned_away: Counter<u64>,
-    client_connections: Gauge<u64>,
-    client_memory: Gauge<u64>,
+    clients: ClientMeters,
 }
 
 /// Shared state of one entry.
@@ -268,14 +266,7 @@
             open: metrics.gauge("requests_open", "Requests of callers that are open"),
             freshness: metrics.gauge("rules_age_ms", "Age of the rules, in milliseconds"),
             store_calls: metrics.counter("store_calls", "Calls to the key-value service, by kind"),
-            clients_turned_away: metrics.counter(
-                "clients_turned_away",
-                "Connections refused or closed and requests refused, by reason",
-            ),
-            client_connections: metrics
-                .gauge("client_connections", "Open connections of callers and entries"),
-            client_memory: metrics
-                .gauge("client_memory_bytes", "Memory that clients hold, in bytes"),
+            clients: ClientMeters::new(&metrics),
         };
         Ok(Rc::new(Self {
             incarnation: Clock::unix_ms(),
@@ -437,26 +428,11 @@
         let services_cut = self.server_paths.borrow().cut_services().count();
         self.meters.services_cut.record(services_cut as u64, &[]);
         self.meters.open.record(u64::from(self.open_requests.get()), &[]);
-        let clients = self.clients.usage();
-        self.meters.client_connections.record(clients.connections as u64, &[]);
-        self.meters.client_memory.record(clients.memory as u64, &[]);
+        self.meters.clients.record(&self.clients);
         self.meters.freshness.record(self.freshness.borrow().age(now).unwrap_or(u64::MAX), &[]);
         self.metrics.render()
     }
 
-    /// Counts the clients that were turned away between two counts.
-    pub(crate) fn count_clients(&self, counts: &ClientCounts, before: &ClientCounts) {
-        let reasons = [
-            ("connection refused", counts.refused_connections - before.refused_connections),
-            ("request refused", counts.refused_requests - before.refused_requests),
-            ("dismissed", counts.dismissed - before.dismissed),
-            ("expired", counts.expired - before.expired),
-        ];
-        for (reason, count) in reasons.into_iter().filter(|(_, count)| *count > 0) {
-            self.meters.clients_turned_away.add(count, &[KeyValue::new("reason", reason)]);
-        }
-    }
-
     pub(crate) fn count_request(&self, status: u16, code: Option<Code>) {
         let code = code.map_or(0, Code::number);
         let labels =
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,6 +3,7 @@
 mod body;
 mod client;
 mod client_io;
+mod client_meters;
 mod clients;
 mod head;
 mod intake;
@@ -13,6 +14,7 @@
 pub use body::{Body, Reader, client_of, empty, full, read_json, read_limited, receive, stream};
 pub use client::{Client, ClientSettings};
 pub use client_io::ClientIo;
+pub use client_meters::ClientMeters;
 pub use clients::{ClientConnection, ClientCounts, ClientRegistry, ClientRequest};
 pub use reply::{Reply, json, problem, read_problem, text};
-pub use server::{Request, ServerSettings, bind, serve};
+pub use server::{Request, ServerSettings, bind, serve, serve_clients};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -83,6 +83,14 @@
     }
 }
 
+impl ServerSettings {
+    /// Creates the registry of the clients of a server.
+    pub fn clients(&self) -> Arc<ClientRegistry> {
+        let clients = ClientSettings::divide(self.memory, self.descriptors, Listeners::default());
+        ClientRegistry::new(ClientSettings { body_copies: self.body_copies, ..clients })
+    }
+}
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -98,6 +106,20 @@
 pub async fn serve<F, R>(
     listener: TcpListener,
     settings: ServerSettings,
+    stop: StopSignal,
+    handler: F,
+) where
+    F: Fn(Request) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<Reply, Failure>> + Send + 'static,
+{
+    serve_clients(listener, settings, settings.clients(), stop, handler).await;
+}
+
+/// Serves connections as [`serve`] does, and keeps them in this registry.
+pub async fn serve_clients<F, R>(
+    listener: TcpListener,
+    settings: ServerSettings,
+    clients: Arc<ClientRegistry>,
     mut stop: StopSignal,
     handler: F,
 ) where
@@ -105,10 +127,6 @@
     R: Future<Output = Result<Reply, Failure>> + Send + 'static,
 {
     let slots = Slots::new(settings.connections);
-    let clients =
-        ClientSettings::divide(settings.memory, settings.descriptors, Listeners::default());
-    let body_copies = settings.body_copies;
-    let clients = ClientRegistry::new(ClientSettings { body_copies, ..clients });
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut open = JoinSet::new();
