front: chats are read without a tree of their values

Cause: a body was read into a tree of values, twice, and once more for the engine. A value of three bytes takes 32 there and more, on all threads at the same time.

Now the fields that fennelfold needs are read, messages one by one, and the others are copied as they are: the engine gets them in the caller's order, with its spelling. Values nested more than 128 deep are refused as before, by a check of their own, as what passes them over has no limit. A body that names one of these fields twice is malformed now.

--- a/crates/fennelfold/tests/clients.rs
+++ b/crates/fennelfold/tests/clients.rs
@@ -131,3 +131,13 @@
     let body = format!("{{\"model\":\"small\",\"messages\":[{message}]}}");
     check_ended("/v1/chat/completions", body, "100").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chats_of_many_small_values_at_an_entry() {
+    let values = "[],".repeat(MAX_BODY / 3 - 100);
+    let body = format!(
+        "{{\"model\":\"small\",\"messages\":[{{\"role\":\"user\",\"content\":[{values}[]]}}]}}"
+    );
+    let bytes = with_length("/v1/chat/completions", body.len()).with_body(body);
+    check_crowd(2_000, 128, &bytes, Duration::ZERO).await;
+}
--- a/crates/front/src/ask.rs
+++ b/crates/front/src/ask.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: chat completions and plain services.
 
 use crate::answer::{self, Asked, Reading};
+use crate::chat_body::{Chat, engine_body};
 use crate::router::{Front, Ready};
 use bytes::Bytes;
 use conf::{Config, Service, ServiceKind};
@@ -8,7 +9,6 @@
 use kernel::prelude::*;
 use ledger::{Cursor, RequestSpec};
 use rand::RngExt;
-use serde::Deserialize;
 use web::{ClientConnection, Reply, Request, client_of};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -22,37 +22,6 @@
 /// Time for the body of a request to arrive.
 pub(crate) const BODY_TIME: Duration = Duration::from_secs(60);
 
-/// What fennelfold reads of a chat completion request; the rest goes to the engine as it is.
-#[derive(Deserialize)]
-struct Chat {
-    model: Name,
-    messages: Vec<Object>,
-    #[serde(default)]
-    stream: bool,
-    #[serde(default)]
-    max_tokens: Option<u64>,
-}
-
-type Object = serde_json::Map<String, serde_json::Value>;
-
-impl Chat {
-    /// Reads a JSON object; the reader of [`Chat`] alone would take an array as well.
-    fn read(body: &[u8]) -> Result<Self, Failure> {
-        let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
-        let object: Object = serde_json::from_slice(body).map_err(malformed)?;
-        let chat: Self = serde_json::from_value(object.into()).map_err(malformed)?;
-        let is_message = |message: &Object| {
-            message.get("role").is_some_and(|role| role.is_string())
-                && message.contains_key("content")
-        };
-        if chat.messages.is_empty() || !chat.messages.iter().all(is_message) {
-            let text = "messages: expected at least one, each with role and content";
-            return Err(Failure::new(Code::MalformedBody, text));
-        }
-        Ok(chat)
-    }
-}
-
 /// What the head of a request says.
 struct Head {
     organisation: Name,
@@ -73,7 +42,7 @@
         return Err(Failure::new(Code::MalformedBody, text));
     }
     let digest = digest(&name, "", &body);
-    let body = client.keep(engine_body(&body, service)?)?;
+    let body = client.keep(engine_body(&body, &service.model, service.priority as u8)?)?;
     let terms = terms(head, name, "", service, body, digest);
     let (key, holder) = front.submit(terms).await?;
     if chat.stream {
@@ -179,15 +148,6 @@
     hash.digest()
 }
 
-/// Puts the engine's name of the model and the priority of the service into a request.
-fn engine_body(body: &[u8], service: &Service) -> Result<Vec<u8>, Failure> {
-    let malformed = |e: serde_json::Error| Failure::new(Code::MalformedBody, e.to_string());
-    let mut object: Object = serde_json::from_slice(body).map_err(malformed)?;
-    object.insert("model".into(), service.model.as_str().into());
-    object.insert("priority".into(), (service.priority as u8).into());
-    serde_json::to_vec(&object).map_err(malformed)
-}
-
 fn terms(
     head: Head,
     service: Name,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ask;
+mod chat_body;
 mod entries;
 mod limit;
 mod operator;
