--- a/crates/coord/src/clients.rs
+++ b/crates/coord/src/clients.rs
@@ -5,13 +5,11 @@
 //! that make no progress, connections that have been idle for longest. A newcomer is refused if all others do as they
 //! should.
 
+use crate::client_account::{Account, ClientCharge};
+use crate::client_settings::{CONNECTION_BYTES, ClientSettings, ListenerShare};
 use kernel::Millis;
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Memory of an open connection, in bytes: its state, its read buffer, and what the kernel keeps of it.
-pub const CONNECTION_BYTES: usize = 16 << 10;
 /// Memory of a request that runs, in bytes: its state and a connection to a backend server.
 pub const REQUEST_BYTES: usize = 32 << 10;
 /// Size of the head of a request from which its buffer is charged on top of [`CONNECTION_BYTES`].
@@ -20,24 +18,12 @@
 const HEAD_BUFFER_BYTES: usize = 128 << 10;
 /// Size up to which a body or an answer may use all memory for clients, in bytes.
 const SMALL_BYTES: usize = 16 << 10;
-/// Numerators of the fractions of the memory for clients that large bodies, large answers and everything else may use.
-/// Answers have more, as they end what their requests hold.
-const EIGHTHS: [usize; 3] = [5, 7, 8];
-/// Fifths of the memory of a process that are for clients. The rest is for the process itself, and for what the kernel
-/// and the allocator keep.
-const CLIENT_FIFTHS: usize = 2;
-/// Maximum number of descriptors that are kept for files and for the process itself.
-const MAX_FILES: usize = 200;
-/// Divisor of all descriptors that gives the most of them that are kept so.
-const FILES_DIVISOR: usize = 4;
-/// Divisor of the memory for clients that gives the memory for open connections.
-const CONNECTIONS_DIVISOR: usize = 2;
-/// Divisor of the other descriptors that gives those for calls to the platform and messages to entries.
-const OWN_DIVISOR: usize = 8;
-/// Divisor of the other descriptors that gives those for each listener that answers at once.
-const INTERNAL_DIVISOR: usize = 32;
-/// Divisor of the other descriptors that gives those for requests that other entries pass on.
-const ENTRIES_DIVISOR: usize = 8;
+/// Eighths of the memory for clients that may be in use once a large body is charged.
+const BODY_EIGHTHS: usize = 5;
+/// The same for a large answer, which ends what its request holds.
+const ANSWER_EIGHTHS: usize = 7;
+/// The same for everything else.
+const ALL_EIGHTHS: usize = 8;
 /// Pace of a client that sends a body or reads an answer, in bytes per second, below which it may have to go.
 const PACE_BYTES_PER_S: u64 = 64 << 10;
 /// Time for which a client may fall behind that pace, in milliseconds.
@@ -52,107 +38,6 @@
 /// Identity of a connection.
 pub type ConnectionId = u64;
 
-/// Memory that is in use, in bytes.
-#[derive(Clone, Debug, Default)]
-struct Account(Arc<AtomicUsize>);
-
-impl Account {
-    fn used(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-
-    fn charge(&self, bytes: usize) -> ClientCharge {
-        self.0.fetch_add(bytes, Ordering::Relaxed);
-        ClientCharge { account: self.clone(), bytes }
-    }
-}
-
-/// Memory that is charged for as long as this exists.
-#[derive(Debug)]
-pub struct ClientCharge {
-    account: Account,
-    bytes: usize,
-}
-
-impl ClientCharge {
-    /// Returns the charged memory, in bytes.
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-
-    /// Adds another charge to this one.
-    pub fn merge(&mut self, mut other: Self) {
-        self.bytes += std::mem::take(&mut other.bytes);
-    }
-
-    /// Takes a part of this charge.
-    fn split(&mut self, bytes: usize) -> Self {
-        let bytes = bytes.min(self.bytes);
-        self.bytes -= bytes;
-        Self { account: self.account.clone(), bytes }
-    }
-}
-
-impl Drop for ClientCharge {
-    fn drop(&mut self) {
-        self.account.0.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// Descriptors of a listener.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ListenerShare {
-    /// Number of descriptors that its connections and their requests may use.
-    pub descriptors: usize,
-    /// Number of further descriptors that a request needs while it runs.
-    pub per_request: usize,
-}
-
-/// What clients may use.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ClientSettings {
-    /// Memory, in bytes.
-    pub memory: usize,
-    /// Descriptors, by listener.
-    pub listeners: Vec<ListenerShare>,
-    /// Number of copies of a body that the process makes while it handles a request.
-    pub body_copies: usize,
-}
-
-/// Listeners of a process.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Listeners {
-    /// Whether other entries pass requests on to it.
-    pub has_entries: bool,
-    /// Number of listeners that answer at once, without a request to a backend server.
-    pub internal: usize,
-}
-
-impl ClientSettings {
-    /// Divides the memory and the descriptors of a process. The listener of callers has the index 0, that of entries the
-    /// next one, and the internal ones follow.
-    pub fn divide(memory: usize, descriptors: usize, listeners: Listeners) -> Self {
-        let memory = memory / 5 * CLIENT_FIFTHS;
-        let sockets = descriptors - MAX_FILES.min(descriptors / FILES_DIVISOR);
-        let entries = if listeners.has_entries { sockets / ENTRIES_DIVISOR } else { 0 };
-        let internal = sockets / INTERNAL_DIVISOR;
-        let others = sockets / OWN_DIVISOR + entries + internal * listeners.internal;
-        let relaying = |descriptors| ListenerShare { descriptors, per_request: 1 };
-        let mut shares = vec![relaying(sockets.saturating_sub(others))];
-        shares.extend(listeners.has_entries.then(|| relaying(entries)));
-        let internal = ListenerShare { descriptors: internal, per_request: 0 };
-        shares.extend(std::iter::repeat_n(internal, listeners.internal));
-        let total: usize = shares.iter().map(|share| share.descriptors).sum();
-        let affordable = memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
-        if total > affordable {
-            for share in &mut shares {
-                share.descriptors = share.descriptors * affordable / total;
-            }
-        }
-        Self { memory, listeners: shares, body_copies: 1 }
-    }
-}
-
 /// What is charged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Content {
@@ -166,9 +51,9 @@
     /// Returns the fraction of the memory that may be in use afterwards, in eighths.
     fn eighths(self) -> usize {
         match self {
-            Self::Body(bytes) if bytes > SMALL_BYTES => EIGHTHS[0],
-            Self::Answer(bytes) if bytes > SMALL_BYTES => EIGHTHS[1],
-            Self::Body(_) | Self::Answer(_) => EIGHTHS[2],
+            Self::Body(bytes) if bytes > SMALL_BYTES => BODY_EIGHTHS,
+            Self::Answer(bytes) if bytes > SMALL_BYTES => ANSWER_EIGHTHS,
+            Self::Body(_) | Self::Answer(_) => ALL_EIGHTHS,
         }
     }
 }
@@ -229,7 +114,7 @@
 
 impl Connection {
     fn bytes(&self) -> usize {
-        self.charge.bytes + self.content
+        self.charge.bytes() + self.content
     }
 
     fn begin(&mut self, activity: Activity, now: Millis) {
@@ -302,7 +187,7 @@
         if self.leaving_count >= MAX_LEAVING {
             return Room::refused(dismissed);
         }
-        if !(has_descriptor && self.fits(CONNECTION_BYTES, EIGHTHS[2])) {
+        if !(has_descriptor && self.fits(CONNECTION_BYTES, ALL_EIGHTHS)) {
             // A connection of the same listener, so that no other has to pay.
             let Some(worst) = self.worst_connection(listener, None, now) else {
                 return Room::refused(dismissed);
@@ -354,11 +239,11 @@
             }
         }
         connection.progress(bytes, GRACE_MS, now);
-        let is_charged = connection.charge.bytes > CONNECTION_BYTES;
+        let is_charged = connection.charge.bytes() > CONNECTION_BYTES;
         if connection.head <= LARGE_HEAD_BYTES || is_charged {
             return Room::granted((), Vec::new());
         }
-        let room = self.charge(id, HEAD_BUFFER_BYTES, EIGHTHS[0], now);
+        let room = self.charge(id, HEAD_BUFFER_BYTES, BODY_EIGHTHS, now);
         self.keep(id, room)
     }
 
@@ -381,7 +266,7 @@
             dismissed.push(worst);
         }
         let bytes = if per_request == 0 { 0 } else { REQUEST_BYTES };
-        let room = self.charge(id, bytes, EIGHTHS[2], now);
+        let room = self.charge(id, bytes, ALL_EIGHTHS, now);
         let mut room = self.keep(id, room);
         room.dismissed.extend(dismissed);
         if room.granted.is_some() {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,6 +7,8 @@
 //! would still consider its rules fresh after a suspension.
 
 mod brittle;
+mod client_account;
+mod client_settings;
 mod clients;
 mod copy_age;
 mod fingerprint;
@@ -29,9 +31,10 @@
 mod version_history;
 
 pub use brittle::{BrittleNews, BrittleServers, BrittleSettings, ServerRoom};
+pub use client_account::ClientCharge;
+pub use client_settings::{CONNECTION_BYTES, ClientSettings, ListenerShare, Listeners};
 pub use clients::{
-    CONNECTION_BYTES, ClientCharge, ClientSettings, ClientUse, Clients, ConnectionId, Content,
-    LARGE_HEAD_BYTES, ListenerShare, Listeners, REQUEST_BYTES, Room,
+    ClientUse, Clients, ConnectionId, Content, LARGE_HEAD_BYTES, REQUEST_BYTES, Room,
 };
 pub use copy_age::{ChangeSource, CopyAge};
 pub use fingerprint::{is_request_mark, part_mark, request_mark};
--- a/crates/relay/src/client_sweep.rs
+++ b/crates/relay/src/client_sweep.rs
@@ -27,7 +27,7 @@
         }
         let counts = cx.clients.counts();
         let before = std::mem::replace(&mut self.counts, counts);
-        if counts.short() != before.short() {
+        if counts.turned_away() != before.turned_away() {
             let usage = cx.clients.usage();
             warn!(cx.log, "clients turned away"; "connections" => usage.connections,
                 "memory" => usage.memory,
--- a/crates/web/src/clients.rs
+++ b/crates/web/src/clients.rs
@@ -25,8 +25,8 @@
 }
 
 impl ClientCounts {
-    /// Returns how often room was short.
-    pub fn short(&self) -> u64 {
+    /// Returns how often clients were turned away for want of room.
+    pub fn turned_away(&self) -> u64 {
         self.refused_connections + self.refused_requests + self.dismissed
     }
 }
