relay: a request of another entry that finds no room is declined

Found by reading: an entry without descriptors for another entry's request answered 503 without saying that it declines, so that the sender took the request for one that may have run, and failed it (502) instead of sending it elsewhere. With the field it goes on.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::directory;
 use crate::dispatch::dispatch;
+use crate::entry_headers;
 use crate::forwarded;
 use crate::headers::{LAST_EVENT_ID, strip_hop_by_hop_headers};
 use crate::origin_store;
@@ -149,7 +150,7 @@
     let has_transfer_encoding = req.headers().contains_key(TRANSFER_ENCODING);
     client.set_unread_body(!req.body().is_end_stream());
     let mut reply = match client.begin_request() {
-        Err(failure) => return refuse(cx, &req, &failure),
+        Err(failure) => return refuse(cx, kind, &req, &failure),
         Ok(request) => match kind {
             ListenerKind::Callers => handle_request(cx, request, req).await,
             ListenerKind::Entries => {
@@ -168,14 +169,19 @@
 }
 
 /// Refuses a request for which there is no room, and ends its connection.
-fn refuse(cx: &Context, req: &Request<Incoming>, failure: &Failure) -> Reply {
+fn refuse(cx: &Context, kind: ListenerKind, req: &Request<Incoming>, failure: &Failure) -> Reply {
     let id = req.headers().get(&cx.protocol.names().request);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("");
     debug!(cx.log, "refused"; "request" => id, "code" => failure.code.number(),
         "cause" => failure.context.clone());
     let mut reply = error_reply(failure);
     cx.count_request(reply.status().as_u16(), Some(failure.code));
-    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    let headers = reply.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    if kind == ListenerKind::Entries {
+        // The sender may pass the request on to another entry.
+        headers.insert(&entry_headers::DECLINED, HeaderValue::from_static("no room"));
+    }
     reply
 }
 
