peer: connections to the port for entries of the own interface are bounded

Cause: the port accepted any number of connections, from the descriptors that callers, servers and the platform need.

Now they are kept in a registry of their own, with a twentieth of the descriptors. One that has sent nothing goes first, then the one that has been idle for longest, so that entries get through.

--- a/crates/control/tests/configuration/entries.rs
+++ b/crates/control/tests/configuration/entries.rs
@@ -61,7 +61,9 @@
             failing_replies,
         };
         let stop = kernel.stop_signal();
-        Peers::serve(listener, Arc::new(handler), traffic, stop).expect("a thread");
+        let senders = coord::ClientSettings::for_messages(160_000_000, 4_100);
+        let senders = web::ClientRegistry::new(senders);
+        Peers::serve(listener, Arc::new(handler), traffic, senders, stop).expect("a thread");
         tokio::spawn(cluster.run(kernel.stop_signal()));
         if !options.sync_disabled {
             tokio::spawn(configuration.clone().run(kernel.stop_signal()));
--- a/crates/coord/src/client_settings.rs
+++ b/crates/coord/src/client_settings.rs
@@ -11,6 +11,8 @@
 const FILES_DIVISOR: usize = 4;
 /// Divisor of the memory for clients that gives the memory for open connections.
 const CONNECTIONS_DIVISOR: usize = 2;
+/// Divisor of the memory and of all descriptors that gives those for connections with messages of other entries.
+const MESSAGES_DIVISOR: usize = 20;
 /// Divisor of the other descriptors that gives those for calls to the platform and messages to entries.
 const OWN_DIVISOR: usize = 8;
 /// Divisor of the other descriptors that gives those for each listener that answers at once.
@@ -48,6 +50,13 @@
 }
 
 impl ClientSettings {
+    /// Returns the part of a process for connections of other entries that carry messages, on one listener.
+    pub fn for_messages(memory: usize, descriptors: usize) -> Self {
+        let descriptors = descriptors / MESSAGES_DIVISOR;
+        let listeners = vec![ListenerShare { descriptors, per_request: 0 }];
+        Self { memory: memory / MESSAGES_DIVISOR, listeners, body_copies: 1 }
+    }
+
     /// Divides the memory and the descriptors of a process. The listener of callers has the index 0, that of entries the
     /// next one, and the internal ones follow.
     pub fn divide(memory: usize, descriptors: usize, listeners: Listeners) -> Self {
--- a/crates/fennelfold/src/entry/mod.rs
+++ b/crates/fennelfold/src/entry/mod.rs
@@ -8,6 +8,7 @@
 use cluster::Cluster;
 use conf::Node;
 use control::Configuration;
+use coord::ClientSettings;
 use exec::Requests;
 use front::Front;
 use kernel::prelude::*;
@@ -16,7 +17,7 @@
 use servers::Servers;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
-use web::ServerSettings;
+use web::{ClientRegistry, ServerSettings};
 
 /// Time kept back from a reclaim notice for the last bytes to leave.
 const NOTICE_MARGIN: Duration = Duration::from_millis(300);
@@ -120,7 +121,9 @@
             requests: entry.requests.clone(),
         };
         let traffic: Arc<peer::Traffic> = kernel.find(peer::Traffic::NAME)?;
-        Peers::serve(peer, Arc::new(handler), (*traffic).clone(), stop())?;
+        let ServerSettings { memory, descriptors, .. } = http_settings;
+        let senders = ClientRegistry::new(ClientSettings::for_messages(memory, descriptors));
+        Peers::serve(peer, Arc::new(handler), (*traffic).clone(), senders, stop())?;
         let at = http.local_addr().map(|at| at.to_string()).unwrap_or_default();
         let clients = http_settings.clients();
         let front = Front::new(&kernel, clients.clone(), entry.log.new(o!("service" => "front")))?;
--- a/crates/fennelfold/tests/clients.rs
+++ b/crates/fennelfold/tests/clients.rs
@@ -102,6 +102,17 @@
     check_crowd(300, 400, &Bytes::nothing(), Duration::ZERO).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_the_port_for_entries_of_an_entry() {
+    let _alone = RUNNING.lock().await;
+    let (deployment, processes) = start(300).await;
+    let crowd = Crowd::start(deployment.peer(0), 400, &Bytes::nothing()).await;
+    check_caller(&deployment, 1).await;
+    processes.iter().for_each(Process::check);
+    drop(crowd);
+    check_caller(&deployment, 2).await;
+}
+
 /// Sends requests one after the other, each with a body of nearly the largest size, and checks that what is left of them
 /// when they have ended stays within the memory.
 async fn check_ended(path: &str, body: String, deadline_ms: &str) {
--- a/crates/fennelfold/tests/deployment/mod.rs
+++ b/crates/fennelfold/tests/deployment/mod.rs
@@ -65,6 +65,8 @@
     client: Client,
     prefixes: Vec<String>,
     dir: PathBuf,
+    /// Addresses for other entries.
+    peers: Vec<SocketAddr>,
     /// Stopped when they are dropped.
     _standins: [Running; 3],
 }
@@ -124,7 +126,9 @@
         let client = Client::new(ClientSettings { answer: TRY, ..ClientSettings::default() });
         let standins = [kv, server, list];
         let prefixes = Vec::new();
-        let mut deployment = Self { entries, plain, client, prefixes, dir, _standins: standins };
+        let peers = ports.iter().map(|(_, peer)| *peer).collect();
+        let mut deployment =
+            Self { entries, plain, client, prefixes, dir, peers, _standins: standins };
         deployment.apply().await;
         deployment.wait_until_ready().await;
         deployment
@@ -179,6 +183,11 @@
         self.entries[entry].1
     }
 
+    /// Returns the address at which an entry serves other entries.
+    pub(crate) fn peer(&self, entry: usize) -> SocketAddr {
+        self.peers[entry]
+    }
+
     pub(crate) fn pid(&self, entry: usize) -> u32 {
         self.entries[entry].0.id()
     }
--- a/crates/peer/src/connections.rs
+++ b/crates/peer/src/connections.rs
@@ -101,7 +101,8 @@
             .map_err(|e| unreachable(e.to_string()))?
             .map_err(|e| unreachable(e.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let network = network(self.traffic.count_stream(stream), rpc_twoparty_capnp::Side::Client);
+        let network =
+            network(self.traffic.count_stream(stream, None), rpc_twoparty_capnp::Side::Client);
         let mut system = RpcSystem::new(network, None);
         let connection = Rc::new(Connection {
             address,
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -3,9 +3,11 @@
 use kernel::Metrics;
 use opentelemetry::metrics::Counter;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use web::ClientConnection;
 
 /// Counters of the connections between entries; clones share them.
 #[derive(Clone, Debug)]
@@ -31,10 +33,14 @@
         }
     }
 
-    /// Counts a connection and wraps it to count its bytes.
-    pub(crate) fn count_stream(&self, stream: TcpStream) -> CountedStream {
+    /// Counts a connection and wraps it to count its bytes. One that was accepted is that of a client.
+    pub(crate) fn count_stream(
+        &self,
+        stream: TcpStream,
+        client: Option<Arc<ClientConnection>>,
+    ) -> CountedStream {
         self.opened.add(1, &[]);
-        CountedStream { stream, traffic: self.clone() }
+        CountedStream { stream, traffic: self.clone(), client }
     }
 }
 
@@ -42,6 +48,7 @@
 pub(crate) struct CountedStream {
     stream: TcpStream,
     traffic: Traffic,
+    client: Option<Arc<ClientConnection>>,
 }
 
 impl Drop for CountedStream {
@@ -61,6 +68,9 @@
         let read = buf.filled().len() - before;
         if read > 0 {
             self.traffic.received.add(read as u64, &[]);
+            if let Some(client) = &self.client {
+                client.mark_used();
+            }
         }
         polled
     }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use web::ClientRegistry;
 use wire::peer_capnp::peer;
 
 /// Maximum number of calls that wait for the transport thread.
@@ -97,7 +98,8 @@
         }
     }
 
-    /// Serves other entries on a listener, on a dedicated thread, until the stop signal.
+    /// Serves other entries on a listener, on a dedicated thread, until the stop signal. Connections are kept in the
+    /// registry.
     ///
     /// # Errors
     /// [`Code::Internal`] when the thread cannot be started.
@@ -105,6 +107,7 @@
         listener: std::net::TcpListener,
         handler: Arc<dyn Handler>,
         traffic: Traffic,
+        clients: Arc<ClientRegistry>,
         mut stop: kernel::StopSignal,
     ) -> Result<(), Failure> {
         let internal = |e: std::io::Error| Failure::new(Code::Internal, e.to_string());
@@ -115,7 +118,7 @@
         let body = move || {
             let serving = async move {
                 tokio::select! {
-                    () = accept_connections(listener, handler, traffic, main_runtime) => {}
+                    () = accept_connections(listener, handler, traffic, clients, main_runtime) => {}
                     () = stop.wait() => {}
                 }
             };
@@ -185,6 +188,7 @@
     listener: std::net::TcpListener,
     handler: Arc<dyn Handler>,
     traffic: Traffic,
+    clients: Arc<ClientRegistry>,
     main_runtime: tokio::runtime::Handle,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -193,12 +197,23 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        // Without room for it, the connection is closed.
+        let Some(connection) = clients.open(0) else { continue };
         let _ = stream.set_nodelay(true);
         let server = Server { handler: handler.clone(), main_runtime: main_runtime.clone() };
         let client: peer::Client = capnp_rpc::new_client(server);
-        let stream = traffic.count_stream(stream);
+        let stream = traffic.count_stream(stream, Some(connection.clone()));
         let network = network(stream, rpc_twoparty_capnp::Side::Server);
-        spawn_local(RpcSystem::new(network, Some(client.client)));
+        let serving = RpcSystem::new(network, Some(client.client));
+        spawn_local(async move {
+            tokio::select! {
+                // An error affects only the entry at the other end, which notices it too.
+                _ = serving => {}
+                () = connection.dismissed() => {}
+            }
+        });
+        // Connections that have to go for this one go now.
+        tokio::task::yield_now().await;
     }
 }
 
--- a/crates/web/src/clients.rs
+++ b/crates/web/src/clients.rs
@@ -194,6 +194,14 @@
         Ok(ClientRequest { client: self.clone() })
     }
 
+    /// Notes that the client of a connection that does not carry HTTP sent something. It counts as idle from then on.
+    pub fn mark_used(&self) {
+        let (now, mut state) = (self.now(), self.registry.lock());
+        let room = state.clients.begin_request(self.id, now);
+        state.settle(room);
+        state.clients.end_request(self.id, now);
+    }
+
     /// Whether a request runs or its answer is sent.
     pub fn runs_request(&self) -> bool {
         self.runs_request.load(Ordering::Relaxed)
