relay: lines of lost answers name the parts of the prompt

`attempt ended` named the whole request only, so that a request which got no head could not be told from another one by its parts; an answer that broke off while it was read in one piece named neither its parts nor its age.

--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -271,7 +271,7 @@
         cx.count_attempt(label);
         info!(cx.log, "attempt ended"; "request" => request.id_text(), "server" => %choice.id,
             "result" => label, "cause" => cause.to_owned(), "left_ms" => request.remaining_ms(),
-            "mark" => request.mark_text());
+            "parts" => request.prompt_parts(), "mark" => request.mark_text());
         Attempt::NoResponse(result)
     };
     // A request for which no connection can be made can still go to other servers.
@@ -466,7 +466,7 @@
     } else {
         None
     };
-    let ServerResponse { head, connection, guard, answer, .. } = response;
+    let ServerResponse { head, connection, guard, answer, answered_at, .. } = response;
     let cause = match (read, doubt) {
         (Ok(Ok(_)), Some(cause)) => {
             check_server(cx, &guard.server, connection.address());
@@ -490,6 +490,8 @@
     guard.outcome.set(Outcome::Failed);
     cx.count_attempt("broke");
     info!(cx.log, "attempt ended"; "request" => request.id_text(), "server" => %guard.server,
-        "result" => "broke", "cause" => cause, "left_ms" => request.remaining_ms());
+        "result" => "broke", "cause" => cause, "left_ms" => request.remaining_ms(),
+        "answered_ms" => answered_at.elapsed().as_millis() as u64,
+        "parts" => request.prompt_parts(), "mark" => request.mark_text());
     None
 }
