coord, relay: requests at a server that crashes are suspect whenever in their answers it does

Cause: a part was suspect only from the head of a successful answer on, for 500 ms, and an answer that had gone on for a second cleared it for 30 s. A server that ends before the first byte left no evidence of the part, one that ends later cleared it: evidence that is collected in a window of time in which the fault was once seen.

Change: all marks of a request are suspect from its sending on for as long as it is open, parts and whole request alike. What a server survives is an answer that it completes and lives on, or one that goes on for twice as long as others did before they crashed; the latter counts only while it goes on, so that a run which is about to crash clears nothing. Where no server was seen to work on the part, four crashes are needed instead of three, as the innocent parts of waiting requests are accused, too. Answers of 5xx no longer count as survivals.

Tests of the quarantine that stated the window are replaced: a part is held whenever servers crash under it (20 ms to 4 s, with and without a head), and is served if others go on for longer. `survive` lets the server live on, as a survival needs now.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -41,9 +41,7 @@
 pub use freshness::{Confirmation, Freshness};
 pub use missing_histories::{MissingHistories, MissingHistoryStep};
 pub use origin::StreamOrigins;
-pub use quarantine::{
-    AnswerId, Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId,
-};
+pub use quarantine::{Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId};
 pub use quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 pub use quota::{Charge, PoolRole, QuotaSettings, QuotaShares, TokenBucket, Transfer, quota_pools};
 pub use quota_wait::{QuotaStep, Shortage, is_lasting_shortage};
--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -1,9 +1,10 @@
 //! Prompt parts and requests under which servers crash, and the evidence that entries share to find
 //! them.
 //!
-//! A crash breaks all answers of a server, so that the marks of every request there become suspects: the
-//! parts of its prompt and its content. An innocent mark is told from the one to blame by the servers
-//! that live on after they began to answer a request with it. Under the latter, every server crashes.
+//! A crash ends all requests at a server, so that the marks of each of them become suspects, whether its answer had
+//! begun or not: the parts of its prompt and its content. An innocent mark is told from the one to blame by the servers
+//! that answer a request with it to the end, or go on for much longer than others did before they crashed. Under the
+//! latter, every server crashes.
 
 mod crash;
 mod open_work;
@@ -12,26 +13,31 @@
 use crate::quarantine_news::{CrashNews, HoldNews, QuarantineNews, ServerRun, SuspectNews};
 use crate::rendezvous;
 use kernel::{Millis, Name};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crash::{Crash, Suspect};
-use open_work::{Answer, Sent};
+use open_work::Sent;
 
-pub use open_work::{AnswerId, SendId};
+pub use open_work::SendId;
 
 /// When marks of requests are put into quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuarantineSettings {
-    /// Time from the beginning of an answer in which a crash makes its prompt suspect, in
-    /// milliseconds.
+    /// Time for which a request stays suspect after this entry stopped waiting for its answer, in milliseconds.
     pub suspect_ms: Millis,
-    /// Time from the beginning of an answer after which its server has survived it, if the answer went
-    /// on, in milliseconds.
+    /// Time for which a server has to live on after it completed an answer to survive the request, in milliseconds.
+    pub settle_ms: Millis,
+    /// Minimum time for which a server has to go on with an answer to survive it before its end, in milliseconds.
     pub survival_ms: Millis,
     /// Number of crashes in a row that put a part into quarantine which no server is known to have
-    /// survived. A crash counts if the answer began after the crash before: servers that crash
-    /// together do so for another reason.
+    /// survived. A crash counts if the answer began after the crash before, or if it happened
+    /// [`Self::part_apart_ms`] later: servers that crash together do so for another reason.
     pub crashes: usize,
+    /// The same number if a server was not seen to work on the part when it crashed: the answer had not begun, or was
+    /// complete.
+    pub weak_crashes: usize,
+    /// Time between two crashes from which they did not happen together, whenever the answers began, in milliseconds.
+    pub part_apart_ms: Millis,
     /// The same number for a request that a server survived lately: sound ones are at servers that crash
     /// under another request.
     pub crashes_of_survived: usize,
@@ -58,8 +64,11 @@
     fn default() -> Self {
         Self {
             suspect_ms: 500,
+            settle_ms: 150,
             survival_ms: 1_000,
             crashes: 3,
+            weak_crashes: 4,
+            part_apart_ms: 1_000,
             crashes_of_survived: 6,
             apart_ms: 30,
             crash_memory_ms: 120_000,
@@ -115,17 +124,22 @@
     settings: QuarantineSettings,
     own_name: Name,
     entries: Vec<Name>,
-    /// Answers that began recently, in order.
-    answers: VecDeque<Answer>,
-    last_answer_id: u64,
-    /// Requests that were sent recently and not survived yet.
+    /// Requests that were sent and not survived yet.
     sent: BTreeMap<SendId, Sent>,
     last_send_id: u64,
+    /// Servers of which it is being found out whether they crashed.
+    in_doubt: BTreeSet<Name>,
     /// Time at which the last survived answer with a part began, or at which a request was survived.
     survived: HashMap<u64, Millis>,
     /// Survivals in order, with those that were replaced.
     survivals: VecDeque<(Millis, u64)>,
+    /// The same times for accused marks of requests that are open, which a crash may still end.
+    living: HashMap<u64, Millis>,
     crashes: BTreeMap<ServerRun, Crash>,
+    /// Longest time from a request to a crash under it, by suspect mark, in milliseconds.
+    longest_to_crash: HashMap<u64, Millis>,
+    /// Whether `longest_to_crash` has marks that are no longer suspect.
+    has_former_suspects: bool,
     /// Whether there is evidence that was not judged yet.
     has_new_evidence: bool,
     held: BTreeMap<u64, Hold>,
@@ -140,13 +154,15 @@
             settings,
             own_name,
             entries: Vec::new(),
-            answers: VecDeque::new(),
-            last_answer_id: 0,
             sent: BTreeMap::new(),
             last_send_id: 0,
+            in_doubt: BTreeSet::new(),
             survived: HashMap::new(),
             survivals: VecDeque::new(),
+            living: HashMap::new(),
             crashes: BTreeMap::new(),
+            longest_to_crash: HashMap::new(),
+            has_former_suspects: false,
             has_new_evidence: false,
             held: BTreeMap::new(),
             doubted: BTreeMap::new(),
@@ -184,6 +200,9 @@
             self.has_new_evidence |= suspect.began_at > known.began_at;
             known.began_at = suspect.began_at.max(known.began_at);
             known.is_own |= suspect.is_own;
+            let to_crash_ms = crash.at.saturating_sub(known.began_at);
+            let longest_ms = self.longest_to_crash.entry(mark).or_default();
+            *longest_ms = to_crash_ms.max(*longest_ms);
         }
     }
 
@@ -196,14 +215,11 @@
             self.doubt(suspects.keys().copied(), now);
             let at = now.saturating_sub(age);
             let suspects =
-                suspects.into_iter().map(|(part, SuspectNews { answered_ms, index })| {
-                    (
-                        part,
-                        Suspect { began_at: at.saturating_sub(answered_ms), index, is_own: false },
-                    )
+                suspects.into_iter().map(|(part, SuspectNews { answered_ms, index, is_weak })| {
+                    let began_at = at.saturating_sub(answered_ms);
+                    (part, Suspect { began_at, index, is_own: false, is_weak })
                 });
             let mut suspects: BTreeMap<u64, Suspect> = suspects.collect();
-            // An answer that was already complete tells nothing of the crash.
             suspects.extend(self.take_suspects(&run.server, at));
             self.add_crash(run, at, suspects);
         }
@@ -243,21 +259,45 @@
         if is_request_mark(mark) {
             // A request that a server survived was not to blame for the crashes before.
             for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
-                crash.suspects.remove(&mark);
+                self.has_former_suspects |= crash.suspects.remove(&mark).is_some();
             }
         }
     }
 
     fn is_accused(&self, mark: u64) -> bool {
-        self.crashes.values().any(|crash| crash.suspects.contains_key(&mark))
+        self.longest_to_crash.contains_key(&mark)
+    }
+
+    /// Forgets the marks that are no longer suspect.
+    fn forget_former_suspects(&mut self) {
+        if !std::mem::take(&mut self.has_former_suspects) {
+            return;
+        }
+        self.longest_to_crash.clear();
+        for crash in self.crashes.values() {
+            for (mark, suspect) in &crash.suspects {
+                let to_crash_ms = crash.at.saturating_sub(suspect.began_at);
+                let longest_ms = self.longest_to_crash.entry(*mark).or_default();
+                *longest_ms = to_crash_ms.max(*longest_ms);
+            }
+        }
+    }
+
+    /// Returns the time to which the last survival of a mark dates; `None` if none is known.
+    fn survived_at(&self, mark: u64) -> Option<Millis> {
+        self.survived.get(&mark).max(self.living.get(&mark)).copied()
+    }
+
+    fn is_survived(&self, mark: u64) -> bool {
+        self.survived_at(mark).is_some()
     }
 
     /// Whether a survival disproves a quarantine. A request may turn bad at any time, so that an earlier
     /// survival does so only if too few of the crashes count with it.
     fn is_disproved(&self, mark: u64, hold: &Hold) -> bool {
-        let Some(survived_at) = self.survived.get(&mark) else { return false };
+        let Some(survived_at) = self.survived_at(mark) else { return false };
         !is_request_mark(mark)
-            || *survived_at >= hold.tried_at
+            || survived_at >= hold.tried_at
             || (self.is_accused(mark) && self.crashes_under(mark) < self.crashes_to_hold(mark))
     }
 
@@ -265,6 +305,8 @@
     pub fn update(&mut self, now: Millis) -> Vec<QuarantineChange> {
         self.record_survivals(now);
         self.forget(now);
+        self.forget_former_suspects();
+        self.find_living();
         let mut changes = self.release_idle(now);
         if std::mem::take(&mut self.has_new_evidence) {
             changes.extend(self.release_disproved());
@@ -280,6 +322,7 @@
         let known = self.crashes.len();
         self.crashes.retain(|_, crash| now.saturating_sub(crash.at) < settings.crash_memory_ms);
         self.has_new_evidence |= self.crashes.len() < known;
+        self.has_former_suspects |= self.crashes.len() < known;
         self.doubted.retain(|_, at| now.saturating_sub(*at) < settings.news_ms);
         let memory_ms = settings.survival_memory_ms;
         let is_old = |(at, _): &(Millis, u64)| now.saturating_sub(*at) >= memory_ms;
@@ -339,18 +382,26 @@
 
     /// Whether a server survived a request with this mark lately. It may have turned bad since.
     fn is_survived_request(&self, mark: u64) -> bool {
-        is_request_mark(mark) && self.survived.contains_key(&mark)
+        is_request_mark(mark) && self.is_survived(mark)
     }
 
     /// Returns the number of crashes that put a mark into quarantine.
     fn crashes_to_hold(&self, mark: u64) -> usize {
         if self.is_survived_request(mark) {
             self.settings.crashes_of_survived
+        } else if self.is_weakly_accused(mark) {
+            self.settings.weak_crashes
         } else {
             self.settings.crashes
         }
     }
 
+    /// Whether a server was not seen to work on a request with a mark when it crashed.
+    fn is_weakly_accused(&self, mark: u64) -> bool {
+        let mut under = self.crashes.values().filter_map(|crash| crash.suspects.get(&mark));
+        under.any(|suspect| suspect.is_weak)
+    }
+
     /// Whether one mark may account for crashes under another one. A request that a server survived lately
     /// does not account for those under one that none did.
     fn may_explain(&self, other: u64, mark: u64) -> bool {
@@ -362,7 +413,7 @@
     /// Whether a survival clears a mark of all crashes that are known. Those that it clears a request of are
     /// no longer known.
     fn is_cleared(&self, mark: u64) -> bool {
-        !is_request_mark(mark) && self.survived.contains_key(&mark)
+        !is_request_mark(mark) && self.is_survived(mark)
     }
 
     /// Returns the number of crashes in a row under a mark. Those under another mark in quarantine do
@@ -380,10 +431,10 @@
             .collect();
         crashes.sort_unstable();
         // Copies of a request are sent at once, but few requests are the same. A part is in too many.
-        let apart_ms = match (is_request_mark(mark), self.survived.contains_key(&mark)) {
+        let apart_ms = match (is_request_mark(mark), self.is_survived(mark)) {
             (true, false) => 0,
             (true, true) => self.settings.apart_ms,
-            (false, _) => Millis::MAX,
+            (false, _) => self.settings.part_apart_ms,
         };
         let mut count = 0;
         let mut last_counted: Option<Millis> = None;
--- a/crates/coord/src/quarantine/open_work.rs
+++ b/crates/coord/src/quarantine/open_work.rs
@@ -1,26 +1,15 @@
 //! Requests that are open at servers, whose marks become suspects if the server crashes.
 
 use super::{Quarantine, Suspect};
+use crate::fingerprint::is_request_mark;
 use kernel::{Millis, Name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Index of a whole request among the marks of its prompt: it comes after all parts.
 const REQUEST_INDEX: usize = u32::MAX as usize;
-
-/// Identifies an answer that began recently.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct AnswerId(u64);
-
-/// A prompt that a server began to answer.
-#[derive(Clone, Debug)]
-pub(super) struct Answer {
-    id: AnswerId,
-    server: Name,
-    parts: Vec<u64>,
-    began_at: Millis,
-    /// Whether the server went on with the answer after it could have crashed under it.
-    went_on: bool,
-}
+/// Multiple of the longest time from a request with a mark to a crash under it, for which a server has to go on with an
+/// answer to show that it lives through the mark.
+const SURVIVAL_FACTOR: Millis = 2;
 
 /// Identifies a request that was sent to a server recently.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -30,50 +19,67 @@
 #[derive(Clone, Debug)]
 pub(super) struct Sent {
     server: Name,
-    mark: u64,
+    /// Parts of the prompt in their order, then the mark of the request.
+    marks: Vec<u64>,
     sent_at: Millis,
     /// Time at which the answer began, if it has.
     began_at: Option<Millis>,
+    /// Time at which more of the answer arrived, if it has.
+    went_on_at: Option<Millis>,
+    /// Time at which the answer was complete, if it is.
+    completed_at: Option<Millis>,
     /// Time at which this entry stopped waiting for the answer, if it has.
     ended_at: Option<Millis>,
 }
 
-impl Quarantine {
-    /// Records that a server began to answer a prompt with these parts.
-    pub fn record_answer(&mut self, server: &Name, parts: Vec<u64>, now: Millis) -> AnswerId {
-        self.last_answer_id += 1;
-        let id = AnswerId(self.last_answer_id);
-        let answer = Answer { id, server: server.clone(), parts, began_at: now, went_on: false };
-        self.answers.push_back(answer);
-        id
+impl Sent {
+    /// Returns the time from which its server may crash under the request, as far as this entry knows.
+    fn runs_from(&self) -> Millis {
+        self.began_at.unwrap_or(self.sent_at)
     }
 
-    /// Records that more of an answer arrived. It went on if a crash would no longer make it suspect.
-    pub fn record_progress(&mut self, id: AnswerId, now: Millis) {
-        let suspect_ms = self.settings.suspect_ms;
-        if let Some(answer) = self.answer_mut(id) {
-            answer.went_on |= now.saturating_sub(answer.began_at) > suspect_ms;
+    /// Returns the mark with this index as a suspect.
+    fn suspect(&self, mark: u64, index: usize) -> Suspect {
+        let is_request = is_request_mark(mark);
+        let is_at_work = self.began_at.is_some() && self.completed_at.is_none();
+        Suspect {
+            began_at: self.runs_from(),
+            index: if is_request { REQUEST_INDEX } else { index },
+            is_own: true,
+            is_weak: !is_request && !is_at_work,
         }
     }
 
-    /// Records that an answer is complete.
-    pub fn record_completion(&mut self, id: AnswerId) {
-        if let Some(answer) = self.answer_mut(id) {
-            answer.went_on = true;
-        }
+    /// Returns the time to which a survival of a mark dates. A whole request may turn bad at any time.
+    fn survived_at(&self, mark: u64, now: Millis) -> Millis {
+        if is_request_mark(mark) { now } else { self.runs_from() }
     }
 
-    fn answer_mut(&mut self, id: AnswerId) -> Option<&mut Answer> {
-        let index = self.answers.binary_search_by_key(&id, |answer| answer.id).ok()?;
-        self.answers.get_mut(index)
+    /// Returns the last time at which the server was seen to live, if the answer is complete or has gone on for this time.
+    fn lived_on(&self, needed_ms: Millis) -> Option<Millis> {
+        let went_on = || {
+            let (began_at, went_on_at) = (self.began_at?, self.went_on_at?);
+            (went_on_at.saturating_sub(began_at) >= needed_ms).then_some(went_on_at)
+        };
+        self.completed_at.or_else(went_on)
     }
+}
 
-    /// Records that a request with this mark is sent to a server.
-    pub fn record_sent(&mut self, server: &Name, mark: u64, now: Millis) -> SendId {
+impl Quarantine {
+    /// Records that a request with these marks is sent to a server: the parts of its prompt, in their order, and its own.
+    pub fn record_sent(&mut self, server: &Name, marks: Vec<u64>, now: Millis) -> SendId {
         self.last_send_id += 1;
         let id = SendId(self.last_send_id);
-        let server = server.clone();
-        self.sent.insert(id, Sent { server, mark, sent_at: now, began_at: None, ended_at: None });
+        let sent = Sent {
+            server: server.clone(),
+            marks,
+            sent_at: now,
+            began_at: None,
+            went_on_at: None,
+            completed_at: None,
+            ended_at: None,
+        };
+        self.sent.insert(id, sent);
         id
     }
 
@@ -84,20 +90,24 @@
         }
     }
 
-    /// Records that more of the answer to a request arrived. Its server has survived the request if it
-    /// goes on after a crash would no longer make the request suspect.
+    /// Records that more of the answer to a request arrived.
     pub fn record_more(&mut self, id: SendId, now: Millis) {
-        let began_at = self.sent.get(&id).and_then(|sent| sent.began_at);
-        if began_at.is_some_and(|began_at| now.saturating_sub(began_at) > self.settings.suspect_ms)
-        {
-            self.record_survival(id, now);
+        if let Some(sent) = self.sent.get_mut(&id) {
+            sent.went_on_at = Some(now);
         }
     }
 
-    /// Records that a server has survived a request, as its answer is complete.
-    pub fn record_survival(&mut self, id: SendId, now: Millis) {
-        if let Some(sent) = self.sent.remove(&id) {
-            self.add_survival(sent.mark, now);
+    /// Records that the answer to a request is complete. Its server has survived the request, and the parts of its prompt
+    /// unless it crashes soon: no other request may be the same, so that only parts need more than one.
+    pub fn record_completion(&mut self, id: SendId, now: Millis) {
+        let Some(sent) = self.sent.get_mut(&id) else { return };
+        sent.completed_at = Some(now);
+        let requests: Vec<u64> = sent.marks.extract_if(.., |mark| is_request_mark(*mark)).collect();
+        let is_doubted = |mark: &u64| self.held.contains_key(mark) || self.is_accused(*mark);
+        self.has_new_evidence |=
+            self.sent.get(&id).is_some_and(|sent| sent.marks.iter().any(is_doubted));
+        for mark in requests {
+            self.add_survival(mark, now);
         }
     }
 
@@ -108,65 +118,97 @@
         }
     }
 
-    /// Records that a server states that it has not run a request.
-    pub fn record_not_run(&mut self, id: SendId) {
+    /// Forgets a request that its server has not run, or of which nothing is known.
+    pub fn forget_sent(&mut self, id: SendId) {
         self.sent.remove(&id);
     }
 
-    /// Forgets the answers and requests of a server that may have crashed, without accusing their marks.
-    pub fn discard_answers(&mut self, server: &Name) {
-        self.answers.retain(|answer| answer.server != *server);
+    /// Notes that it is being found out whether a server crashed. Until [`Self::end_check`], it survives nothing.
+    pub fn begin_check(&mut self, server: &Name) {
+        self.in_doubt.insert(server.clone());
+    }
+
+    /// Notes that it is known whether a server crashed.
+    pub fn end_check(&mut self, server: &Name) {
+        self.in_doubt.remove(server);
+    }
+
+    /// Forgets the requests at a server that may have crashed, without accusing their marks.
+    pub fn discard_requests(&mut self, server: &Name) {
         self.sent.retain(|_, sent| sent.server != *server);
     }
 
-    /// Forgets the answers and requests of a server that crashed, and returns the parts of answers that had
-    /// just begun and the requests without an answer or with one that had just begun.
+    /// Forgets the requests at a server that crashed, and returns the marks of those that were open there or had just
+    /// ended.
     pub(super) fn take_suspects(
         &mut self,
         server: &Name,
         crashed_at: Millis,
     ) -> BTreeMap<u64, Suspect> {
-        let mut suspects = BTreeMap::new();
+        let mut suspects: BTreeMap<u64, Suspect> = BTreeMap::new();
         let suspect_ms = self.settings.suspect_ms;
-        self.answers.retain(|answer| {
-            let is_broken = answer.server == *server && answer.began_at <= crashed_at;
-            if is_broken && crashed_at - answer.began_at <= suspect_ms {
-                // Answers are in the order of their beginning.
-                for (index, part) in answer.parts.iter().enumerate() {
-                    let suspect = Suspect { began_at: answer.began_at, index, is_own: true };
-                    suspects.insert(*part, suspect);
-                }
-            }
-            !is_broken
-        });
         let is_recent = |at: Millis| crashed_at.saturating_sub(at) <= suspect_ms;
         self.sent.retain(|_, sent| {
             let was_there = sent.server == *server && sent.sent_at <= crashed_at;
-            if was_there
-                && sent.began_at.is_none_or(is_recent)
-                && sent.ended_at.is_none_or(is_recent)
-            {
-                let (began_at, index) = (sent.sent_at, REQUEST_INDEX);
-                suspects.insert(sent.mark, Suspect { began_at, index, is_own: true });
+            if was_there && sent.ended_at.is_none_or(is_recent) {
+                for (index, mark) in sent.marks.iter().enumerate() {
+                    let suspect = sent.suspect(*mark, index);
+                    let known = suspects.entry(*mark).or_insert(suspect);
+                    if suspect.began_at > known.began_at {
+                        *known = suspect;
+                    }
+                }
             }
             !was_there
         });
         suspects
     }
 
-    /// Turns answers that began long enough ago into survivals.
+    /// Turns answers after which their servers lived on into survivals.
     pub(super) fn record_survivals(&mut self, now: Millis) {
-        let survival_ms = self.settings.survival_ms;
-        let is_survived = |answer: &Answer| now.saturating_sub(answer.began_at) >= survival_ms;
-        while self.answers.front().is_some_and(is_survived) {
-            let Some(answer) = self.answers.pop_front() else { return };
-            let survived = if answer.went_on { answer.parts } else { Vec::new() };
-            for part in survived {
-                self.add_survival(part, answer.began_at);
+        let settle_ms = self.settings.settle_ms;
+        let is_settled = |sent: &Sent| {
+            sent.completed_at.is_some_and(|at| now.saturating_sub(at) > settle_ms)
+                && !self.in_doubt.contains(&sent.server)
+        };
+        let settled: Vec<SendId> =
+            self.sent.iter().filter(|(_, sent)| is_settled(sent)).map(|(id, _)| *id).collect();
+        for id in settled {
+            let Some(sent) = self.sent.remove(&id) else { continue };
+            for mark in &sent.marks {
+                self.add_survival(*mark, sent.runs_from());
             }
         }
     }
 
+    /// Finds the suspects that servers live through now: an answer is complete, or goes on for much longer than others did
+    /// before their servers crashed.
+    pub(super) fn find_living(&mut self) {
+        let mut living: HashMap<u64, Millis> = HashMap::new();
+        let is_any_doubted = !self.longest_to_crash.is_empty() || !self.held.is_empty();
+        let is_counted =
+            |sent: &&Sent| sent.ended_at.is_none() && !self.in_doubt.contains(&sent.server);
+        let open = self.sent.values().filter(|sent| is_any_doubted && is_counted(sent));
+        for (sent, mark) in open.flat_map(|sent| sent.marks.iter().map(move |mark| (sent, *mark))) {
+            let Some(needed_ms) = self.needed_to_survive(mark) else { continue };
+            if let Some(seen_at) = sent.lived_on(needed_ms) {
+                let at = sent.survived_at(mark, seen_at);
+                living.entry(mark).and_modify(|known| *known = at.max(*known)).or_insert(at);
+            }
+        }
+        self.has_new_evidence |= living != self.living;
+        self.living = living;
+    }
+
+    /// Returns the time for which a server has to go on with an answer to show that it survives a mark; `None` for a mark
+    /// that nothing accuses.
+    fn needed_to_survive(&self, mark: u64) -> Option<Millis> {
+        let longest_ms = self.longest_to_crash.get(&mark).copied();
+        let is_doubted = longest_ms.is_some() || self.held.contains_key(&mark);
+        let needed_ms = SURVIVAL_FACTOR * longest_ms.unwrap_or_default();
+        is_doubted.then_some(needed_ms.max(self.settings.survival_ms))
+    }
+
     /// Forgets requests for whose answers this entry stopped waiting too long ago to hear of a crash.
     pub(super) fn forget_ended(&mut self, now: Millis) {
         let news_ms = self.settings.news_ms;
--- a/crates/coord/src/quarantine_news.rs
+++ b/crates/coord/src/quarantine_news.rs
@@ -50,6 +50,9 @@
     pub answered_ms: Millis,
     /// Index of the part in its prompt.
     pub index: usize,
+    /// Whether the server was not seen to work on it.
+    #[serde(default)]
+    pub is_weak: bool,
 }
 
 /// A quarantine, for other entries.
--- a/crates/coord/tests/crashing_requests.rs
+++ b/crates/coord/tests/crashing_requests.rs
@@ -26,7 +26,7 @@
 }
 
 fn send(quarantine: &mut Quarantine, server: u64, mark: u64, at: Millis) -> SendId {
-    quarantine.record_sent(&run(server).server, mark, at)
+    quarantine.record_sent(&run(server).server, vec![mark], at)
 }
 
 /// Sends requests with these marks to a server, which crashes after 20 ms.
@@ -38,11 +38,12 @@
     quarantine.update(at + 20);
 }
 
-/// Lets a server complete the answer to a request.
-fn survive(quarantine: &mut Quarantine, mark: u64, at: Millis) {
+/// Lets a server complete the answer to a request and live on; returns what changed.
+fn survive(quarantine: &mut Quarantine, mark: u64, at: Millis) -> Vec<QuarantineChange> {
     let sent = send(quarantine, 99, mark, at);
     quarantine.record_head(sent, at);
-    quarantine.record_survival(sent, at);
+    quarantine.record_completion(sent, at);
+    quarantine.update(at + QuarantineSettings::default().settle_ms + 1)
 }
 
 /// Passes the news of one entry on to another.
@@ -73,7 +74,8 @@
     let parts = [part_mark(1), part_mark(2)];
     for number in 0..3 {
         let at = 10_000 + 500 * number;
-        quarantine.record_answer(&run(number).server, parts.to_vec(), at);
+        let answered = quarantine.record_sent(&run(number).server, parts.to_vec(), at);
+        quarantine.record_head(answered, at);
         crash_under(&mut quarantine, number, &[mark("bad")], at);
     }
     assert!(!is_allowed(&mut quarantine, mark("bad"), 12_000));
@@ -139,7 +141,7 @@
     for number in 0..6 {
         let at = 10_000 + 100 * number;
         let sent = send(&mut quarantine, number, mark("sound"), at);
-        quarantine.record_not_run(sent);
+        quarantine.forget_sent(sent);
         assert!(quarantine.record_crash(run(number), at + 20).is_empty());
         quarantine.update(at + 20);
     }
@@ -195,8 +197,8 @@
         crash_under(&mut quarantine, number, &[mark("sound")], 10_000 + 100 * number);
     }
     assert!(!is_allowed(&mut quarantine, mark("sound"), 10_500));
-    survive(&mut quarantine, mark("sound"), 11_000);
-    assert_eq!(quarantine.update(11_000), [QuarantineChange::Released(mark("sound"))]);
+    let changes = survive(&mut quarantine, mark("sound"), 11_000);
+    assert_eq!(changes, [QuarantineChange::Released(mark("sound"))]);
     assert!(is_allowed(&mut quarantine, mark("sound"), 11_000));
 }
 
--- a/crates/coord/tests/crashing_requests/model.rs
+++ b/crates/coord/tests/crashing_requests/model.rs
@@ -4,8 +4,8 @@
 mod servers;
 
 use coord::{
-    AnswerId, Quarantine, QuarantineChange, QuarantineCheck, QuarantineNews, QuarantineSettings,
-    SendId, ServerRun, request_mark,
+    Quarantine, QuarantineChange, QuarantineCheck, QuarantineNews, QuarantineSettings, SendId,
+    ServerRun, request_mark,
 };
 use kernel::{Millis, Name};
 use rand::rngs::StdRng;
@@ -138,7 +138,6 @@
     server: usize,
     run: u64,
     sent: SendId,
-    answer: Option<AnswerId>,
     has_head: bool,
 }
 
@@ -424,16 +423,16 @@
                 continue;
             }
             let (run, known) = (self.servers[server].run, self.known_run(request.entry, server));
-            let mark = *self.marks(request.content).last().expect("a request has a mark");
+            let marks = self.marks(request.content);
             let name = server_run(server, known).server;
             let quarantine = &mut self.entries[request.entry].quarantine;
-            let sent = quarantine.record_sent(&name, mark, self.now);
+            let sent = quarantine.record_sent(&name, marks, self.now);
             if is_renamed(server) && run != known {
-                quarantine.record_not_run(sent);
+                quarantine.forget_sent(sent);
                 continue;
             }
             request.sends += 1;
-            return self.arrive(Open { request, server, run, sent, answer: None, has_head: false });
+            return self.arrive(Open { request, server, run, sent, has_head: false });
         }
     }
 
@@ -494,14 +493,9 @@
 
     fn begin_answer(&mut self, id: u64) {
         let Some(open) = self.running(id).cloned() else { return };
-        let parts = self.parts(open.request.content);
-        let known = self.known_run(open.request.entry, open.server);
-        let quarantine = &mut self.entries[open.request.entry].quarantine;
-        quarantine.record_head(open.sent, self.now);
-        let name = server_run(open.server, known).server;
-        let answer = (!parts.is_empty()).then(|| quarantine.record_answer(&name, parts, self.now));
+        self.entries[open.request.entry].quarantine.record_head(open.sent, self.now);
         if let Some(open) = self.open.get_mut(&id) {
-            (open.answer, open.has_head) = (answer, true);
+            open.has_head = true;
         }
         if open.request.content.is_none() {
             return;
@@ -518,9 +512,6 @@
         let Some(open) = self.running(id).cloned() else { return };
         let quarantine = &mut self.entries[open.request.entry].quarantine;
         quarantine.record_more(open.sent, self.now);
-        if let Some(answer) = open.answer {
-            quarantine.record_progress(answer, self.now);
-        }
     }
 
     fn complete(&mut self, id: u64) {
@@ -529,9 +520,6 @@
         }
         let Some(open) = self.open.remove(&id) else { return };
         let quarantine = &mut self.entries[open.request.entry].quarantine;
-        quarantine.record_survival(open.sent, self.now);
-        if let Some(answer) = open.answer {
-            quarantine.record_completion(answer);
-        }
+        quarantine.record_completion(open.sent, self.now);
     }
 }
--- a/crates/coord/tests/quarantine.rs
+++ b/crates/coord/tests/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of prompt parts under which servers crash.
 
-use coord::{Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, ServerRun};
+use coord::{Quarantine, QuarantineChange, QuarantineCheck, QuarantineSettings, SendId, ServerRun};
 use kernel::{Millis, Name};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -20,17 +20,24 @@
     ServerRun { server: Name::from(format!("i-{number}")), started_unix_ms: 1 }
 }
 
+/// Sends a request to a server, which begins to answer it.
+fn answer(quarantine: &mut Quarantine, server: &Name, parts: &[u64], at: Millis) -> SendId {
+    let sent = quarantine.record_sent(server, parts.to_vec(), at);
+    quarantine.record_head(sent, at);
+    sent
+}
+
 /// Lets a server begin an answer and crash after 80 ms.
 fn crash_under(quarantine: &mut Quarantine, server: u64, parts: &[u64], at: Millis) {
-    quarantine.record_answer(&run(server).server, parts.to_vec(), at);
+    answer(quarantine, &run(server).server, parts, at);
     quarantine.record_crash(run(server), at + 80);
     quarantine.update(at + 80);
 }
 
 /// Lets a server begin an answer and go on with it.
 fn survive(quarantine: &mut Quarantine, parts: &[u64], at: Millis) {
-    let answer = quarantine.record_answer(&Name::from("i-99"), parts.to_vec(), at);
-    quarantine.record_completion(answer);
+    let sent = answer(quarantine, &Name::from("i-99"), parts, at);
+    quarantine.record_completion(sent, at);
 }
 
 fn is_allowed(quarantine: &mut Quarantine, parts: &[u64], now: Millis) -> bool {
@@ -92,10 +99,10 @@
 
 #[test]
 fn an_answer_counts_as_a_survival_once_more_of_it_arrives_late_enough() {
-    for (progress_after, is_survival) in [(100, false), (600, true)] {
+    for (progress_after, is_survival) in [(100, false), (600, false), (1_000, true)] {
         let mut quarantine = quarantine("a");
-        let answer = quarantine.record_answer(&Name::from("i-99"), vec![FIRST], 9_000);
-        quarantine.record_progress(answer, 9_000 + progress_after);
+        let sent = answer(&mut quarantine, &Name::from("i-99"), &[FIRST], 9_000);
+        quarantine.record_more(sent, 9_000 + progress_after);
         for number in 0..3 {
             crash_under(&mut quarantine, number, &[FIRST], 10_000 + 500 * number);
         }
@@ -117,7 +124,7 @@
 fn an_answer_that_did_not_go_on_is_no_survival() {
     let mut quarantine = quarantine("a");
     // The connection fell silent, so that nobody saw the crash.
-    quarantine.record_answer(&Name::from("i-98"), vec![BAD], 9_000);
+    answer(&mut quarantine, &Name::from("i-98"), &[BAD], 9_000);
     for number in 0..3 {
         crash_under(&mut quarantine, number, &[BAD], 10_000 + 500 * number);
     }
@@ -143,12 +150,67 @@
     assert!(!is_allowed(&mut quarantine, &[BAD], 115_000));
 }
 
+/// Lets servers crash this time after they began to answer requests with a part, or after these were sent.
+fn crash_after(quarantine: &mut Quarantine, parts: &[u64], has_head: bool, crash_ms: Millis) {
+    for number in 0..4 {
+        let at = 10_000 + 6_000 * number;
+        let sent = quarantine.record_sent(&run(number).server, parts.to_vec(), at);
+        if has_head {
+            quarantine.record_head(sent, at);
+            (at..at + crash_ms).step_by(50).for_each(|at| {
+                quarantine.record_more(sent, at);
+                quarantine.update(at);
+            });
+        }
+        assert!(quarantine.record_crash(run(number), at + crash_ms).contains(&parts[0]));
+        quarantine.update(at + crash_ms);
+    }
+}
+
+#[test]
+fn a_part_is_held_whenever_in_their_answers_servers_crash_under_it() {
+    for has_head in [false, true] {
+        for crash_ms in [20, 700, 1_500, 4_000] {
+            let mut quarantine = quarantine("a");
+            crash_after(&mut quarantine, &[BAD], has_head, crash_ms);
+            assert!(!is_allowed(&mut quarantine, &[BAD], 40_000), "{has_head} {crash_ms}");
+        }
+    }
+}
+
+#[test]
+fn a_part_with_which_servers_go_on_for_longer_than_others_before_they_crashed_is_served() {
+    for (goes_on_ms, is_served) in [(2_500, false), (3_500, true)] {
+        let mut quarantine = quarantine("a");
+        let lives = answer(&mut quarantine, &Name::from("i-99"), &[FIRST], 29_000);
+        quarantine.record_more(lives, 29_000 + goes_on_ms);
+        crash_after(&mut quarantine, &[FIRST], true, 1_500);
+        quarantine.update(33_000);
+        assert_eq!(is_allowed(&mut quarantine, &[FIRST], 33_000), is_served, "{goes_on_ms}");
+    }
+}
+
+#[test]
+fn an_answer_after_which_its_server_crashes_at_once_is_no_survival() {
+    let mut quarantine = quarantine("a");
+    for number in 0..4 {
+        let at = 10_000 + 500 * number;
+        let sent = answer(&mut quarantine, &run(number).server, &[BAD], at);
+        quarantine.record_completion(sent, at + 10);
+        quarantine.record_crash(run(number), at + 40);
+        quarantine.update(at + 40);
+    }
+    assert!(!is_allowed(&mut quarantine, &[BAD], 12_500));
+}
+
 #[test]
-fn an_answer_that_began_long_before_the_crash_is_not_suspect() {
+fn an_answer_that_was_complete_long_before_the_crash_is_a_survival() {
     let mut quarantine = quarantine("a");
     for number in 0..10 {
         let at = 10_000 + 1_000 * number;
-        quarantine.record_answer(&run(number).server, vec![FIRST], at);
+        let sent = answer(&mut quarantine, &run(number).server, &[FIRST], at);
+        quarantine.record_completion(sent, at + 10);
+        quarantine.update(at + 520);
         assert!(quarantine.record_crash(run(number), at + 600).is_empty());
         quarantine.update(at + 600);
     }
@@ -205,7 +267,7 @@
     let (mut seen, mut heard) = (quarantine("a"), quarantine("b"));
     for number in 0..3 {
         let at = 10_000 + 500 * number;
-        heard.record_answer(&run(number).server, vec![BAD], at);
+        answer(&mut heard, &run(number).server, &[BAD], at);
         crash_under(&mut seen, number, &[100 + number], at);
         heard.record_news(seen.news(at + 200), at + 200);
         heard.update(at + 200);
@@ -391,9 +453,9 @@
             return;
         }
         let server = Name::from(format!("i-{}", sent.server));
-        let answer = self.entries[sent.entry].record_answer(&server, sent.parts.clone(), self.now);
+        let answered = answer(&mut self.entries[sent.entry], &server, &sent.parts, self.now);
         if !sent.is_bad() {
-            self.entries[sent.entry].record_completion(answer);
+            self.entries[sent.entry].record_completion(answered, self.now);
         } else {
             let crashes_in_ms = self.rng.random_range(40..160);
             self.crashing.push((self.now + crashes_in_ms, sent));
--- a/crates/coord/tests/request_price.rs
+++ b/crates/coord/tests/request_price.rs
@@ -60,7 +60,7 @@
         let mut sent: Vec<Vec<SendId>> = Vec::new();
         for quarantine in &mut quarantines {
             let server = |number: u64| &servers[(number % SERVERS) as usize];
-            let send = |number| quarantine.record_sent(server(number), mark(number), 1_000);
+            let send = |number| quarantine.record_sent(server(number), vec![mark(number)], 1_000);
             sent.push((0..open).map(send).collect());
         }
         let ids = (open as usize * size_of::<SendId>()) as f64;
@@ -73,8 +73,8 @@
     for quarantine in &mut quarantines {
         for number in 0..40_000 / PAUSE_MS {
             let now = number * PAUSE_MS;
-            let id = quarantine.record_sent(&servers[0], mark(number), now);
-            quarantine.record_survival(id, now);
+            let id = quarantine.record_sent(&servers[0], vec![mark(number)], now);
+            quarantine.record_completion(id, now);
             quarantine.update(now);
         }
     }
@@ -91,13 +91,13 @@
         let server = &servers()[0];
         let run = ServerRun { server: server.clone(), started_unix_ms: 1_796_000_000_000 };
         for number in 0..requests {
-            quarantine.record_sent(server, mark(number), 10_000 + 10 * number);
+            quarantine.record_sent(server, vec![mark(number)], 10_000 + 10 * number);
         }
         quarantine.record_crash(run, 10_300);
         let crash = encoded_bytes(&quarantine);
         for number in 0..requests {
-            let id = quarantine.record_sent(server, mark(number), 10_000);
-            quarantine.record_survival(id, 10_200);
+            let id = quarantine.record_sent(server, vec![mark(number)], 10_000);
+            quarantine.record_completion(id, 10_200);
         }
         let survived = encoded_bytes(&quarantine);
         println!("crash with {requests} requests: {crash} B; all survived elsewhere: {survived} B");
--- a/crates/relay/src/attempt_guard.rs
+++ b/crates/relay/src/attempt_guard.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::request::AdmittedRequest;
 use coord::SendId;
+use hyper::StatusCode;
 use kernel::boot_ms;
 use kernel::prelude::*;
 use pick::{Choice, Outcome, Prompt};
@@ -44,14 +45,15 @@
 
     /// Records that the request is sent to the server.
     pub(crate) fn mark_sent(&self, request: &AdmittedRequest) {
-        let id = self.cx.quarantine.borrow_mut().record_sent(&self.server, request.mark, boot_ms());
+        let marks = request.marks().collect();
+        let id = self.cx.quarantine.borrow_mut().record_sent(&self.server, marks, boot_ms());
         self.sent.set(Some(id));
     }
 
     /// Records that the server states that it has not run the request.
     pub(crate) fn mark_not_run(&self) {
         if let Some(id) = self.sent.take() {
-            self.cx.quarantine.borrow_mut().record_not_run(id);
+            self.cx.quarantine.borrow_mut().forget_sent(id);
         }
     }
 
@@ -69,10 +71,14 @@
         }
     }
 
-    /// Records that the answer is complete, so that the server has survived the request.
-    pub(crate) fn mark_completed(&self) {
-        if let Some(id) = self.sent.take() {
-            self.cx.quarantine.borrow_mut().record_survival(id, boot_ms());
+    /// Records that the answer is complete. A server that failed may not have come to what crashes others.
+    pub(crate) fn mark_completed(&self, status: StatusCode) {
+        let Some(id) = self.sent.take() else { return };
+        let mut quarantine = self.cx.quarantine.borrow_mut();
+        if status.is_server_error() {
+            quarantine.forget_sent(id);
+        } else {
+            quarantine.record_completion(id, boot_ms());
         }
     }
 
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -22,7 +22,7 @@
 use crate::server_news;
 use crate::stream;
 use crate::target::{Target, find_target, try_target};
-use coord::{AnswerId, QuarantineCheck};
+use coord::QuarantineCheck;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
@@ -59,9 +59,6 @@
     pub(crate) answered_at: Instant,
     /// Whether only the end of the connection ends the body.
     pub(crate) ends_with_connection: bool,
-    /// The answer among those that may precede a crash; `None` for a failure or a prompt without
-    /// shared parts.
-    pub(crate) answer: Option<AnswerId>,
     /// Whether the response came through another entry.
     pub(crate) is_forwarded: bool,
 }
@@ -375,7 +372,7 @@
         ResponseClass::Valid => {
             guard.mark_answered();
             server_news::record(cx, request, &choice.id, &response, sent_at);
-            let response = begin_answer(cx, request, choice, response, connection, guard);
+            let response = begin_answer(request, choice, response, connection, guard);
             Attempt::Answered(Box::new(response))
         }
     }
@@ -400,9 +397,8 @@
     }
 }
 
-/// Records that a server began to answer a request, and returns its response.
+/// Returns the response of a server that began to answer a request.
 fn begin_answer(
-    cx: &Context,
     request: &AdmittedRequest,
     choice: &Choice,
     response: Response<Incoming>,
@@ -416,11 +412,6 @@
         entry_headers::set(&mut head.headers, &entry_headers::SOFTWARE_VERSION, version);
     }
     let head = Response::from_parts(head, ());
-    let answer = if head.status().is_success() {
-        quarantine::record_answer(cx, request, &choice.id)
-    } else {
-        None
-    };
     ServerResponse {
         ends_with_connection: ends_with_connection(head.headers(), &body),
         head,
@@ -429,7 +420,6 @@
         guard,
         software_version: choice.software_version.clone(),
         answered_at: Instant::now(),
-        answer,
         is_forwarded: false,
     }
 }
@@ -466,7 +456,7 @@
     } else {
         None
     };
-    let ServerResponse { head, connection, guard, answer, answered_at, .. } = response;
+    let ServerResponse { head, connection, guard, answered_at, .. } = response;
     let cause = match (read, doubt) {
         (Ok(Ok(_)), Some(cause)) => {
             check_server(cx, &guard.server, connection.address());
@@ -476,8 +466,7 @@
             let failed = head.status().is_server_error();
             guard.outcome.set(if failed { Outcome::Failed } else { Outcome::Answered });
             cx.count_attempt(if failed { "failed" } else { "answered" });
-            quarantine::record_completion(cx, answer);
-            guard.mark_completed();
+            guard.mark_completed(head.status());
             release_connection(cx, request, connection, head.headers());
             return Some(forwarded_reply(head, full_body(bytes)));
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -143,7 +143,6 @@
         guard: AttemptGuard::for_entry(cx, &entry.name),
         software_version: software_version.unwrap_or_default(),
         answered_at: Instant::now(),
-        answer: None,
         is_forwarded: true,
     }))
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -4,9 +4,7 @@
 use crate::peers;
 use crate::request::AdmittedRequest;
 use crate::server_check::wait_for_check;
-use coord::{
-    AnswerId, QuarantineChange, QuarantineCheck, QuarantineNews, ServerRun, is_request_mark,
-};
+use coord::{QuarantineChange, QuarantineCheck, QuarantineNews, ServerRun, is_request_mark};
 use kernel::boot_ms;
 use kernel::prelude::*;
 use std::rc::Rc;
@@ -48,33 +46,6 @@
     while changed.changed().await.is_ok() && !is_held(cx, request) {}
 }
 
-/// Records that a server began to answer a request; `None` for a prompt without shared parts.
-pub(crate) fn record_answer(
-    cx: &Context,
-    request: &AdmittedRequest,
-    server: &Name,
-) -> Option<AnswerId> {
-    let parts: Vec<u64> = request.part_marks().collect();
-    if parts.is_empty() {
-        return None;
-    }
-    Some(cx.quarantine.borrow_mut().record_answer(server, parts, boot_ms()))
-}
-
-/// Records that more of an answer arrived.
-pub(crate) fn record_progress(cx: &Context, answer: Option<AnswerId>) {
-    if let Some(answer) = answer {
-        cx.quarantine.borrow_mut().record_progress(answer, boot_ms());
-    }
-}
-
-/// Records that an answer is complete.
-pub(crate) fn record_completion(cx: &Context, answer: Option<AnswerId>) {
-    if let Some(answer) = answer {
-        cx.quarantine.borrow_mut().record_completion(answer);
-    }
-}
-
 /// Records that a server crashed at this time on the boot clock, and tells the peers.
 pub(crate) fn record_crash(cx: &Rc<Context>, run: ServerRun, at: Millis) {
     let suspects = cx.quarantine.borrow_mut().record_crash(run.clone(), at);
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -21,6 +21,7 @@
     if !cx.servers_checked.borrow_mut().insert(server.clone()) {
         return;
     }
+    cx.quarantine.borrow_mut().begin_check(server);
     let (cx, server) = (cx.clone(), server.clone());
     let broke_at = boot_ms();
     cx.pool.record_broken(address);
@@ -44,8 +45,9 @@
             let run = ServerRun { server: server.clone(), started_unix_ms };
             quarantine::record_crash(&cx, run, broke_at);
         } else if reachability != Reachability::Listening {
-            cx.quarantine.borrow_mut().discard_answers(&server);
+            cx.quarantine.borrow_mut().discard_requests(&server);
         }
+        cx.quarantine.borrow_mut().end_check(&server);
         cx.servers_checked.borrow_mut().remove(&server);
         cx.server_check_ended.notify_waiters();
     });
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -197,7 +197,6 @@
         if let Some(response) = &self.response {
             response.guard.mark_prompt_read();
             response.guard.mark_progress();
-            quarantine::record_progress(&self.cx, response.answer);
         }
         let complete = self.events.push(bytes);
         if is_first {
@@ -248,8 +247,7 @@
     fn finish(&mut self) {
         let Some(response) = self.response.take() else { return };
         response.guard.outcome.set(Outcome::Answered);
-        quarantine::record_completion(&self.cx, response.answer);
-        response.guard.mark_completed();
+        response.guard.mark_completed(response.head.status());
         release_connection(&self.cx, &self.request, response.connection, response.head.headers());
         debug!(self.cx.log, "stream ended"; "request" => self.request.id_text(),
             "server" => %response.guard.server, "chunks" => self.chunks,
