relay: a server that closes a connection right after an answer is checked

Cause: a crash was looked for only after a request broke.

Change: a server that closes an idle connection within 150 ms of an answer after which it was to be reused is checked like one whose request broke.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use kernel::{Code, Failure};
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -29,6 +29,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is not reused if its server states no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after a response in which a server closes no connection that it offers to reuse, unless it ends.
+const EARLY_CLOSE: Duration = Duration::from_millis(150);
 /// Safety margin before the idle limit stated by a server, within which a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -47,6 +49,8 @@
     tx: SendRequest<Full<Bytes>>,
     /// Whether the connection has carried a request before.
     is_reused: bool,
+    /// Time from which the connection has been idle, if it is.
+    idle_since: Rc<Cell<Option<Instant>>>,
 }
 
 /// Error of a request that got no response.
@@ -74,25 +78,32 @@
     Unknown,
 }
 
-/// Remote ends of connections that broke.
+/// Remote ends of connections to which something happened.
 #[derive(Default)]
-struct Broken {
+struct RemoteEnds {
     addresses: RefCell<HashSet<SocketAddr>>,
     added: Notify,
 }
 
-impl Broken {
+impl RemoteEnds {
     fn add(&self, address: SocketAddr) {
         self.addresses.borrow_mut().insert(address);
         self.added.notify_one();
     }
+
+    /// Waits for remote ends and returns them.
+    async fn take(&self) -> HashSet<SocketAddr> {
+        self.added.notified().await;
+        std::mem::take(&mut *self.addresses.borrow_mut())
+    }
 }
 
 /// Idle connections by server.
 #[derive(Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    broken: Rc<Broken>,
+    broken: Rc<RemoteEnds>,
+    closed_early: Rc<RemoteEnds>,
 }
 
 impl Pool {
@@ -118,8 +129,13 @@
 
     /// Waits until connections broke; returns their remote ends.
     pub(crate) async fn broken(&self) -> HashSet<SocketAddr> {
-        self.broken.added.notified().await;
-        std::mem::take(&mut *self.broken.addresses.borrow_mut())
+        self.broken.take().await
+    }
+
+    /// Waits until servers closed connections right after a response after which they were to be reused; returns their
+    /// remote ends.
+    pub(crate) async fn closed_early(&self) -> HashSet<SocketAddr> {
+        self.closed_early.take().await
     }
 
     /// Opens a new connection.
@@ -133,14 +149,19 @@
         builder.max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (tx, connection) = handshake.map_err(|e| failed(e.to_string()))?;
-        let broken = self.broken.clone();
+        let (broken, closed_early) = (self.broken.clone(), self.closed_early.clone());
+        let idle_since = Rc::new(Cell::new(None));
+        let idle = idle_since.clone();
         tokio::task::spawn_local(async move {
             // The error itself is returned to the request in progress, if there is one.
             if connection.await.is_err() {
                 broken.add(address);
             }
+            if idle.get().is_some_and(|since: Instant| since.elapsed() < EARLY_CLOSE) {
+                closed_early.add(address);
+            }
         });
-        Ok(Connection { address, tx, is_reused: false })
+        Ok(Connection { address, tx, is_reused: false, idle_since })
     }
 
     /// Returns a connection that has carried no request since it was taken to the pool.
@@ -155,7 +176,9 @@
             return;
         }
         connection.is_reused = true;
-        let until = Instant::now() + time;
+        let now = Instant::now();
+        connection.idle_since.set(Some(now));
+        let until = now + time;
         self.idle
             .borrow_mut()
             .entry(connection.address)
@@ -178,6 +201,7 @@
         let now = Instant::now();
         while let Some(last) = idle.pop() {
             if last.until > now && last.connection.tx.is_ready() {
+                last.connection.idle_since.set(None);
                 return Some(last.connection);
             }
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -10,6 +10,7 @@
 use crate::protocol::Protocol;
 use crate::registration;
 use crate::serve::{Listener, ListenerKind, accept_connections};
+use crate::server_check;
 use crate::share_claim;
 use crate::shutdown::{Shutdown, ShutdownStep};
 use crate::supervise::supervise;
@@ -81,6 +82,7 @@
     supervise_with(&cx, "origins", origin_store::run);
     supervise_with(&cx, "idle connections", sweep);
     supervise_with(&cx, "paths", path_probe::watch_connections);
+    supervise_with(&cx, "early closes", server_check::watch_early_closes);
     let lease = Rc::new(LeaderLease::new(cx.clone()));
     if let Some(duties) = cx.duties.clone() {
         let held = lease.clone();
--- a/crates/relay/src/server_check.rs
+++ b/crates/relay/src/server_check.rs
@@ -53,6 +53,22 @@
     });
 }
 
+/// Checks servers that closed connections right after a response: requests after whose answers they crash would look
+/// sound.
+pub(crate) async fn watch_early_closes(cx: Rc<Context>) {
+    loop {
+        let closed = cx.pool.closed_early().await;
+        let servers: Vec<(Name, SocketAddr)> = {
+            let picker = cx.picker.borrow();
+            let known = picker.servers().map(|known| (known.info.id.clone(), known.info.address));
+            known.filter(|(_, address)| closed.contains(address)).collect()
+        };
+        for (server, address) in servers {
+            check_server(&cx, &server, address);
+        }
+    }
+}
+
 /// Records whether the server could be reached; returns whether this entry reaches no server at all.
 async fn record_reachability(
     cx: &Rc<Context>,
