relay: the end of a server that is off the list without notice is a crash

Cause: whether a server leaves, and which run of it ended, was looked up after the probe. One that was off the list by then counted as leaving, one that was back as its next run. The crash accused nobody.

A server whose registration was removed without notice serves for the drain time; one that refuses connections within half of it has crashed.

--- a/crates/relay/src/context.rs
+++ b/crates/relay/src/context.rs
@@ -7,6 +7,7 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::protocol::Protocol;
+use crate::server_check::UnlistedServer;
 use crate::shutdown::Shutdown;
 use crate::start_kind::StartKind;
 use crate::version_check::VersionCheck;
@@ -164,6 +165,8 @@
     pub(crate) servers_followed_at: Cell<Millis>,
     /// Servers whose registration disappeared during an outage of the store or shortly after it.
     pub(crate) missing_servers: RefCell<BTreeSet<Name>>,
+    /// Servers whose registration was removed lately although they had not said that they leave.
+    pub(crate) unlisted_servers: RefCell<BTreeMap<Name, UnlistedServer>>,
     /// Servers for which a check is under way whether they have ended.
     pub(crate) servers_checked: RefCell<BTreeSet<Name>>,
     /// Queries whether servers still run.
@@ -312,6 +315,7 @@
             server_added_at: Cell::default(),
             servers_followed_at: Cell::default(),
             missing_servers: RefCell::default(),
+            unlisted_servers: RefCell::default(),
             servers_checked: RefCell::default(),
             life_queries: LifeQueries::default(),
             server_check_ended: Notify::new(),
--- a/crates/relay/src/sync.rs
+++ b/crates/relay/src/sync.rs
@@ -9,6 +9,7 @@
 use crate::peers;
 use crate::readers::{batch_delay, is_reader, next_source};
 use crate::registration::{ENTRIES_PREFIX, parse_registration};
+use crate::server_check;
 use bytes::Bytes;
 use coord::{ChangeSource, Confirmation};
 use infra::{Change, Listing, Stored, Watched};
@@ -422,7 +423,11 @@
     let was_leaving = cx.picker.borrow().get(id).is_some_and(Server::is_leaving);
     cx.server_limits.borrow_mut().remove(id);
     cx.brittle_servers.borrow_mut().remove(id);
-    let service = cx.picker.borrow().get(id).map(|server| server.info.service.clone());
+    let known = cx.picker.borrow().get(id).map(|server| server.info.clone());
+    let service = known.as_ref().map(|info| info.service.clone());
+    if let Some(info) = known.filter(|_| !was_leaving) {
+        server_check::record_unlisted(cx, id, info.started_unix_ms);
+    }
     if let Some(service) = &service {
         paths::remove_server(cx, service, id);
     }
