relay: an answer that ends before its request is written is lost

What callers saw: a server answered a long upload at once with a 200 without length, sent part of its body, ended its side of the connection in order and reset it while the upload was still being written.

Cause: an answer without length or chunks ends with its connection; it counts as whole if the server lives on, and nobody looked at the request, which the server had given up.

--- a/crates/relay/src/end_check.rs
+++ b/crates/relay/src/end_check.rs
@@ -9,7 +9,6 @@
 use crate::pool::SendError;
 use crate::request::AdmittedRequest;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
 use kernel::boot_ms;
@@ -90,6 +89,10 @@
     if response.is_forwarded {
         return Some("response of another entry ended with its connection");
     }
+    // A server that lives may have given the request up; what it would have answered to all of it is not known.
+    if response.connection.is_sending() {
+        return Some("response ended before its request was written");
+    }
     let ended_at = Instant::now();
     let (server, address) = (&response.guard.server, response.connection.address());
     let life = life_after(cx, server, address, ended_at);
@@ -169,7 +172,7 @@
     let Ok(mut connection) = cx.pool.connect(address).await else {
         return ServerLife::Unreachable;
     };
-    let mut req = Request::new(Full::new(Bytes::new()));
+    let mut req = Request::new(Bytes::new());
     *req.uri_mut() = Uri::from(cx.protocol.life_query());
     let expected = HeaderValue::from_str(server);
     if let (Ok(host), Ok(expected)) = (HeaderValue::from_str(&address.to_string()), expected) {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -11,7 +11,7 @@
 use crate::pool::{SendError, ServerRequest};
 use crate::request::AdmittedRequest;
 use coord::Entry;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, Uri};
@@ -183,7 +183,7 @@
     let mut req = Request::builder()
         .method(request.method.clone())
         .uri(Uri::from(request.target.clone()))
-        .body(Full::new(request.body.clone()))?;
+        .body(request.body.clone())?;
     let headers = req.headers_mut();
     *headers = request.headers.clone();
     fields::strip(headers);
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -5,7 +5,6 @@
 use crate::dispatch::ResumePoint;
 use crate::pool::{ServerRequest, is_chunked};
 use crate::request::AdmittedRequest;
-use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -31,7 +30,7 @@
     let mut req = Request::builder()
         .method(request.method.clone())
         .uri(Uri::from(request.target.clone()))
-        .body(Full::new(request.body.clone()))?;
+        .body(request.body.clone())?;
     let headers = req.headers_mut();
     *headers = request.headers.clone();
     headers.insert(&names.request, request.id.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,6 +50,7 @@
 mod supervise;
 mod sync;
 mod target;
+mod upload;
 mod usage_report;
 mod version_check;
 
--- a/crates/relay/src/move_call.rs
+++ b/crates/relay/src/move_call.rs
@@ -5,7 +5,7 @@
 use crate::pool::SendError;
 use crate::request::AdmittedRequest;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Uri};
 use kernel::prelude::*;
@@ -37,7 +37,7 @@
     to: SocketAddr,
 ) -> MoveResult {
     let (target, body) = cx.protocol.move_request(request.id_text(), to);
-    let mut req = Request::new(Full::new(Bytes::from(body)));
+    let mut req = Request::new(Bytes::from(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = Uri::from(target);
     match HeaderValue::from_str(&at.to_string()) {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -2,8 +2,8 @@
 
 use crate::context::Context;
 use crate::request::AdmittedRequest;
+use crate::upload::{Upload, UploadProgress};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, body::Incoming};
@@ -41,12 +41,14 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A request to a backend server.
-pub(crate) type ServerRequest = Request<Full<Bytes>>;
+pub(crate) type ServerRequest = Request<Bytes>;
 
 /// A connection to a backend server that carries one request at a time.
 pub(crate) struct Connection {
     address: SocketAddr,
-    tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<Upload>,
+    /// How far the body of the last request was written.
+    upload: UploadProgress,
     /// Whether the connection has carried a request before.
     is_reused: bool,
     /// Time from which the connection has been idle, if it is.
@@ -161,7 +163,8 @@
                 closed_early.add(address);
             }
         });
-        Ok(Connection { address, tx, is_reused: false, idle_since })
+        let upload = UploadProgress::default();
+        Ok(Connection { address, tx, upload, is_reused: false, idle_since })
     }
 
     /// Returns a connection that has carried no request since it was taken to the pool.
@@ -214,6 +217,11 @@
         self.address
     }
 
+    /// Whether part of the last request has not been written yet.
+    pub(crate) fn is_sending(&self) -> bool {
+        self.upload.is_unfinished()
+    }
+
     /// Whether the connection has carried a request before.
     pub(crate) fn is_reused(&self) -> bool {
         self.is_reused
@@ -227,6 +235,7 @@
         let failure = |code, cause: &dyn std::fmt::Display| {
             Failure::new(code, format!("{}: {cause}", self.address))
         };
+        let req = req.map(|body| Upload::new(body, self.upload.clone()));
         let sent = self.tx.try_send_request(req).await;
         let response = sent.map_err(|mut e| {
             if e.take_message().is_some() {
