relay, web: answers without end give their memory up

What callers saw: a faulty server sent bytes without end, and the machine that had called it ran out of memory; the requests of its other callers ended with it (LOST).

Cause: the incomplete event of a stream, up to 4 MiB, was charged to no account. Plain answers were charged, but when their parts had taken all memory, each waited for more until its deadline.

Change: incomplete events are charged like answers, with the copy that is made while their buffer grows, and plain answers with the buffer that they move from. Once answers have waited for memory for 500 ms, the one that keeps the largest part is lost, and the next one at once if they still wait.

--- a/crates/coord/src/clients.rs
+++ b/crates/coord/src/clients.rs
@@ -21,7 +21,7 @@
 /// Eighths of the memory for clients that may be in use once a large body is charged.
 const BODY_EIGHTHS: usize = 5;
 /// The same for a large answer, which ends what its request holds.
-const ANSWER_EIGHTHS: usize = 7;
+const ANSWER_EIGHTHS: usize = 6;
 /// The same for everything else.
 const ALL_EIGHTHS: usize = 8;
 /// Pace of a client that sends a body or reads an answer, in bytes per second, below which it may have to go.
@@ -30,6 +30,8 @@
 const GRACE_MS: Millis = 1_000;
 /// The same for a client that reads an answer, which may be on a bad line.
 const ANSWER_GRACE_MS: Millis = 5_000;
+/// Time for which answers have to wait for memory before those with the largest parts are given up, in milliseconds.
+const ANSWER_WAIT_MS: Millis = 500;
 /// Number of connections that were told to go and have not gone, from which none is taken up.
 const MAX_LEAVING: usize = 32;
 /// Maximum number of connections that are closed to make room for one.
@@ -110,6 +112,8 @@
     charge: ClientCharge,
     /// Memory of the body that arrives, or of the answer that is sent, in bytes. Its own charge counts it.
     content: usize,
+    /// Whether the answer waits for memory.
+    is_waiting: bool,
 }
 
 impl Connection {
@@ -156,6 +160,9 @@
     /// Memory of connections that were told to go, in bytes, and their number.
     leaving: usize,
     leaving_count: usize,
+    /// Number of connections whose answers wait for memory, and the time since which there have been any.
+    waiting: usize,
+    waiting_since: Option<Millis>,
     next: ConnectionId,
 }
 
@@ -170,6 +177,8 @@
             descriptors,
             leaving: 0,
             leaving_count: 0,
+            waiting: 0,
+            waiting_since: None,
             next: 0,
         }
     }
@@ -207,6 +216,7 @@
             head: 0,
             charge: self.account.charge(CONNECTION_BYTES),
             content: 0,
+            is_waiting: false,
         };
         self.connections.insert(id, connection);
         Room::granted(id, dismissed)
@@ -214,6 +224,7 @@
 
     /// Takes a connection out that has been closed.
     pub fn close(&mut self, id: ConnectionId) {
+        self.set_waiting(id, false, 0);
         let Some(connection) = self.connections.remove(&id) else { return };
         self.descriptors[connection.listener] -= self.descriptors_of(&connection);
         if connection.activity == Activity::Leaving {
@@ -325,9 +336,43 @@
         {
             connection.content += bytes;
         }
+        let is_waiting = room.granted.is_none() && matches!(content, Content::Answer(_));
+        self.set_waiting(id, is_waiting, now);
         room
     }
 
+    /// Notes whether the answer on a connection waits for memory.
+    fn set_waiting(&mut self, id: ConnectionId, is_waiting: bool, now: Millis) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.is_waiting == is_waiting {
+            return;
+        }
+        connection.is_waiting = is_waiting;
+        self.waiting = if is_waiting { self.waiting + 1 } else { self.waiting - 1 };
+        match self.waiting {
+            0 => self.waiting_since = None,
+            _ => self.waiting_since = self.waiting_since.or(Some(now)),
+        }
+    }
+
+    /// Takes bytes of an answer out that are no longer kept. Their charge is given back by itself.
+    pub fn release(&mut self, id: ConnectionId, bytes: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.content = connection.content.saturating_sub(bytes);
+        }
+    }
+
+    /// Whether an answer that waits for memory has to be given up: the parts of answers have left no room for each other
+    /// for some time, and it has the largest part. One that has nothing yet keeps nobody waiting.
+    pub fn gives_way(&self, id: ConnectionId, now: Millis) -> bool {
+        let Some(own) = self.connections.get(&id) else { return true };
+        let has_lasted =
+            self.waiting_since.is_some_and(|since| now.saturating_sub(since) >= ANSWER_WAIT_MS);
+        let waiting = self.connections.iter().filter(|(_, other)| other.is_waiting);
+        let largest = waiting.map(|(other, connection)| (connection.content, *other)).max();
+        has_lasted && own.content > 0 && largest == Some((own.content, id))
+    }
+
     /// Notes whether bytes of an answer wait until the client reads, after it has read this number of them.
     pub fn send(&mut self, id: ConnectionId, bytes: usize, is_blocked: bool, now: Millis) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -351,6 +396,7 @@
         if per_request > 0 {
             drop(connection.charge.split(REQUEST_BYTES));
         }
+        self.set_waiting(id, false, now);
     }
 
     /// Tells all connections to go that have kept the process waiting for too long, and returns them.
--- a/crates/coord/tests/clients.rs
+++ b/crates/coord/tests/clients.rs
@@ -109,6 +109,41 @@
     drop(held);
 }
 
+/// Keeps part of an answer on a connection.
+fn hold_answer(
+    clients: &mut Clients,
+    id: ConnectionId,
+    bytes: usize,
+    now: u64,
+) -> Option<ClientCharge> {
+    clients.hold(id, bytes, Content::Answer(bytes), now).granted
+}
+
+#[test]
+fn the_largest_part_of_an_answer_is_given_up_once_answers_have_waited_for_memory() {
+    let mut clients = clients(8 * MIB, 100);
+    let ids: Vec<_> = (0..3).map(|_| run(&mut clients, 0)).collect();
+    let parts = [MIB, 3 * MIB, 0];
+    let held: Vec<_> = ids
+        .iter()
+        .zip(parts)
+        .map(|(id, bytes)| hold_answer(&mut clients, *id, bytes, 0).expect("no room"))
+        .collect();
+    assert!(!ids.iter().any(|id| clients.gives_way(*id, 1_000)), "no answer waits");
+    for id in &ids {
+        assert!(hold_answer(&mut clients, *id, 4 * MIB, 1_000).is_none());
+    }
+    assert!(!ids.iter().any(|id| clients.gives_way(*id, 1_400)), "they have not waited long");
+    let give_way: Vec<bool> = ids.iter().map(|id| clients.gives_way(*id, 1_500)).collect();
+    assert_eq!(give_way, [false, true, false]);
+    // The next one does not wait as long.
+    clients.end_request(ids[1], 1_500);
+    assert!(clients.gives_way(ids[0], 1_510));
+    drop(held);
+    assert!(hold_answer(&mut clients, ids[0], 4 * MIB, 1_520).is_some());
+    assert!(!ids.iter().any(|id| clients.gives_way(*id, 2_000)), "one keeps nobody waiting");
+}
+
 #[test]
 fn a_byte_now_and_then_is_no_progress() {
     let mut clients = clients(16 * MIB, 100);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -68,6 +68,11 @@
         matches!((last, id.and_then(number)), (Some(last), Some(id)) if id <= last)
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether bytes are buffered that were not returned.
     pub fn has_incomplete_event(&self) -> bool {
         !self.buffer.is_empty()
@@ -91,7 +96,7 @@
 
     /// Discards what is buffered, as it will not be completed.
     pub fn discard_incomplete(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
         self.is_foreign = false;
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use web::AnswerRoom;
 
 /// State of a stream that is forwarded to a caller.
 struct StreamRelay {
@@ -37,6 +38,8 @@
     history: AttemptHistory,
     tried: Vec<Name>,
     events: EventSplitter,
+    /// Memory for an event that is not complete.
+    event_room: AnswerRoom,
     chunks: u64,
     /// Whether the present response has brought an event.
     has_event: bool,
@@ -86,6 +89,7 @@
     let is_resumable = request.route.retry_policy.is_retryable();
     let events = EventSplitter::after(request.headers.get(LAST_EVENT_ID).filter(|_| is_resumable));
     let departures_changed = cx.departures_changed.subscribe();
+    let event_room = AnswerRoom::new(request.client.clone());
     let relay = StreamRelay {
         cx,
         request,
@@ -93,6 +97,7 @@
         history,
         tried,
         events,
+        event_room,
         chunks: 0,
         has_event: false,
         software_version,
@@ -113,9 +118,18 @@
     /// Returns the next bytes for the caller; `None` at the end of the stream.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, Failure>> {
         self.progress_at = Instant::now();
+        if !self.events.has_incomplete_event() {
+            self.event_room.clear();
+        }
         loop {
             match self.read_input().await {
                 StreamInput::Bytes(bytes) => {
+                    if let Err(cause) = self.make_room(bytes.len()).await {
+                        match self.resume_elsewhere(cause).await {
+                            Some(failure) => return Some(Err(failure)),
+                            None => continue,
+                        }
+                    }
                     let complete = self.accept(&bytes);
                     if !complete.is_empty() {
                         return Some(Ok(complete));
@@ -181,6 +195,19 @@
         }
     }
 
+    /// Waits until there is memory for further bytes from the server; returns why there is none.
+    async fn make_room(&mut self, bytes: usize) -> Result<(), String> {
+        let needed = EVENT_COPIES * (self.events.buffered() + bytes);
+        if needed <= SMALL_EVENT_BYTES {
+            return Ok(());
+        }
+        let room = tokio::time::timeout_at(self.request.deadline, self.event_room.grow_to(needed));
+        match room.await {
+            Ok(room) => room.map_err(|e| e.context),
+            Err(_) => Err("deadline passed while waiting for memory".into()),
+        }
+    }
+
     /// Records bytes from the server and returns the complete events to forward.
     fn accept(&mut self, bytes: &Bytes) -> Bytes {
         if bytes.is_empty() {
@@ -347,6 +374,7 @@
         }
         let (request, cx) = (self.request.clone(), self.cx.clone());
         self.events.discard_incomplete();
+        self.event_room.clear();
         loop {
             let Some(target) = self.next_target().await else {
                 return Some(Failure::new(Code::Incomplete, cause));
@@ -393,6 +421,10 @@
     }
 }
 
+/// Copies of an incomplete event that are kept while its buffer grows.
+const EVENT_COPIES: usize = 2;
+/// Memory of an incomplete event that is part of what each request is charged, in bytes.
+const SMALL_EVENT_BYTES: usize = 16 << 10;
 /// Number of servers tried for a stream; after more than this, an attempt without a response ends
 /// the stream.
 const MAX_SERVERS_TRIED: usize = 5;
--- a/crates/web/src/clients.rs
+++ b/crates/web/src/clients.rs
@@ -286,6 +286,16 @@
         }
     }
 
+    /// Takes bytes of an answer out that are no longer kept.
+    pub(crate) fn release(&self, bytes: usize) {
+        self.registry.lock().clients.release(self.id, bytes);
+    }
+
+    /// Whether the answer that waits for memory has to be given up.
+    pub(crate) fn gives_way(&self) -> bool {
+        self.registry.lock().clients.gives_way(self.id, self.now())
+    }
+
     fn now(&self) -> Millis {
         self.registry.clock.now()
     }
--- a/crates/web/src/intake.rs
+++ b/crates/web/src/intake.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use kernel::{Code, Failure};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Interval between two attempts to get memory for an answer.
@@ -93,7 +94,8 @@
     /// no memory for it. It stays charged to the memory for clients until its last copy is gone.
     ///
     /// # Errors
-    /// [`Code::BodyTooLarge`] past the limit, [`Code::BackendBroke`] when the connection breaks.
+    /// [`Code::BodyTooLarge`] past the limit, [`Code::BackendBroke`] when the connection breaks, [`Code::Overloaded`] if
+    /// the parts of answers take all memory and this one is the largest.
     pub async fn collect_answer(
         &self,
         body: &mut Incoming,
@@ -108,14 +110,11 @@
                 return Err(Failure::new(Code::BodyTooLarge, text));
             }
             if let Some(missing) = joined.missing(part.len()) {
-                let content = Content::Answer(joined.len() + part.len());
-                let charge = loop {
-                    match self.hold(missing, content) {
-                        Some(charge) => break charge,
-                        None => tokio::time::sleep(ANSWER_ROOM_INTERVAL).await,
-                    }
-                };
-                joined.grow(missing, charge);
+                // Both buffers exist while one is copied to the other.
+                let capacity = joined.capacity() + missing;
+                let charge = self.answer_room(capacity, joined.len() + part.len()).await?;
+                let former = joined.move_to(capacity, charge);
+                self.release(former.map_or(0, |former| former.bytes()));
             }
             joined.push(part);
         }
@@ -123,6 +122,65 @@
     }
 }
 
+impl ClientConnection {
+    /// Charges further bytes of an answer that has this size with them. Waits while there is no memory for them.
+    async fn answer_room(&self, bytes: usize, size: usize) -> Result<ClientCharge, Failure> {
+        loop {
+            if let Some(charge) = self.hold(bytes, Content::Answer(size)) {
+                return Ok(charge);
+            }
+            if self.gives_way() {
+                return Err(no_room("answers"));
+            }
+            tokio::time::sleep(ANSWER_ROOM_INTERVAL).await;
+        }
+    }
+}
+
+/// Memory for the part of an answer that waits for its rest.
+#[derive(Debug)]
+pub struct AnswerRoom {
+    client: Arc<ClientConnection>,
+    charge: Option<ClientCharge>,
+}
+
+impl AnswerRoom {
+    /// Creates room of the answer to the request of a client, without memory.
+    pub fn new(client: Arc<ClientConnection>) -> Self {
+        Self { client, charge: None }
+    }
+
+    /// Charges what is missing to this number of bytes. Waits while there is no memory for it.
+    ///
+    /// # Errors
+    /// [`Code::Overloaded`] if the parts of answers take all memory and this one is the largest.
+    pub async fn grow_to(&mut self, bytes: usize) -> Result<(), Failure> {
+        let held = self.charge.as_ref().map_or(0, ClientCharge::bytes);
+        if bytes <= held {
+            return Ok(());
+        }
+        let further = self.client.answer_room(bytes - held, bytes).await?;
+        match &mut self.charge {
+            Some(charge) => charge.merge(further),
+            None => self.charge = Some(further),
+        }
+        Ok(())
+    }
+
+    /// Gives all memory back.
+    pub fn clear(&mut self) {
+        if let Some(charge) = self.charge.take() {
+            self.client.release(charge.bytes());
+        }
+    }
+}
+
+impl Drop for AnswerRoom {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
+
 /// Bytes that are charged until the last copy is gone.
 struct Charged {
     bytes: Vec<u8>,
@@ -173,6 +231,12 @@
         }
     }
 
+    /// Moves to a larger buffer, which has been charged; returns the charge of the former one.
+    fn move_to(&mut self, capacity: usize, charge: ClientCharge) -> Option<ClientCharge> {
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.charge.replace(charge)
+    }
+
     fn capacity(&self) -> usize {
         self.bytes.capacity()
     }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -16,5 +16,6 @@
 pub use client_io::ClientIo;
 pub use client_meters::ClientMeters;
 pub use clients::{ClientConnection, ClientCounts, ClientRegistry, ClientRequest};
+pub use intake::AnswerRoom;
 pub use reply::{Reply, json, problem, read_problem, text};
 pub use server::{Request, ServerSettings, bind, serve, serve_clients};
