coord: entries tell less of the requests at servers that crash

Cause: with all open requests suspect, each entry told the parts of all of them, and repeated those of all others, in each state message.

Change: an entry tells its own suspects, and those of others only once several servers crashed under them; no part that it knows a server to survive; at most 24 parts of a crash. It corrects others only about marks that are accused more than once. The counts are kept as crashes come, which judging uses, too.

--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -15,7 +15,7 @@
 use kernel::{Millis, Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use crash::{Crash, Suspect};
+use crash::{Accusation, Crash, Suspect};
 use open_work::Sent;
 
 pub use open_work::SendId;
@@ -136,9 +136,9 @@
     /// The same times for accused marks of requests that are open, which a crash may still end.
     living: HashMap<u64, Millis>,
     crashes: BTreeMap<ServerRun, Crash>,
-    /// Longest time from a request to a crash under it, by suspect mark, in milliseconds.
-    longest_to_crash: HashMap<u64, Millis>,
-    /// Whether `longest_to_crash` has marks that are no longer suspect.
+    /// What the crashes together say of each suspect mark.
+    accused: HashMap<u64, Accusation>,
+    /// Whether `accused` counts crashes under marks that are no longer suspect.
     has_former_suspects: bool,
     /// Whether there is evidence that was not judged yet.
     has_new_evidence: bool,
@@ -161,7 +161,7 @@
             survivals: VecDeque::new(),
             living: HashMap::new(),
             crashes: BTreeMap::new(),
-            longest_to_crash: HashMap::new(),
+            accused: HashMap::new(),
             has_former_suspects: false,
             has_new_evidence: false,
             held: BTreeMap::new(),
@@ -193,16 +193,16 @@
             {
                 continue;
             }
+            let accusation = self.accused.entry(mark).or_default();
             let known = crash.suspects.entry(mark).or_insert_with(|| {
                 self.has_new_evidence = true;
+                accusation.crashes += 1;
                 suspect
             });
             self.has_new_evidence |= suspect.began_at > known.began_at;
             known.began_at = suspect.began_at.max(known.began_at);
             known.is_own |= suspect.is_own;
-            let to_crash_ms = crash.at.saturating_sub(known.began_at);
-            let longest_ms = self.longest_to_crash.entry(mark).or_default();
-            *longest_ms = to_crash_ms.max(*longest_ms);
+            accusation.note_time(crash.at.saturating_sub(known.began_at));
         }
     }
 
@@ -212,18 +212,19 @@
             self.add_survival(part, now.saturating_sub(age));
         }
         for CrashNews { run, age, suspects } in news.crashes {
-            self.doubt(suspects.keys().copied(), now);
+            let told: Vec<u64> = suspects.keys().copied().collect();
             let at = now.saturating_sub(age);
-            let suspects =
-                suspects.into_iter().map(|(part, SuspectNews { answered_ms, index, is_weak })| {
-                    let began_at = at.saturating_sub(answered_ms);
-                    (part, Suspect { began_at, index, is_own: false, is_weak })
-                });
+            let suspects = suspects.into_iter().map(|(part, suspect)| {
+                let SuspectNews { answered_ms, index, is_weak } = suspect;
+                let began_at = at.saturating_sub(answered_ms);
+                (part, Suspect { began_at, index, is_own: false, is_weak })
+            });
             let mut suspects: BTreeMap<u64, Suspect> = suspects.collect();
             suspects.extend(self.take_suspects(&run.server, at));
             self.add_crash(run, at, suspects);
+            self.doubt(told.into_iter().filter(|mark| self.is_accused_again(*mark)).collect(), now);
         }
-        self.doubt(news.held.keys().copied(), now);
+        self.doubt(news.held.keys().copied().collect(), now);
         for (mark, told) in news.held {
             let told = Hold {
                 requested_at: now.saturating_sub(told.request_age),
@@ -243,9 +244,9 @@
     }
 
     /// Notes that others suspect parts, so that they are told of the survivals known here.
-    fn doubt(&mut self, parts: impl Iterator<Item = u64>, now: Millis) {
-        let known = parts.filter(|part| self.survived.contains_key(part)).map(|part| (part, now));
-        self.doubted.extend(known);
+    fn doubt(&mut self, mut marks: Vec<u64>, now: Millis) {
+        marks.retain(|mark| self.survived.contains_key(mark));
+        self.doubted.extend(marks.into_iter().map(|mark| (mark, now)));
     }
 
     fn add_survival(&mut self, mark: u64, at: Millis) {
@@ -265,7 +266,12 @@
     }
 
     fn is_accused(&self, mark: u64) -> bool {
-        self.longest_to_crash.contains_key(&mark)
+        self.accused.contains_key(&mark)
+    }
+
+    /// Whether several servers crashed under a mark, so that others may soon hold it.
+    fn is_accused_again(&self, mark: u64) -> bool {
+        self.accused.get(&mark).is_some_and(|accusation| accusation.crashes > 1)
     }
 
     /// Forgets the marks that are no longer suspect.
@@ -273,12 +279,12 @@
         if !std::mem::take(&mut self.has_former_suspects) {
             return;
         }
-        self.longest_to_crash.clear();
+        self.accused.clear();
         for crash in self.crashes.values() {
             for (mark, suspect) in &crash.suspects {
-                let to_crash_ms = crash.at.saturating_sub(suspect.began_at);
-                let longest_ms = self.longest_to_crash.entry(*mark).or_default();
-                *longest_ms = to_crash_ms.max(*longest_ms);
+                let accusation = self.accused.entry(*mark).or_default();
+                accusation.crashes += 1;
+                accusation.note_time(crash.at.saturating_sub(suspect.began_at));
             }
         }
     }
@@ -359,17 +365,15 @@
 
     /// Puts the marks into quarantine that crashes accuse often enough.
     fn hold(&mut self, now: Millis) -> Vec<QuarantineChange> {
-        let mut accused: HashMap<u64, usize> = HashMap::new();
-        for mark in self.crashes.values().flat_map(|crash| crash.suspects.keys()) {
-            *accused.entry(*mark).or_default() += 1;
-        }
         // Most marks are in one crash only. All others are judged by the quarantines of before, so that
         // their order does not matter.
-        let mut guilty: Vec<(u64, usize)> = accused
-            .into_iter()
-            .filter(|(_, crashes)| *crashes >= self.settings.crashes)
-            .filter(|(mark, _)| !self.held.contains_key(mark) && !self.is_cleared(*mark))
-            .map(|(mark, _)| (mark, self.crashes_under(mark)))
+        let mut guilty: Vec<(u64, usize)> = self
+            .accused
+            .iter()
+            .filter(|(_, accusation)| accusation.crashes >= self.settings.crashes)
+            .map(|(mark, _)| *mark)
+            .filter(|mark| !self.held.contains_key(mark) && !self.is_cleared(*mark))
+            .map(|mark| (mark, self.crashes_under(mark)))
             .filter(|(mark, crashes)| {
                 *crashes >= self.crashes_to_hold(*mark) && !self.is_explained(*mark)
             })
@@ -517,6 +521,13 @@
         self.held.len()
     }
 
+    /// Whether others are told of a suspect of a crash. What one entry knows, the others need not repeat, unless it is
+    /// about to count; a part that a server survived needs no correction that way.
+    fn is_told(&self, mark: u64, suspect: &Suspect) -> bool {
+        let is_repeated = !is_request_mark(mark) && self.is_accused_again(mark);
+        (suspect.is_own || is_repeated) && !self.is_cleared(mark)
+    }
+
     /// Returns the news for the other entries.
     pub fn news(&self, now: Millis) -> QuarantineNews {
         let age = |at: Millis| now.saturating_sub(at);
@@ -527,7 +538,7 @@
             .map(|(run, crash)| CrashNews {
                 run: run.clone(),
                 age: age(crash.at),
-                suspects: crash.suspects_to_tell(),
+                suspects: crash.suspects_to_tell(|mark, suspect| self.is_told(mark, suspect)),
             })
             .collect();
         crashes.sort_by_key(|crash| crash.age);
--- a/crates/coord/src/quarantine/crash.rs
+++ b/crates/coord/src/quarantine/crash.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Maximum number of parts of prompts that the news for another entry have for one crash.
-const MAX_PARTS_TOLD: usize = 64;
+const MAX_PARTS_TOLD: usize = 24;
 /// Maximum number of requests that the news for another entry have for one crash.
 const MAX_REQUESTS_TOLD: usize = 24;
 
@@ -19,29 +19,46 @@
 }
 
 impl Crash {
-    /// Returns the suspects for the news: the parts, and the requests that this entry had sent, the last ones of both.
-    pub(super) fn suspects_to_tell(&self) -> BTreeMap<u64, SuspectNews> {
-        let is_request = |(mark, _): &(&u64, &Suspect)| is_request_mark(**mark);
-        let (mut requests, parts): (Vec<_>, Vec<_>) = self.suspects.iter().partition(is_request);
-        requests.retain(|(_, suspect)| suspect.is_own);
-        let told = [(parts, MAX_PARTS_TOLD), (requests, MAX_REQUESTS_TOLD)];
-        told.into_iter().flat_map(|(suspects, most)| self.last_of(suspects, most)).collect()
-    }
-
-    /// Returns the last of these suspects for the news, at most this number.
-    fn last_of(
+    /// Returns the suspects for the news, of those for which this is true the last ones.
+    pub(super) fn suspects_to_tell(
         &self,
-        mut suspects: Vec<(&u64, &Suspect)>,
-        most: usize,
-    ) -> impl Iterator<Item = (u64, SuspectNews)> {
-        suspects.sort_unstable_by_key(|(_, suspect)| Reverse(suspect.began_at));
-        suspects.truncate(most);
+        is_told: impl Fn(u64, &Suspect) -> bool,
+    ) -> BTreeMap<u64, SuspectNews> {
+        let told = self.suspects.iter().filter(|(mark, suspect)| is_told(**mark, suspect));
+        let mut told: Vec<(&u64, &Suspect)> = told.collect();
+        told.sort_unstable_by_key(|(_, suspect)| Reverse(suspect.began_at));
+        let (mut parts, mut requests) = (0, 0);
+        told.retain(|(mark, _)| {
+            let (count, most) = if is_request_mark(**mark) {
+                (&mut requests, MAX_REQUESTS_TOLD)
+            } else {
+                (&mut parts, MAX_PARTS_TOLD)
+            };
+            *count += 1;
+            *count <= most
+        });
         let news = |(mark, suspect): (&u64, &Suspect)| {
             let answered_ms = self.at.saturating_sub(suspect.began_at);
             let Suspect { index, is_weak, .. } = *suspect;
             (*mark, SuspectNews { answered_ms, index, is_weak })
         };
-        suspects.into_iter().map(news)
+        told.into_iter().map(news).collect()
+    }
+}
+
+/// What crashes together say of a mark.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Accusation {
+    /// Number of crashes under the mark.
+    pub(super) crashes: usize,
+    /// Longest time from a request with the mark to a crash, in milliseconds.
+    pub(super) longest_ms: Millis,
+}
+
+impl Accusation {
+    /// Notes the time from a request to a crash.
+    pub(super) fn note_time(&mut self, to_crash_ms: Millis) {
+        self.longest_ms = self.longest_ms.max(to_crash_ms);
     }
 }
 
--- a/crates/coord/src/quarantine/open_work.rs
+++ b/crates/coord/src/quarantine/open_work.rs
@@ -185,7 +185,7 @@
     /// before their servers crashed.
     pub(super) fn find_living(&mut self) {
         let mut living: HashMap<u64, Millis> = HashMap::new();
-        let is_any_doubted = !self.longest_to_crash.is_empty() || !self.held.is_empty();
+        let is_any_doubted = !self.accused.is_empty() || !self.held.is_empty();
         let is_counted =
             |sent: &&Sent| sent.ended_at.is_none() && !self.in_doubt.contains(&sent.server);
         let open = self.sent.values().filter(|sent| is_any_doubted && is_counted(sent));
@@ -203,7 +203,7 @@
     /// Returns the time for which a server has to go on with an answer to show that it survives a mark; `None` for a mark
     /// that nothing accuses.
     fn needed_to_survive(&self, mark: u64) -> Option<Millis> {
-        let longest_ms = self.longest_to_crash.get(&mark).copied();
+        let longest_ms = self.accused.get(&mark).map(|accusation| accusation.longest_ms);
         let is_doubted = longest_ms.is_some() || self.held.contains_key(&mark);
         let needed_ms = SURVIVAL_FACTOR * longest_ms.unwrap_or_default();
         is_doubted.then_some(needed_ms.max(self.settings.survival_ms))
