--- a/crates/coord/src/quarantine/open_work.rs
+++ b/crates/coord/src/quarantine/open_work.rs
@@ -97,18 +97,21 @@
         }
     }
 
-    /// Records that the answer to a request is complete. Its server has survived the request, and the parts of its prompt
-    /// unless it crashes soon: no other request may be the same, so that only parts need more than one.
+    /// Records that the answer to a request is complete. Its server has survived the request, and survives the parts of its
+    /// prompt if it lives on.
     pub fn record_completion(&mut self, id: SendId, now: Millis) {
-        let Some(sent) = self.sent.get_mut(&id) else { return };
+        let Some(mut sent) = self.sent.remove(&id) else { return };
         sent.completed_at = Some(now);
-        let requests: Vec<u64> = sent.marks.extract_if(.., |mark| is_request_mark(*mark)).collect();
-        let is_doubted = |mark: &u64| self.held.contains_key(mark) || self.is_accused(*mark);
-        self.has_new_evidence |=
-            self.sent.get(&id).is_some_and(|sent| sent.marks.iter().any(is_doubted));
+        let (requests, parts): (Vec<u64>, Vec<u64>) =
+            sent.marks.into_iter().partition(|mark| is_request_mark(*mark));
         for mark in requests {
             self.add_survival(mark, now);
         }
+        let is_doubted = |mark: &u64| self.held.contains_key(mark) || self.is_accused(*mark);
+        self.has_new_evidence |= parts.iter().any(is_doubted);
+        if !parts.is_empty() {
+            self.sent.insert(id, Sent { marks: parts, ..sent });
+        }
     }
 
     /// Records that this entry no longer waits for the answer to a request.
