relay: a probe waits whether the server that accepted it is ending

What callers saw: servers ended one after the other under a part of the prompt (BUDGET) although their ends were looked for.

Cause: while a process is ending, the kernel still accepts connections for it. On a busy machine a probe met this, the server counted as living, and its last answer as a survival of the part.

Change: a probe keeps its connection open for 40 ms. If it is closed, the server is probed again.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -25,6 +26,8 @@
 /// Time that bytes sent to a server may stay unacknowledged before the connection is treated as dead. Servers read
 /// at once, and a request to a dead one has to go elsewhere soon.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a probe keeps its connection open to see whether the server is ending.
+const PROBE_HOLD: Duration = Duration::from_millis(40);
 /// Silence before the first keep-alive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is not reused if its server states no limit.
@@ -268,11 +271,25 @@
 }
 
 /// Opens a connection to find out whether a server still runs, and closes it again.
+///
+/// The kernel accepts connections for a process that is ending, and closes them when it has ended.
 pub(crate) async fn probe(address: SocketAddr) -> Reachability {
+    let mut stream = match connect_once(address).await {
+        Ok(stream) => stream,
+        Err(reachability) => return reachability,
+    };
+    match tokio::time::timeout(PROBE_HOLD, stream.read_u8()).await {
+        Err(_) | Ok(Ok(_)) => Reachability::Listening,
+        // A server that has too many connections closes them, too.
+        Ok(Err(_)) => connect_once(address).await.map_or_else(|it| it, |_| Reachability::Listening),
+    }
+}
+
+async fn connect_once(address: SocketAddr) -> Result<TcpStream, Reachability> {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Reachability::Listening,
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reachability::Refused,
-        Ok(Err(_)) | Err(_) => Reachability::Unknown,
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Err(Reachability::Refused),
+        Ok(Err(_)) | Err(_) => Err(Reachability::Unknown),
     }
 }
 
