Show streams that are joined from two versions

Cause: only one entry writes which versions served a service, and only those that serve at that moment. A version that comes and goes while this entry is down leaves no trace, although streams began at it. Nothing is fixed.

--- /dev/null
+++ b/review/second/withdrawn_version.rs
@@ -0,0 +1,358 @@
+//! A new version of the servers comes and is withdrawn while the entry that keeps the history of versions is down.
+//!
+//! `withdrawn_version RECORD` runs the case; `withdrawn_version server ID VERSION` is a server. With `TROUBLE=0` the
+//! entry is not killed.
+
+#![allow(dead_code, reason = "each case uses a part of the shared modules")]
+
+mod entry;
+mod http;
+mod json;
+mod record;
+mod store;
+
+use entry::Entry;
+use record::Record;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use store::Store;
+
+const ENTRIES: usize = 4;
+const OLD_SERVERS: usize = 3;
+/// Streams that begin while the new version serves.
+const STREAMS: usize = 16;
+const EVENTS: usize = 64;
+const EVENT_PAUSE: Duration = Duration::from_millis(150);
+/// Time budget of a caller.
+const BUDGET: Duration = Duration::from_secs(15);
+/// Time for which the killed entry is down.
+const DOWN: Duration = Duration::from_millis(3_500);
+/// Time for which the server of the new version is registered.
+const REGISTERED: Duration = Duration::from_millis(1_500);
+/// Time for which it serves after that: the drain time and a little longer.
+const SERVES_ON: Duration = Duration::from_millis(2_300);
+
+fn event(version: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {version} piece {number}\n\n")
+}
+
+/// Runs a server that tells its address and each request that it runs.
+fn run_server(id: &str, version: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
+    println!("address {}", listener.local_addr().expect("no address"));
+    let (id, version) = (id.to_owned(), version.to_owned());
+    http::serve(listener, move |stream| {
+        let _ = serve(stream, &id, &version);
+    });
+    // Ends with the process that started this one.
+    let mut line = String::new();
+    while std::io::stdin().read_line(&mut line).is_ok_and(|len| len > 0) {}
+}
+
+fn serve(mut stream: TcpStream, id: &str, version: &str) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    while let Some(req) = http::read_request(&mut reader) {
+        let request = req.header("x-fennelfold-attempt-id").unwrap_or_default().to_owned();
+        let echo = format!("x-fennelfold-attempt-id: {request}\r\n");
+        if req.header("x-fennelfold-expect-instance").is_some_and(|expected| expected != id) {
+            http::respond(&mut stream, 421, &echo, b"").ok()?;
+            continue;
+        }
+        if request.is_empty() {
+            http::respond(&mut stream, 200, "", b"{}").ok()?;
+            continue;
+        }
+        println!("ran {request} from {:?}", req.header("last-event-id"));
+        let last = req.header("last-event-id").and_then(|id| id.parse::<usize>().ok());
+        let head = format!(
+            "HTTP/1.1 200 X\r\n{echo}x-fennelfold-server-seal: {id}.{request}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).ok()?;
+        for number in last.map_or(0, |last| last + 1)..EVENTS {
+            std::thread::sleep(EVENT_PAUSE);
+            let event = event(version, number);
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).ok()?;
+        }
+        stream.write_all(b"0\r\n\r\n").ok()?;
+    }
+    Some(())
+}
+
+/// A server that runs as a process of its own.
+struct Server {
+    id: String,
+    version: &'static str,
+    address: String,
+    child: Child,
+}
+
+impl Server {
+    fn start(id: &str, version: &'static str, record: &Record) -> Self {
+        let program = std::env::current_exe().expect("no program");
+        let mut child = Command::new(program)
+            .args(["server", id, version])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("cannot start a server");
+        let mut lines = BufReader::new(child.stdout.take().expect("no output")).lines();
+        let first = lines.next().and_then(Result::ok).unwrap_or_default();
+        let address = first.strip_prefix("address ").expect("the server has no address").to_owned();
+        let (record, name) = (record.clone(), format!("{id} ({version})"));
+        std::thread::spawn(move || {
+            lines
+                .map_while(Result::ok)
+                .for_each(|line| record.line(&format!("server {name} {line}")))
+        });
+        Self { id: id.to_owned(), version, address, child }
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    fn register(&self, store: &Store) {
+        let born =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("no time");
+        let entry = format!(
+            "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"north\",\"version\":\"{}\",\"slots\":32,\
+             \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":{}}}",
+            self.address,
+            self.version,
+            born.as_millis()
+        );
+        store.put(&self.key(), &entry);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"drafts","hostname":"host.example","prefix":"/drafts/",
+"kind":"streaming","timeoutMs":15000,"targetLatencyMs":600,"gapAimMs":0,"priority":0,"service":"pool","maxAttempts":2,
+"public":false,"sticky":false,"resumable":true}],"services":[{"name":"pool","healthPath":"/healthz","maxConns":360}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":10000,"idleTimeoutMs":60000}}"#;
+
+/// A stream of a caller, over all its attempts.
+#[derive(Default)]
+struct Stream {
+    text: Vec<u8>,
+    is_complete: bool,
+    attempts: usize,
+}
+
+impl Stream {
+    /// Returns the number of events that arrived whole.
+    fn events(&self) -> usize {
+        self.text.windows(2).filter(|pair| *pair == b"\n\n").count()
+    }
+
+    /// Returns the versions that wrote the events.
+    fn versions(&self) -> Vec<&'static str> {
+        let text = String::from_utf8_lossy(&self.text);
+        ["v1", "v2"]
+            .into_iter()
+            .filter(|version| text.contains(&format!("data: {version} ")))
+            .collect()
+    }
+
+    /// Takes in what one attempt brought, up to the last whole event.
+    fn add(&mut self, body: &[u8]) {
+        let end = body.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
+        self.text.extend_from_slice(&body[..end]);
+    }
+}
+
+/// Sends a request for a stream, and goes on with it after a broken connection, until its time budget ends.
+fn call(name: &str, fronts: &[SocketAddr], first: usize, record: &Record) -> Stream {
+    let until = Instant::now() + BUDGET;
+    let mut stream = Stream::default();
+    let mut front = first;
+    while !stream.is_complete && Instant::now() + Duration::from_millis(300) < until {
+        let left = until - Instant::now();
+        let id = format!("{name}-{}", stream.attempts);
+        stream.attempts += 1;
+        let mut headers = format!(
+            "host: host.example\r\nx-fennelfold-attempt-id: {id}\r\nx-fennelfold-deadline-ms: {}\r\n",
+            left.as_millis()
+        );
+        let events = stream.events();
+        if events > 0 {
+            headers += &format!("last-event-id: {}\r\n", events - 1);
+        }
+        let address = fronts[front % fronts.len()];
+        record.line(&format!("caller sends {id} to {address} after {events} events"));
+        let response = http::call(address, "POST", "/drafts/x", &headers, b"a prompt", left);
+        stream.add(if response.status == 200 { &response.body } else { b"" });
+        stream.is_complete = response.status == 200 && response.is_complete;
+        record.line(&format!(
+            "caller of {id} got {} complete={} events={} versions={:?}",
+            response.status,
+            response.is_complete,
+            stream.events(),
+            stream.versions()
+        ));
+        front += 1;
+        let pause =
+            response.header("retry-after").and_then(|text| text.parse().ok()).unwrap_or(0.05);
+        std::thread::sleep(Duration::from_secs_f64(pause));
+    }
+    stream
+}
+
+/// Returns which entry wrote the history of versions, when no other writes it any more.
+fn find_keeper(store: &Store) -> Option<usize> {
+    let mut keeper = None;
+    for _ in 0..40 {
+        std::thread::sleep(Duration::from_millis(100));
+        for seen in store.take_seen() {
+            if seen.keys.iter().any(|key| key.contains("/versions/other")) {
+                keeper = Some(seen.entry);
+            }
+        }
+    }
+    keeper
+}
+
+fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let folder = record::temporary_folder("withdrawn");
+    let store = Store::new();
+    store.put("op/config", CONFIG);
+    let servers: Vec<Server> = (0..OLD_SERVERS)
+        .map(|number| Server::start(&format!("i-old-{number}"), "v1", record))
+        .collect();
+    servers.iter().for_each(|server| server.register(&store));
+    let zones = ["north", "south"];
+    let mut entries: Vec<Entry> = (0..ENTRIES)
+        .map(|number| {
+            let endpoint = store.endpoint(number);
+            Entry::start(&format!("front-{number}"), zones[number % 2], endpoint, &folder)
+        })
+        .collect();
+    if !entries.iter().all(Entry::wait_until_ready) {
+        return Err("an entry did not get ready".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    // A service of its own shows which entry writes the history: a server of it is replaced by one of a newer version.
+    store.take_seen();
+    for version in ["a", "b"] {
+        let entry = format!(
+            "{{\"service\":\"other\",\"address\":\"{}\",\"zone\":\"north\",\"version\":\"{version}\",\"slots\":4,\
+             \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1}}",
+            servers[0].address
+        );
+        store.put("servers/i-other", &entry);
+        std::thread::sleep(Duration::from_millis(1_500));
+    }
+    let keeper = find_keeper(&store).ok_or("no entry wrote a history of versions")?;
+    record.line(&format!("{} keeps the history of versions", entries[keeper].name));
+    let fronts: Vec<SocketAddr> = entries.iter().map(|entry| entry.front).collect();
+
+    // The entry has just renewed its registration, which it does every 0.9 s.
+    let until = Instant::now() + Duration::from_secs(5);
+    store.take_seen();
+    while !store
+        .take_seen()
+        .iter()
+        .any(|seen| seen.entry == keeper && seen.path.contains("kv-keep"))
+    {
+        if Instant::now() > until {
+            return Err("the entry does not renew its registration".to_owned());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let began_at = Instant::now();
+    if has_trouble {
+        entries[keeper].kill();
+        record.line(&format!("{} is killed", entries[keeper].name));
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    let new = Server::start("i-new", "v2", record);
+    new.register(&store);
+    record.line("the server of v2 is registered");
+    std::thread::sleep(Duration::from_millis(700));
+    let streams: Arc<Mutex<BTreeMap<usize, Stream>>> = Arc::default();
+    let mut callers = Vec::new();
+    for number in 0..STREAMS {
+        let mut fronts = fronts.clone();
+        let running: Vec<SocketAddr> =
+            (0..ENTRIES).filter(|index| *index != keeper).map(|index| fronts[index]).collect();
+        // The first attempt goes to an entry that runs, the later ones to all in turn.
+        fronts.rotate_left((number + keeper + 1) % ENTRIES);
+        let first = running[number % running.len()];
+        let at = fronts.iter().position(|front| *front == first).unwrap_or(0);
+        let (record, streams) = (record.clone(), streams.clone());
+        callers.push(std::thread::spawn(move || {
+            let stream = call(&format!("s{number}"), &fronts, at, &record);
+            streams.lock().expect("a caller has failed").insert(number, stream);
+        }));
+    }
+    std::thread::sleep(REGISTERED.saturating_sub(Duration::from_millis(700)));
+    store.remove(&new.key());
+    record.line("the entry of the server of v2 is removed");
+    let removed_at = Instant::now();
+    let mut new = Some(new);
+    let mut is_back = !has_trouble;
+    while new.is_some() || !is_back {
+        std::thread::sleep(Duration::from_millis(10));
+        if removed_at.elapsed() >= SERVES_ON && new.take().is_some() {
+            record.line("the server of v2 exits");
+        }
+        if !is_back && began_at.elapsed() >= DOWN {
+            entries[keeper].run();
+            record.line(&format!("{} starts again", entries[keeper].name));
+            is_back = true;
+        }
+    }
+    callers.into_iter().for_each(|caller| drop(caller.join()));
+    record.line(&format!("history of versions: {:?}", store.get("fennelfold/versions/pool")));
+    drop(entries);
+    let streams = streams.lock().expect("a caller has failed");
+    let resumed = streams.values().filter(|stream| stream.versions().contains(&"v2")).count();
+    let joined: Vec<&usize> = streams
+        .iter()
+        .filter(|(_, stream)| stream.versions().len() > 1)
+        .map(|(number, _)| number)
+        .collect();
+    record.line(&format!("{resumed} streams began at v2; joined from two versions: {joined:?}"));
+    let _ = std::fs::remove_dir_all(&folder);
+    if resumed == 0 {
+        return Err("no stream began at the new version".to_owned());
+    }
+    Ok(joined.is_empty())
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    if let [_, kind, id, version] = &args[..]
+        && kind == "server"
+    {
+        run_server(id, version);
+        return ExitCode::SUCCESS;
+    }
+    let record = Record::create(args.get(1).map_or("record.txt", String::as_str));
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    match run(&record, has_trouble) {
+        Ok(true) => {
+            record.line("ORDER held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            record.line("ORDER broken");
+            ExitCode::from(1)
+        }
+        Err(cause) => {
+            record.line(&format!("the case could not run: {cause}"));
+            ExitCode::from(2)
+        }
+    }
+}
